Whole path, thin, as separate processes, with the core interfaces

Cause: nothing existed.

Change: vh-entry, vh-control, vh-ledger and vhctl as thin shells round a core library whose state machines take event and time and return actions. Callers and upstreams speak HTTP by Beast, our processes speak gRPC. Claims are taken at a majority of ledger replicas before dispatch. Stand-ins: fake_runner and load_caller. Not in it yet: durability, replication of the control log, grants, admission, health, the planner.

Ruled out: braced temporaries inside co_await expressions. g++ 12 destroys them twice; load_caller crashed with "free(): invalid size" until they became named locals.

Conclusion: the frame carries a job of each kind; the state behind it is next.

--- /dev/null
+++ b/bench/fake_runner.cpp
@@ -0,0 +1,180 @@
+// A stand-in for an upstream: announces itself, runs jobs by waiting, and
+// appends one line per job that it runs to a log of its own, which the demo
+// holds against what callers were told.
+#include "vanillahatch/shell/http_client.h"
+#include "vanillahatch/shell/http_server.h"
+#include "vanillahatch/shell/system_clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
+#include <boost/program_options.hpp>
+#include <csignal>
+#include <fstream>
+#include <iostream>
+
+using namespace vanillahatch;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+namespace po = boost::program_options;
+
+namespace {
+
+struct RunnerOptions
+{
+  std::string instance_;
+  std::string service_;
+  std::string dataCentre_;
+  std::string rack_;
+  uint16_t port_ = 0;
+  std::vector<uint16_t> entryPorts_;
+  std::string token_;
+  std::string logFile_;
+  int64_t runMs_ = 5;
+};
+
+class Runner
+{
+public:
+  explicit Runner(RunnerOptions aOptions)
+    : options_(std::move(aOptions))
+    , log_(options_.logFile_, std::ios::app)
+    , generation_(clock_.UnixNow().Count())
+    , server_(
+        io_,
+        { .endpoint_ = { "127.0.0.1", options_.port_ } },
+        [this](HttpRequest aRequest) { return RunJob(std::move(aRequest)); })
+  {
+  }
+
+  void Run()
+  {
+    server_.Start();
+    asio::co_spawn(io_, AnnounceForever(), asio::detached);
+    asio::signal_set signals(io_, SIGTERM, SIGINT);
+    signals.async_wait([this](boost::system::error_code, int) {
+      asio::co_spawn(io_, Stop(), asio::detached);
+    });
+    io_.run();
+  }
+
+private:
+  asio::awaitable<void> Sleep(int64_t aMs)
+  {
+    asio::steady_timer timer(io_, std::chrono::milliseconds(aMs));
+    co_await timer.async_wait(asio::use_awaitable);
+  }
+
+  asio::awaitable<HttpResponse> RunJob(HttpRequest aRequest)
+  {
+    log_ << aRequest["Vh-Job"] << ' ' << aRequest["Idempotency-Key"]
+         << std::endl;
+    ++running_;
+    co_await Sleep(options_.runMs_);
+    --running_;
+    HttpResponse response = MakeJson(200, aRequest.body());
+    response.set("Vh-Ran-On", options_.instance_);
+    co_return response;
+  }
+
+  asio::awaitable<void> AnnounceForever()
+  {
+    while (!departed_) {
+      co_await Announce(false);
+      co_await Sleep(500);
+    }
+  }
+
+  asio::awaitable<void> Announce(bool aDeparted)
+  {
+    ++sequence_;
+    const boost::json::object fact = {
+      { "instance", options_.instance_ },
+      { "service", options_.service_ },
+      { "address", "127.0.0.1" },
+      { "port", options_.port_ },
+      { "slots", 8 },
+      { "connections", 64 },
+      { "data_centre", options_.dataCentre_ },
+      { "rack", options_.rack_ },
+      { "worker", options_.instance_ + "-worker" },
+      { "generation", generation_ },
+      { "sequence", sequence_ },
+      { "lease_ms", 2000 },
+      { "departed", aDeparted },
+    };
+    // The balancer's choice: the next entry that takes it.
+    for (size_t i = 0; i < options_.entryPorts_.size(); ++i) {
+      const uint16_t port =
+        options_.entryPorts_[(sequence_ + i) % options_.entryPorts_.size()];
+      HttpRequest request(http::verb::post, "/v1/announce", 11);
+      request.set(http::field::host, "entry");
+      request.set(http::field::authorization, "Bearer " + options_.token_);
+      request.body() = boost::json::serialize(fact);
+      request.prepare_payload();
+      const Endpoint entry{ .address_ = "127.0.0.1", .port_ = port };
+      const ExchangeResult result =
+        co_await client_.Exchange(entry, std::move(request), Millis(300));
+      if (result.verdict_ == ExchangeVerdict::kAnswered &&
+          result.response_->result_int() == 200) {
+        co_return;
+      }
+    }
+  }
+
+  asio::awaitable<void> Stop()
+  {
+    departed_ = true;
+    co_await Announce(true);
+    co_await Sleep(2000);
+    server_.StopAccepting();
+    while (running_ > 0) {
+      co_await Sleep(10);
+    }
+    io_.stop();
+  }
+
+  RunnerOptions options_;
+  SystemClock clock_;
+  std::ofstream log_;
+  int64_t generation_;
+  uint64_t sequence_ = 0;
+  uint32_t running_ = 0;
+  bool departed_ = false;
+  asio::io_context io_{ 1 };
+  HttpServer server_;
+  HttpClient client_;
+};
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  RunnerOptions options;
+  po::options_description described("fake_runner options");
+  described.add_options()                                               //
+    ("instance", po::value(&options.instance_)->required(), "its name") //
+    ("service", po::value(&options.service_)->required(), "service")    //
+    ("data-centre", po::value(&options.dataCentre_)->required(), "where")(
+      "rack", po::value(&options.rack_)->default_value("r1"), "rack") //
+    ("port", po::value(&options.port_)->required(), "own port")       //
+    ("entry-port",
+     po::value(&options.entryPorts_)->multitoken()->required(),
+     "entries' HTTP ports")                                             //
+    ("token", po::value(&options.token_)->required(), "upstream token") //
+    ("log", po::value(&options.logFile_)->required(), "run log")        //
+    ("run-ms", po::value(&options.runMs_), "run time of a job, ms");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(aArgc, aArgv, described), values);
+    po::notify(values);
+    Runner(options).Run();
+  } catch (const std::exception& fault) {
+    std::cerr << "fake_runner: " << fault.what() << "\n" << described;
+    return 2;
+  }
+  return 0;
+}
--- /dev/null
+++ b/include/vanillahatch/core/grant.h
@@ -0,0 +1,30 @@
+// Permission to route to one upstream instance, for a short time.
+//
+// The grantor of the instance's data centre gives each entry a grant on
+// (instance, pool, epoch) with a share of the instance's slots and
+// connections. An entry that holds no unexpired grant dispatches nothing to
+// the instance, so that a move between pools is safe once every grant of the
+// old epoch has run out or was given back.
+//
+// Safety needs a bound on the rate of clocks, none on their offset: the holder
+// counts the lease from before it asked, the grantor from after it answered.
+#pragma once
+
+#include "vanillahatch/core/clock.h"
+#include "vanillahatch/core/ids.h"
+
+#include <cstdint>
+
+namespace vanillahatch {
+
+struct Grant
+{
+  InstanceName instance_;
+  PoolName pool_;
+  uint64_t epoch_ = 0;
+  uint32_t slots_ = 0;       // the holder's share of the instance's slots
+  uint32_t connections_ = 0; // the holder's share of its connections
+  Millis expiresAt_;         // monotonic, on the holder's clock
+};
+
+} // namespace vanillahatch
--- /dev/null
+++ b/include/vanillahatch/shell/events.h
@@ -0,0 +1,43 @@
+// The numbered events that the programs log; docs/EVENTS.md explains each, and
+// a test holds the two against each other.
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace vanillahatch {
+
+enum class Event : uint16_t
+{
+  kProcessStarted = 100,
+  kProcessStopping = 101,
+  kProcessStopped = 102,
+  kSettingsRefused = 103,
+  kRouteChosen = 200,
+  kJobRefused = 201,
+  kJobAnswered = 202,
+  kAttemptFailed = 203,
+  kLateAnswerDiscarded = 204,
+  kClaimDecided = 210,
+  kUpstreamAnnounced = 300,
+  kUpstreamDeparted = 301,
+  kUpstreamExpired = 302,
+  kRequestMalformed = 310,
+  kTokenRefused = 311,
+  kChangeDecided = 400,
+  kRevisionApplied = 401,
+  kControlUnreachable = 402,
+  kOverloaded = 500,
+};
+
+struct EventEntry
+{
+  Event event_;
+  std::string_view name_;
+};
+
+std::span<const EventEntry> EventCatalogue();
+std::string_view NameOf(Event aEvent);
+
+} // namespace vanillahatch
--- /dev/null
+++ b/include/vanillahatch/shell/rpc.h
@@ -0,0 +1,20 @@
+// Channels and servers of gRPC with the project's keepalive and size settings.
+#pragma once
+
+#include "vanillahatch/core/clock.h"
+#include "vanillahatch/core/upstream.h"
+
+#include <grpcpp/grpcpp.h>
+#include <memory>
+
+namespace vanillahatch {
+
+std::shared_ptr<grpc::Channel> MakeChannel(const Endpoint& aEndpoint);
+
+// Null if the endpoint cannot be bound.
+std::unique_ptr<grpc::Server> StartServer(const Endpoint& aEndpoint,
+                                          grpc::Service& aService);
+
+void SetDeadline(grpc::ClientContext& aContext, Millis aTimeout);
+
+} // namespace vanillahatch
--- /dev/null
+++ b/include/vanillahatch/shell/scope_guard.h
@@ -0,0 +1,34 @@
+// Runs a function when a scope ends, however it ends.
+//
+//   ScopeGuard close([&] { ::close(descriptor); });
+#pragma once
+
+#include <utility>
+
+namespace vanillahatch {
+
+template<class Function>
+class ScopeGuard
+{
+public:
+  explicit ScopeGuard(Function aFunction)
+    : function_(std::move(aFunction))
+  {
+  }
+  ~ScopeGuard()
+  {
+    if (armed_) {
+      function_();
+    }
+  }
+  ScopeGuard(const ScopeGuard&) = delete;
+  ScopeGuard& operator=(const ScopeGuard&) = delete;
+
+  void Dismiss() { armed_ = false; }
+
+private:
+  Function function_;
+  bool armed_ = true;
+};
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/entry/entry_process.cpp
@@ -0,0 +1,412 @@
+#include "entry/entry_process.h"
+
+#include "entry/announce_api.h"
+#include "entry/job_api.h"
+#include "vanillahatch/shell/log.h"
+#include "vanillahatch/shell/rpc.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <charconv>
+#include <csignal>
+
+namespace vanillahatch {
+
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+
+namespace {
+
+constexpr size_t kEventRingSize = 16384;
+constexpr Millis kTick = Millis(20);
+constexpr Millis kStopPoll = Millis(20);
+
+asio::awaitable<void> Sleep(Millis aSpan)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor,
+                           std::chrono::milliseconds(aSpan.Count()));
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
+uint64_t Number(JobNumber aNumber)
+{
+  return static_cast<uint64_t>(aNumber);
+}
+
+} // namespace
+
+EntryProcess::EntryProcess(const Settings& aSettings,
+                           const EntrySettings& aSelf,
+                           Token aUpstreamToken)
+  : settings_(aSettings)
+  , self_(aSelf)
+  , upstreamToken_(std::move(aUpstreamToken))
+  , startId_(std::to_string(clock_.UnixNow().Count()))
+  , server_(
+      io_,
+      { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
+      [this](HttpRequest aRequest) { return HandleHttp(std::move(aRequest)); })
+  , events_(kEventRingSize)
+  , core_({ .dataCentre_ = aSelf.dataCentre_ }, MakeLeastInFlight())
+  , ledger_(aSettings.ledgers_)
+  , peers_(aSelf.name_, aSettings.entries_)
+  , peerService_([this](const UpstreamFact& aFact) {
+    events_.Push(FactArrived{ .fact_ = aFact, .fromPeer_ = true });
+  })
+{
+}
+
+EntryProcess::~EntryProcess() = default;
+
+int EntryProcess::Run()
+{
+  rpcServer_ = StartServer(self_.rpc_, peerService_);
+  if (!rpcServer_) {
+    return 1;
+  }
+  server_.Start();
+  control_ = std::make_unique<ControlLink>(
+    self_, settings_.controls_, [](const FleetConfig&) {});
+  decisions_ = std::thread([this] { DecisionLoop(); });
+  signals_.add(SIGTERM);
+  signals_.add(SIGINT);
+  signals_.async_wait([this](boost::system::error_code aError, int) {
+    if (!aError) {
+      asio::co_spawn(io_, Stop(), asio::detached);
+    }
+  });
+  LogInfo(Event::kProcessStarted,
+          { { "node", self_.name_.View() },
+            { "data_centre", self_.dataCentre_.View() } });
+  io_.run();
+  events_.Close();
+  decisions_.join();
+  control_.reset();
+  rpcServer_->Shutdown();
+  LogInfo(Event::kProcessStopped, { { "node", self_.name_.View() } });
+  return 0;
+}
+
+asio::awaitable<void> EntryProcess::Stop()
+{
+  LogInfo(Event::kProcessStopping, { { "pending", pending_.Size() } });
+  stopping_ = true;
+  // The balancer needs a moment to see that this entry is not ready.
+  const Millis deadline = clock_.Now() + settings_.limits_.stopGrace_;
+  co_await Sleep(Millis(500));
+  server_.StopAccepting();
+  events_.Push(StopRequested{});
+  while (pending_.Size() > 0 && clock_.Now() < deadline) {
+    co_await Sleep(kStopPoll);
+  }
+  while (server_.OpenConnections() > 0 && clock_.Now() < deadline) {
+    co_await Sleep(kStopPoll);
+  }
+  io_.stop();
+}
+
+EntryProcess::Awaited EntryProcess::HandleHttp(HttpRequest aRequest)
+{
+  const std::string target(aRequest.target());
+  if (target.starts_with("/v1/services/") &&
+      aRequest.method() == http::verb::post) {
+    co_return co_await HandleJob(std::move(aRequest));
+  }
+  constexpr std::string_view jobs = "/v1/jobs/";
+  if (target.starts_with(jobs) && aRequest.method() == http::verb::delete_) {
+    co_return co_await HandleCancel(
+      std::string_view(target).substr(jobs.size()));
+  }
+  if (target == "/v1/announce" && aRequest.method() == http::verb::post) {
+    co_return HandleAnnouncement(aRequest);
+  }
+  if (target == "/metrics") {
+    HttpResponse response = MakeJson(200, metrics_.Render());
+    response.set(http::field::content_type, "text/plain; version=0.0.4");
+    co_return response;
+  }
+  if (target == "/healthz") {
+    co_return MakeJson(200, "{\"ok\":true}");
+  }
+  if (target == "/readyz") {
+    co_return HandleReady();
+  }
+  co_return MakeProblem(404, "no-such-path", "no", target);
+}
+
+EntryProcess::Awaited EntryProcess::HandleJob(HttpRequest aRequest)
+{
+  metrics_.Count("vh_jobs_arrived_total");
+  Result<JobRequest, MalformedJob> parsed =
+    ParseJob(aRequest, settings_.limits_, clock_.Now());
+  if (!parsed) {
+    LogWarning(Event::kRequestMalformed,
+               { { "field", parsed.error().field_ } });
+    co_return MakeProblem(400,
+                          "malformed-request",
+                          "no",
+                          parsed.error().field_ + " " + parsed.error().detail_);
+  }
+  auto job = std::make_shared<PendingJob>();
+  job->request_ = std::move(parsed).value();
+  job->request_.number_ = JobNumber(nextJob_++);
+  job->publicId_ = PublicId(job->request_.number_);
+  job->body_ = std::move(aRequest);
+  job->wake_ = std::make_shared<asio::steady_timer>(
+    io_, asio::steady_timer::time_point::max());
+  EntryEvent arrived = JobArrived{ .request_ = job->request_ };
+  if (!events_.TryPush(std::move(arrived))) {
+    LogWarning(Event::kOverloaded, { { "ring", "entry-events" } });
+    co_return MakeRefusal({ .code_ = RefusalCode::kQueueFull,
+                            .ran_ = RanVerdict::kNo,
+                            .retryAfter_ = Seconds(1),
+                            .detail_ = "this entry is overloaded" });
+  }
+  pending_.Add(job);
+  boost::system::error_code cancelled;
+  co_await job->wake_->async_wait(
+    asio::redirect_error(asio::use_awaitable, cancelled));
+  HttpResponse response = std::move(*job->response_);
+  response.set("Vh-Job", job->publicId_);
+  metrics_.Observe(
+    "vh_job_milliseconds",
+    static_cast<double>((clock_.Now() - job->request_.arrivedAt_).Count()));
+  co_return response;
+}
+
+EntryProcess::Awaited EntryProcess::HandleCancel(std::string_view aPublicId)
+{
+  const size_t dot = aPublicId.rfind('.');
+  uint64_t number = 0;
+  if (dot != std::string_view::npos) {
+    const std::string_view digits = aPublicId.substr(dot + 1);
+    std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  }
+  if (aPublicId != PublicId(JobNumber(number))) {
+    co_return MakeProblem(404, "no-such-job", "unknown", "not of this entry");
+  }
+  events_.Push(JobCancelled{ .job_ = JobNumber(number) });
+  co_return MakeJson(202, "{\"cancel\":\"accepted\"}");
+}
+
+HttpResponse EntryProcess::HandleAnnouncement(const HttpRequest& aRequest)
+{
+  if (!upstreamToken_.Accepts(aRequest[http::field::authorization])) {
+    LogWarning(Event::kTokenRefused, { { "path", "/v1/announce" } });
+    return MakeProblem(401, "unauthorized", "no", "wrong or missing token");
+  }
+  Result<UpstreamFact, MalformedAnnouncement> fact =
+    ParseAnnouncement(aRequest.body());
+  if (!fact) {
+    LogWarning(Event::kRequestMalformed, { { "field", fact.error().field_ } });
+    return MakeProblem(400,
+                       "malformed-request",
+                       "no",
+                       fact.error().field_ + " " + fact.error().detail_);
+  }
+  events_.Push(FactArrived{ .fact_ = fact.value(), .fromPeer_ = false });
+  return MakeJson(200, "{\"ok\":true}");
+}
+
+HttpResponse EntryProcess::HandleReady() const
+{
+  if (stopping_) {
+    return MakeProblem(503, "stopping", "no", "planned stop");
+  }
+  return MakeJson(200,
+                  "{\"ready\":true,\"revision\":" +
+                    std::to_string(control_->Revision()) + "}");
+}
+
+asio::awaitable<void> EntryProcess::Attempt(Dispatch aDispatch)
+{
+  const std::shared_ptr<PendingJob> job = pending_.Find(aDispatch.job_);
+  AttemptEnded ended{ .job_ = aDispatch.job_,
+                      .attempt_ = aDispatch.attempt_,
+                      .verdict_ = AttemptVerdict::kNotSent };
+  if (!job) {
+    events_.Push(std::move(ended));
+    co_return;
+  }
+  HttpRequest request = MakeUpstreamRequest(job->body_, job->publicId_);
+  ExchangeResult result = co_await client_.Exchange(
+    aDispatch.endpoint_, std::move(request), aDispatch.timeLeft_);
+  if (result.verdict_ == ExchangeVerdict::kAnswered) {
+    ended.verdict_ = AttemptVerdict::kAnswered;
+    ended.httpStatus_ = result.response_->result_int();
+    job->answers_[aDispatch.attempt_] = std::move(*result.response_);
+  } else {
+    ended.verdict_ = result.verdict_ == ExchangeVerdict::kNotSent
+                       ? AttemptVerdict::kNotSent
+                       : AttemptVerdict::kUnknown;
+    LogWarning(Event::kAttemptFailed,
+               { { "job", job->publicId_ },
+                 { "instance", aDispatch.instance_.View() },
+                 { "detail", result.detail_ } });
+  }
+  events_.Push(std::move(ended));
+}
+
+void EntryProcess::DecisionLoop()
+{
+  Millis nextTick = clock_.Now() + kTick;
+  for (;;) {
+    std::optional<EntryEvent> event = events_.PopFor(kTick);
+    if (!event && events_.Closed()) {
+      return;
+    }
+    const Millis now = clock_.Now();
+    if (event) {
+      for (EntryAction& action : core_.Handle(*event, now)) {
+        Perform(std::move(action));
+      }
+    }
+    if (now >= nextTick) {
+      nextTick = now + kTick;
+      for (EntryAction& action : core_.Handle(TimerTick{}, now)) {
+        Perform(std::move(action));
+      }
+    }
+  }
+}
+
+void EntryProcess::Perform(EntryAction aAction)
+{
+  std::visit([this](auto& aTyped) { Do(std::move(aTyped)); }, aAction);
+}
+
+void EntryProcess::Do(const StartClaim& aAction)
+{
+  v1::ClaimRequest request;
+  request.set_key(aAction.key_.Str());
+  request.set_claimant(Claimant(aAction.job_));
+  request.set_issued_at_unix_ms(clock_.UnixNow().Count());
+  ledger_.Claim(
+    request,
+    [this, job = aAction.job_](ClaimVerdict aVerdict,
+                               const v1::RecordedOutcome& aOutcome) {
+      LogInfo(Event::kClaimDecided,
+              { { "job", PublicId(job) },
+                { "verdict", static_cast<int>(aVerdict) } });
+      if (aVerdict != ClaimVerdict::kRecorded) {
+        events_.Push(ClaimEnded{ .job_ = job, .verdict_ = aVerdict });
+        return;
+      }
+      asio::post(io_, [this, job, aOutcome] {
+        recorded_[job] = aOutcome;
+        events_.Push(
+          ClaimEnded{ .job_ = job, .verdict_ = ClaimVerdict::kRecorded });
+      });
+    });
+}
+
+void EntryProcess::Do(Dispatch aAction)
+{
+  LogInfo(Event::kRouteChosen,
+          { { "job", PublicId(aAction.job_) },
+            { "attempt", static_cast<uint64_t>(aAction.attempt_) },
+            { "candidates", aAction.candidates_ },
+            { "choice", aAction.instance_.View() },
+            { "reason", aAction.reason_ } });
+  asio::co_spawn(io_, Attempt(std::move(aAction)), asio::detached);
+}
+
+void EntryProcess::Do(const AbandonAttempt& aAction)
+{
+  LogInfo(Event::kLateAnswerDiscarded,
+          { { "job", PublicId(aAction.job_) },
+            { "attempt", static_cast<uint64_t>(aAction.attempt_) } });
+}
+
+void EntryProcess::Do(const Answer& aAction)
+{
+  metrics_.Count("vh_jobs_answered_total");
+  LogInfo(Event::kJobAnswered,
+          { { "job", PublicId(aAction.job_) },
+            { "from_record", aAction.fromRecord_ ? 1 : 0 } });
+  asio::post(io_, [this, aAction] {
+    const std::shared_ptr<PendingJob> job = pending_.Find(aAction.job_);
+    if (!job) {
+      return;
+    }
+    if (!aAction.fromRecord_) {
+      HttpResponse answer = std::move(job->answers_[aAction.attempt_]);
+      pending_.Complete(aAction.job_, std::move(answer));
+      return;
+    }
+    const v1::RecordedOutcome outcome = std::move(recorded_[aAction.job_]);
+    recorded_.erase(aAction.job_);
+    HttpResponse response = MakeJson(outcome.http_status(), outcome.body());
+    response.set(http::field::content_type, outcome.content_type());
+    response.set("Vh-From-Record", "yes");
+    pending_.Complete(aAction.job_, std::move(response));
+  });
+}
+
+void EntryProcess::Do(const Refuse& aAction)
+{
+  metrics_.Count("vh_jobs_refused_total");
+  LogInfo(
+    Event::kJobRefused,
+    { { "job", PublicId(aAction.job_) },
+      { "code", ToText(aAction.refusal_.code_) },
+      { "ran", aAction.refusal_.ran_ == RanVerdict::kNo ? "no" : "unknown" },
+      { "reason", aAction.refusal_.detail_ } });
+  asio::post(io_, [this, aAction] {
+    pending_.Complete(aAction.job_, MakeRefusal(aAction.refusal_));
+  });
+}
+
+void EntryProcess::Do(const RecordOutcome& aAction)
+{
+  asio::post(io_, [this, aAction] {
+    const std::shared_ptr<PendingJob> job = pending_.Find(aAction.job_);
+    if (!job) {
+      return;
+    }
+    const HttpResponse& answer = job->answers_[aAction.attempt_];
+    v1::OutcomeRequest request;
+    request.set_key(aAction.key_.Str());
+    request.set_claimant(Claimant(aAction.job_));
+    request.mutable_outcome()->set_http_status(answer.result_int());
+    request.mutable_outcome()->set_content_type(
+      std::string(answer[http::field::content_type]));
+    request.mutable_outcome()->set_body(answer.body());
+    ledger_.Record(request);
+  });
+}
+
+void EntryProcess::Do(const ShareFact& aAction)
+{
+  if (aAction.fact_.departed_) {
+    LogInfo(Event::kUpstreamDeparted,
+            { { "instance", aAction.fact_.instance_.View() } });
+  } else if (aAction.fact_.sequence_ == 1) {
+    LogInfo(Event::kUpstreamAnnounced,
+            { { "instance", aAction.fact_.instance_.View() },
+              { "service", aAction.fact_.service_.View() } });
+  }
+  peers_.Share(aAction.fact_);
+}
+
+void EntryProcess::Do(const UpstreamGone& aAction)
+{
+  LogWarning(Event::kUpstreamExpired,
+             { { "instance", aAction.instance_.View() } });
+}
+
+std::string EntryProcess::PublicId(JobNumber aNumber) const
+{
+  return self_.name_.Str() + "." + startId_ + "." +
+         std::to_string(Number(aNumber));
+}
+
+std::string EntryProcess::Claimant(JobNumber aNumber) const
+{
+  return PublicId(aNumber);
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/entry/entry_process.h
@@ -0,0 +1,87 @@
+// One running entry: the network thread (HTTP), the decision thread (the
+// core), and gRPC's threads, joined by a bounded ring of events.
+#pragma once
+
+#include "entry/control_link.h"
+#include "entry/ledger_link.h"
+#include "entry/peer_link.h"
+#include "entry/pending_jobs.h"
+#include "vanillahatch/core/bounded_ring.h"
+#include "vanillahatch/core/entry_core.h"
+#include "vanillahatch/shell/http_client.h"
+#include "vanillahatch/shell/http_server.h"
+#include "vanillahatch/shell/metrics.h"
+#include "vanillahatch/shell/system_clock.h"
+#include "vanillahatch/shell/token.h"
+
+#include <atomic>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <thread>
+
+namespace vanillahatch {
+
+class EntryProcess
+{
+public:
+  EntryProcess(const Settings& aSettings,
+               const EntrySettings& aSelf,
+               Token aUpstreamToken);
+  ~EntryProcess();
+
+  // Runs until a planned stop has finished. Returns the exit code.
+  int Run();
+
+private:
+  using Awaited = boost::asio::awaitable<HttpResponse>;
+
+  Awaited HandleHttp(HttpRequest aRequest);
+  Awaited HandleJob(HttpRequest aRequest);
+  Awaited HandleCancel(std::string_view aPublicId);
+  HttpResponse HandleAnnouncement(const HttpRequest& aRequest);
+  HttpResponse HandleReady() const;
+  boost::asio::awaitable<void> Attempt(Dispatch aDispatch);
+  boost::asio::awaitable<void> Stop();
+
+  void DecisionLoop();
+  void Perform(EntryAction aAction);
+  void Do(const StartClaim& aAction);
+  void Do(Dispatch aAction);
+  void Do(const AbandonAttempt& aAction);
+  void Do(const Answer& aAction);
+  void Do(const Refuse& aAction);
+  void Do(const RecordOutcome& aAction);
+  void Do(const ShareFact& aAction);
+  void Do(const UpstreamGone& aAction);
+
+  std::string PublicId(JobNumber aNumber) const;
+  std::string Claimant(JobNumber aNumber) const;
+
+  Settings settings_;
+  EntrySettings self_;
+  Token upstreamToken_;
+  SystemClock clock_;
+  Metrics metrics_;
+  std::string startId_; // tells this run of the process from earlier ones
+
+  boost::asio::io_context io_{ 1 };
+  boost::asio::signal_set signals_{ io_ };
+  HttpServer server_;
+  HttpClient client_;
+  PendingJobs pending_;
+  std::map<JobNumber, v1::RecordedOutcome> recorded_; // network thread
+  uint64_t nextJob_ = 1;
+  std::atomic<bool> stopping_ = false;
+
+  BoundedRing<EntryEvent> events_;
+  EntryCore core_;
+  std::thread decisions_;
+
+  LedgerLink ledger_;
+  PeerLink peers_;
+  PeerService peerService_;
+  std::unique_ptr<grpc::Server> rpcServer_;
+  std::unique_ptr<ControlLink> control_;
+};
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/shell/events.cpp
@@ -0,0 +1,48 @@
+#include "vanillahatch/shell/events.h"
+
+#include <algorithm>
+#include <array>
+
+namespace vanillahatch {
+
+namespace {
+
+constexpr std::array kCatalogue = {
+  EventEntry{ Event::kProcessStarted, "process-started" },
+  EventEntry{ Event::kProcessStopping, "process-stopping" },
+  EventEntry{ Event::kProcessStopped, "process-stopped" },
+  EventEntry{ Event::kSettingsRefused, "settings-refused" },
+  EventEntry{ Event::kRouteChosen, "route-chosen" },
+  EventEntry{ Event::kJobRefused, "job-refused" },
+  EventEntry{ Event::kJobAnswered, "job-answered" },
+  EventEntry{ Event::kAttemptFailed, "attempt-failed" },
+  EventEntry{ Event::kLateAnswerDiscarded, "late-answer-discarded" },
+  EventEntry{ Event::kClaimDecided, "claim-decided" },
+  EventEntry{ Event::kUpstreamAnnounced, "upstream-announced" },
+  EventEntry{ Event::kUpstreamDeparted, "upstream-departed" },
+  EventEntry{ Event::kUpstreamExpired, "upstream-expired" },
+  EventEntry{ Event::kRequestMalformed, "request-malformed" },
+  EventEntry{ Event::kTokenRefused, "token-refused" },
+  EventEntry{ Event::kChangeDecided, "change-decided" },
+  EventEntry{ Event::kRevisionApplied, "revision-applied" },
+  EventEntry{ Event::kControlUnreachable, "control-unreachable" },
+  EventEntry{ Event::kOverloaded, "overloaded" },
+};
+
+} // namespace
+
+std::span<const EventEntry> EventCatalogue()
+{
+  return kCatalogue;
+}
+
+std::string_view NameOf(Event aEvent)
+{
+  const auto* const it =
+    std::find_if(kCatalogue.begin(), kCatalogue.end(), [&](const auto& aEntry) {
+      return aEntry.event_ == aEvent;
+    });
+  return it != kCatalogue.end() ? it->name_ : "unknown";
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/test/upstream_directory_test.cpp
@@ -0,0 +1,54 @@
+#define BOOST_TEST_MODULE upstream_directory
+#include "vanillahatch/core/upstream_directory.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+
+namespace {
+
+constexpr Millis kLease = Seconds(2);
+
+UpstreamFact MakeFact(uint64_t aGeneration, uint64_t aSequence)
+{
+  return UpstreamFact{ .instance_ = InstanceName("loops-1"),
+                       .service_ = ServiceName("loops"),
+                       .endpoint_ = { .address_ = "127.0.0.1", .port_ = 80 },
+                       .slots_ = 8,
+                       .connections_ = 64,
+                       .generation_ = aGeneration,
+                       .sequence_ = aSequence,
+                       .lease_ = kLease };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(AnnouncedUpstreamIsLiveUntilItsLeaseEnds)
+{
+  UpstreamDirectory directory;
+  BOOST_TEST(directory.Apply(MakeFact(1, 1), Millis(0)));
+  BOOST_TEST(directory.LiveCount(Millis(1999)) == 1U);
+  BOOST_TEST(directory.LiveCount(Millis(2000)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(LateRenewalDoesNotResurrectDepartedUpstream)
+{
+  UpstreamDirectory directory;
+  directory.Apply(MakeFact(1, 1), Millis(0));
+  UpstreamFact departure = MakeFact(1, 3);
+  departure.departed_ = true;
+  BOOST_TEST(directory.Apply(departure, Millis(10)));
+  BOOST_TEST(!directory.Apply(MakeFact(1, 2), Millis(20)));
+  BOOST_TEST(!directory.Apply(MakeFact(1, 4), Millis(30)));
+  BOOST_TEST(directory.LiveCount(Millis(40)) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(HigherGenerationBringsTheInstanceBack)
+{
+  UpstreamDirectory directory;
+  UpstreamFact departure = MakeFact(1, 3);
+  departure.departed_ = true;
+  directory.Apply(departure, Millis(10));
+  BOOST_TEST(directory.Apply(MakeFact(2, 1), Millis(20)));
+  BOOST_TEST(directory.LiveCount(Millis(30)) == 1U);
+}
