--- a/bench/load_caller.cpp
+++ b/bench/load_caller.cpp
@@ -78,11 +78,17 @@
     request.set(http::field::content_type, "text/plain");
     request.body() = "body of " + key;
     request.prepare_payload();
-    const uint16_t port =
-      options_.entryPorts_[aNumber % options_.entryPorts_.size()];
-    const Endpoint entry{ .address_ = "127.0.0.1", .port_ = port };
-    const ExchangeResult result =
-      co_await client_.Exchange(entry, std::move(request), Millis(8000));
+    ExchangeResult result;
+    // The balancer sends a connection that is refused to the next entry.
+    for (size_t i = 0; i < options_.entryPorts_.size(); ++i) {
+      const uint16_t port =
+        options_.entryPorts_[(aNumber + i) % options_.entryPorts_.size()];
+      const Endpoint entry{ .address_ = "127.0.0.1", .port_ = port };
+      result = co_await client_.Exchange(entry, request, Millis(8000));
+      if (result.verdict_ != ExchangeVerdict::kNotSent) {
+        break;
+      }
+    }
     log_ << key << ' ' << (once ? "once" : "repeatable") << ' '
          << Judge(key, result) << '\n';
   }
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,5 +1,6 @@
 #include "vanillahatch/shell/http_server.h"
 
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -16,6 +17,14 @@
 namespace http = boost::beast::http;
 using tcp = boost::asio::ip::tcp;
 
+namespace {
+
+// How long and how much of a refused request is read before closing.
+constexpr Millis kDiscardSpan = Seconds(2);
+constexpr size_t kMaxDiscardedBytes = 64U << 20U;
+
+} // namespace
+
 class HttpServer::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
@@ -146,9 +155,27 @@
       MakeProblem(status, "malformed-request", "no", aError.message());
     response.keep_alive(false);
     response.prepare_payload();
-    boost::system::error_code ignored;
+    boost::system::error_code error;
     co_await http::async_write(
-      aStream, response, asio::redirect_error(asio::use_awaitable, ignored));
+      aStream, response, asio::redirect_error(asio::use_awaitable, error));
+    if (!error) {
+      co_await DiscardRest(aStream);
+    }
+  }
+
+  // Reads on for a while after an early answer: closing with unread bytes
+  // would reset the connection and could take the answer with it.
+  static asio::awaitable<void> DiscardRest(beast::tcp_stream& aStream)
+  {
+    boost::system::error_code error;
+    aStream.socket().shutdown(tcp::socket::shutdown_send, error);
+    aStream.expires_after(std::chrono::milliseconds(kDiscardSpan.Count()));
+    std::array<char, 16384> discarded{};
+    for (size_t total = 0; !error && total < kMaxDiscardedBytes;) {
+      total += co_await aStream.async_read_some(
+        asio::buffer(discarded),
+        asio::redirect_error(asio::use_awaitable, error));
+    }
   }
 
   asio::io_context& io_;
--- a/src/shell/metrics.cpp
+++ b/src/shell/metrics.cpp
@@ -31,6 +31,20 @@
   return aName.substr(0, aName.find('{'));
 }
 
+// Names may carry labels; the samples of one family share one TYPE line.
+template<class Map>
+void RenderPlain(std::ostream& aOut, const Map& aValues, std::string_view aType)
+{
+  std::string_view family;
+  for (const auto& [name, value] : aValues) {
+    if (FamilyOf(name) != family) {
+      family = FamilyOf(name);
+      aOut << "# TYPE " << family << ' ' << aType << '\n';
+    }
+    aOut << name << ' ' << value << '\n';
+  }
+}
+
 } // namespace
 
 struct Metrics::Distribution
@@ -71,14 +85,8 @@
 {
   std::lock_guard lock(mutex_);
   std::ostringstream out;
-  for (const auto& [name, value] : counters_) {
-    out << "# TYPE " << FamilyOf(name) << " counter\n";
-    out << name << ' ' << value << '\n';
-  }
-  for (const auto& [name, value] : gauges_) {
-    out << "# TYPE " << FamilyOf(name) << " gauge\n";
-    out << name << ' ' << value << '\n';
-  }
+  RenderPlain(out, counters_, "counter");
+  RenderPlain(out, gauges_, "gauge");
   for (const auto& [name, distribution] : distributions_) {
     out << "# TYPE " << name << " summary\n";
     const auto quantiles = acc::extended_p_square(distribution->set_);
--- a/src/shell/settings.cpp
+++ b/src/shell/settings.cpp
@@ -5,6 +5,20 @@
 #include <optional>
 #include <set>
 #include <sstream>
+#include <stdexcept>
+
+// toml++ asserts on some malformed keys where it should report a syntax error;
+// as an exception the fault becomes one.
+namespace vanillahatch {
+static constexpr void CheckToml(bool aCondition)
+{
+  if (!aCondition) {
+    throw std::runtime_error("malformed TOML");
+  }
+}
+} // namespace vanillahatch
+#define TOML_ASSERT(aCondition)                                                \
+  ::vanillahatch::CheckToml(static_cast<bool>(aCondition))
 #include <toml++/toml.h>
 
 namespace vanillahatch {
@@ -218,6 +232,12 @@
     reader.Number("max_header_bytes", 1024, 1 << 20, limits.maxHeaderBytes_));
   limits.maxConnections_ = static_cast<uint32_t>(
     reader.Number("max_connections", 1, 65'536, limits.maxConnections_));
+  if (limits.defaultDeadline_ > limits.maxDeadline_) {
+    reader.Report("default_deadline_ms",
+                  aTable.get("default_deadline_ms"),
+                  "at most max_deadline_ms, which is " +
+                    std::to_string(limits.maxDeadline_.Count()));
+  }
   reader.ReportUnknownKeys();
   return limits;
 }
@@ -237,12 +257,50 @@
   return node;
 }
 
+// What two nodes may not share.
+struct TakenByNodes
+{
+  std::set<std::string> names_;
+  std::set<Endpoint> endpoints_;
+  std::set<std::string> dataFolders_; // with the machine's address
+};
+
+// Reports what this node shares with an earlier one. Endpoints that could not
+// be read have been reported before.
+template<class Node>
+void ReportShared(TableReader& aReader,
+                  const toml::table& aTable,
+                  const Node& aNode,
+                  TakenByNodes& aTaken)
+{
+  if (!aTaken.names_.insert(aNode.name_.Str()).second) {
+    aReader.Report("name", aTable.get("name"), "a name used only once");
+  }
+  for (const std::string_view key : { "http", "rpc" }) {
+    const Endpoint& endpoint = key == "http" ? aNode.http_ : aNode.rpc_;
+    const bool isFree =
+      endpoint.port_ == 0 || aTaken.endpoints_.insert(endpoint).second;
+    if (!isFree) {
+      aReader.Report(key, aTable.get(key), "an address used only once");
+    }
+  }
+  if constexpr (requires { aNode.dataFolder_; }) {
+    const std::string folder =
+      aNode.rpc_.address_ + ":" + aNode.dataFolder_.string();
+    if (!aTaken.dataFolders_.insert(folder).second) {
+      aReader.Report("data_folder",
+                     aTable.get("data_folder"),
+                     "a folder used only once on a machine");
+    }
+  }
+}
+
 template<class Node>
 std::vector<Node> ReadNodes(TableReader& aRoot,
                             std::string_view aKey,
                             std::string_view aFile,
                             SettingsErrors& aErrors,
-                            std::set<std::string>& aNames)
+                            TakenByNodes& aTaken)
 {
   std::vector<Node> nodes;
   for (const toml::table* table : aRoot.Tables(aKey, 1)) {
@@ -250,9 +308,7 @@
       std::string(aKey) + "[" + std::to_string(nodes.size()) + "]";
     TableReader reader(*table, path, aFile, aErrors);
     nodes.push_back(ReadNode<Node>(reader));
-    if (!aNames.insert(nodes.back().name_.Str()).second) {
-      reader.Report("name", table->get("name"), "a name used only once");
-    }
+    ReportShared(reader, *table, nodes.back(), aTaken);
   }
   return nodes;
 }
@@ -279,6 +335,12 @@
                                     .value_ = std::string(fault.description()),
                                     .accepted_ = "TOML" });
     return failure(std::move(errors));
+  } catch (const std::runtime_error& fault) {
+    errors.push_back(SettingsError{ .file_ = std::string(aFileName),
+                                    .key_ = "(syntax)",
+                                    .value_ = fault.what(),
+                                    .accepted_ = "TOML" });
+    return failure(std::move(errors));
   }
   TableReader root(table, "", aFileName, errors);
   Settings settings;
@@ -291,13 +353,13 @@
   if (const toml::table* limits = root.Table("limits")) {
     settings.limits_ = ReadLimits(*limits, aFileName, errors);
   }
-  std::set<std::string> names;
+  TakenByNodes taken;
   settings.entries_ =
-    ReadNodes<EntrySettings>(root, "entry", aFileName, errors, names);
+    ReadNodes<EntrySettings>(root, "entry", aFileName, errors, taken);
   settings.controls_ =
-    ReadNodes<ControlSettings>(root, "control", aFileName, errors, names);
+    ReadNodes<ControlSettings>(root, "control", aFileName, errors, taken);
   settings.ledgers_ =
-    ReadNodes<LedgerSettings>(root, "ledger", aFileName, errors, names);
+    ReadNodes<LedgerSettings>(root, "ledger", aFileName, errors, taken);
   root.ReportUnknownKeys();
   if (!errors.empty()) {
     return failure(std::move(errors));
--- /dev/null
+++ b/test/announce_api_test.cpp
@@ -0,0 +1,89 @@
+#define BOOST_TEST_MODULE announce_api
+#include "entry/announce_api.h"
+
+#include <boost/json.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+namespace data = boost::unit_test::data;
+namespace json = boost::json;
+
+namespace {
+
+json::object MakeValid()
+{
+  return { { "instance", "loops-1" },
+           { "service", "loops" },
+           { "address", "10.0.0.5" },
+           { "port", 8080 },
+           { "slots", 8 },
+           { "connections", 64 },
+           { "data_centre", "dc1" },
+           { "rack", "r1" },
+           { "worker", "w1" },
+           { "generation", 1700000000000 },
+           { "sequence", 1 },
+           { "lease_ms", 2000 } };
+}
+
+struct BadField
+{
+  const char* field_;
+  const char* json_;
+
+  friend std::ostream& operator<<(std::ostream& aOut, const BadField& aBad)
+  {
+    return aOut << aBad.field_ << "=" << aBad.json_;
+  }
+};
+
+const BadField kBadFields[] = {
+  { "address", "\"example.org\"" },
+  { "address", "\"10.0.0\"" },
+  { "address", "5" },
+  { "port", "0" },
+  { "port", "65536" },
+  { "port", "\"80\"" },
+  { "slots", "0" },
+  { "slots", "-8" },
+  { "slots", "1.5" },
+  { "slots", "1e30" },
+  { "connections", "0" },
+  { "lease_ms", "0" },
+  { "lease_ms", "3600000" },
+  { "generation", "0" },
+  { "sequence", "null" },
+  { "service", "\"\"" },
+  { "instance", "[]" },
+  { "departed", "1" },
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ValidAnnouncementBecomesAFact)
+{
+  const auto fact = ParseAnnouncement(json::serialize(MakeValid()));
+  BOOST_REQUIRE(fact.has_value());
+  BOOST_TEST(fact.value().slots_ == 8U);
+  BOOST_TEST(fact.value().lease_.Count() == 2000);
+  BOOST_TEST(!fact.value().departed_);
+}
+
+BOOST_DATA_TEST_CASE(BadFieldIsRefusedByName, data::make(kBadFields), bad)
+{
+  json::object announcement = MakeValid();
+  announcement[bad.field_] = json::parse(bad.json_);
+  const auto fact = ParseAnnouncement(json::serialize(announcement));
+  BOOST_REQUIRE(fact.has_error());
+  BOOST_TEST(fact.error().field_ == bad.field_);
+}
+
+BOOST_DATA_TEST_CASE(TextThatIsNoObjectIsRefused,
+                     data::make({ "", "{", "[]", "7", "{\"a\":}", "\xff" }),
+                     text)
+{
+  const auto fact = ParseAnnouncement(text);
+  BOOST_REQUIRE(fact.has_error());
+  BOOST_TEST(fact.error().field_ == "(body)");
+}
