--- /dev/null
+++ b/test/fake_store.h
@@ -0,0 +1,84 @@
+// A StableStore in memory whose disk can fail the way disks do.
+//
+// The store outlives the state machine that writes to it, as a disk outlives a
+// process: `Crash` forgets what was not synced, `CrashTorn` leaves the first
+// unsynced record half written, `Vanish` empties the disk.
+#pragma once
+
+#include "vanillahatch/core/stable_store.h"
+
+namespace vanillahatch {
+
+class FakeStore : public StableStore
+{
+public:
+  Result<StoreContents, StoreError> Load() override
+  {
+    if (!exists_) {
+      return StoreError{ .code_ = StoreErrorCode::kMissing, .detail_ = "fake" };
+    }
+    return durable_;
+  }
+
+  void Create()
+  {
+    exists_ = true;
+    durable_ = {};
+    unsynced_.clear();
+  }
+
+  Result<void, StoreError> Append(std::string_view aRecord) override
+  {
+    unsynced_.emplace_back(aRecord);
+    return success();
+  }
+
+  Result<void, StoreError> Sync() override
+  {
+    for (std::string& record : unsynced_) {
+      durable_.records_.push_back(std::move(record));
+      durable_.tornTail_ = false;
+    }
+    unsynced_.clear();
+    ++syncs_;
+    return success();
+  }
+
+  Result<void, StoreError> Compact(
+    std::string_view aSnapshot,
+    std::span<const std::string> aRecords) override
+  {
+    exists_ = true;
+    durable_ = { .snapshot_ = std::string(aSnapshot),
+                 .records_ = { aRecords.begin(), aRecords.end() } };
+    unsynced_.clear();
+    return success();
+  }
+
+  void Crash() { unsynced_.clear(); }
+
+  void CrashTorn()
+  {
+    durable_.tornTail_ = !unsynced_.empty();
+    unsynced_.clear();
+  }
+
+  void Vanish()
+  {
+    exists_ = false;
+    durable_ = {};
+    unsynced_.clear();
+  }
+
+  bool Exists() const { return exists_; }
+  size_t SyncedRecords() const { return durable_.records_.size(); }
+  size_t Syncs() const { return syncs_; }
+
+private:
+  bool exists_ = false;
+  StoreContents durable_;
+  std::vector<std::string> unsynced_;
+  size_t syncs_ = 0;
+};
+
+} // namespace vanillahatch
