--- a/bench/fake_runner.cpp
+++ b/bench/fake_runner.cpp
@@ -5,6 +5,7 @@
 #include "vanillahatch/shell/http_server.h"
 #include "vanillahatch/shell/system_clock.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/signal_set.hpp>
@@ -34,6 +35,8 @@
   std::string token_;
   std::string logFile_;
   int64_t runMs_ = 5;
+  uint32_t instances_ = 1; // announced under numbered names, all on one port
+  int64_t announcePeriodMs_ = 500;
 };
 
 class Runner
@@ -53,7 +56,9 @@
   void Run()
   {
     server_.Start();
-    asio::co_spawn(io_, AnnounceForever(), asio::detached);
+    for (uint32_t i = 0; i < options_.instances_; ++i) {
+      asio::co_spawn(io_, AnnounceForever(i), asio::detached);
+    }
     asio::signal_set signals(io_, SIGTERM, SIGINT);
     signals.async_wait([this](boost::system::error_code, int) {
       asio::co_spawn(io_, Stop(), asio::detached);
@@ -80,19 +85,30 @@
     co_return response;
   }
 
-  asio::awaitable<void> AnnounceForever()
+  // Each instance has a coroutine and a phase of its own.
+  asio::awaitable<void> AnnounceForever(uint32_t aInstance)
   {
-    while (!departed_) {
-      co_await Announce(false);
-      co_await Sleep(500);
+    co_await Sleep(options_.announcePeriodMs_ * aInstance /
+                   options_.instances_);
+    for (uint64_t sequence = 1; !departed_; ++sequence) {
+      sequence_ = std::max(sequence_, sequence);
+      co_await Announce(aInstance, sequence);
+      co_await Sleep(options_.announcePeriodMs_);
     }
   }
 
-  asio::awaitable<void> Announce(bool aDeparted)
+  std::string InstanceName(uint32_t aInstance) const
   {
-    ++sequence_;
-    const boost::json::object fact = {
-      { "instance", options_.instance_ },
+    return options_.instances_ == 1
+             ? options_.instance_
+             : options_.instance_ + "-" + std::to_string(aInstance);
+  }
+
+  std::string MakeAnnouncement(uint32_t aInstance, uint64_t aSequence) const
+  {
+    const std::string name = InstanceName(aInstance);
+    return boost::json::serialize(boost::json::object{
+      { "instance", name },
       { "service", options_.service_ },
       { "address", "127.0.0.1" },
       { "port", options_.port_ },
@@ -100,20 +116,26 @@
       { "connections", 64 },
       { "data_centre", options_.dataCentre_ },
       { "rack", options_.rack_ },
-      { "worker", options_.instance_ + "-worker" },
+      { "worker", name + "-worker" },
       { "generation", generation_ },
-      { "sequence", sequence_ },
-      { "lease_ms", 2000 },
-      { "departed", aDeparted },
-    };
+      { "sequence", aSequence },
+      { "lease_ms", options_.announcePeriodMs_ * 4 },
+      { "departed", departed_ },
+    });
+  }
+
+  asio::awaitable<void> Announce(uint32_t aInstance, uint64_t aSequence)
+  {
+    const std::string body = MakeAnnouncement(aInstance, aSequence);
     // The balancer's choice: the next entry that takes it.
     for (size_t i = 0; i < options_.entryPorts_.size(); ++i) {
+      const size_t at = aInstance + aSequence + i;
       const uint16_t port =
-        options_.entryPorts_[(sequence_ + i) % options_.entryPorts_.size()];
+        options_.entryPorts_[at % options_.entryPorts_.size()];
       HttpRequest request(http::verb::post, "/v1/announce", 11);
       request.set(http::field::host, "entry");
       request.set(http::field::authorization, "Bearer " + options_.token_);
-      request.body() = boost::json::serialize(fact);
+      request.body() = body;
       request.prepare_payload();
       const Endpoint entry{ .address_ = "127.0.0.1", .port_ = port };
       const ExchangeResult result =
@@ -128,7 +150,9 @@
   asio::awaitable<void> Stop()
   {
     departed_ = true;
-    co_await Announce(true);
+    for (uint32_t i = 0; i < options_.instances_; ++i) {
+      co_await Announce(i, sequence_ + 1);
+    }
     co_await Sleep(2000);
     server_.StopAccepting();
     while (running_ > 0) {
@@ -166,7 +190,13 @@
      "entries' HTTP ports")                                             //
     ("token", po::value(&options.token_)->required(), "upstream token") //
     ("log", po::value(&options.logFile_)->required(), "run log")        //
-    ("run-ms", po::value(&options.runMs_), "run time of a job, ms");
+    ("run-ms", po::value(&options.runMs_), "run time of a job, ms")     //
+    ("instances",
+     po::value(&options.instances_),
+     "how many to announce, as name-0, name-1 and so on") //
+    ("announce-period-ms",
+     po::value(&options.announcePeriodMs_),
+     "time between renewals; the lease is four of them");
   try {
     po::variables_map values;
     po::store(po::parse_command_line(aArgc, aArgv, described), values);
