Grants and drains reach the entry's decisions

Cause: moves between pools need a point at dispatch where the entry checks a grant, and the planner's drain must keep new work away. Change: events GrantsArrived and DrainChanged. With requireGrants_ set, an instance without an unexpired grant gets nothing, checked with the time of the dispatch; the share of slots and connections caps this entry's use. It stays off until the grant link exists.

--- a/include/vanillahatch/core/entry_core.h
+++ b/include/vanillahatch/core/entry_core.h
@@ -8,6 +8,7 @@
 //              -> AttemptEnded(answered) -> RecordOutcome + Answer
 #pragma once
 
+#include "vanillahatch/core/grant.h"
 #include "vanillahatch/core/job.h"
 #include "vanillahatch/core/router.h"
 #include "vanillahatch/core/upstream_directory.h"
@@ -15,6 +16,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -69,6 +71,20 @@
   bool fromPeer_ = false; // false: the upstream itself told this entry
 };
 
+// Grants given or renewed by a grantor. Each replaces the one held for its
+// instance unless its epoch is lower; a grant that is not renewed runs out.
+struct GrantsArrived
+{
+  std::vector<Grant> grants_;
+};
+
+// The planner's drain of one instance: no new work, work in flight finishes.
+struct DrainChanged
+{
+  InstanceName instance_;
+  bool draining_ = false;
+};
+
 struct StopRequested
 {};
 
@@ -80,6 +96,8 @@
                                 ClaimEnded,
                                 AttemptEnded,
                                 FactArrived,
+                                GrantsArrived,
+                                DrainChanged,
                                 StopRequested,
                                 TimerTick>;
 
@@ -154,6 +172,9 @@
   DataCentreName dataCentre_;
   uint32_t maxAttempts_ = 3;
   uint32_t maxQueued_ = 1000; // jobs waiting for a slot, per service
+  // Nothing is dispatched to an instance without an unexpired grant, and the
+  // grant's share of slots and connections caps this entry's use of it.
+  bool requireGrants_ = false;
 };
 
 class EntryCore
@@ -190,11 +211,16 @@
   void On(const ClaimEnded& aEvent, Millis aNow);
   void On(const AttemptEnded& aEvent, Millis aNow);
   void On(const FactArrived& aEvent, Millis aNow);
+  void On(const GrantsArrived& aEvent, Millis aNow);
+  void On(const DrainChanged& aEvent, Millis aNow);
   void On(const StopRequested& aEvent, Millis aNow);
   void On(const TimerTick& aEvent, Millis aNow);
 
   void Enqueue(Job& aJob);
   void DrainQueue(const ServiceName& aService, Millis aNow);
+  void DrainAllQueues(Millis aNow);
+  // Whether drain and grants allow this entry one more attempt on it now.
+  bool MayUse(const InstanceName& aInstance, Millis aNow) const;
   bool TryDispatch(Job& aJob, Millis aNow);
   void End(JobNumber aNumber);
   void RefuseJob(JobNumber aNumber,
@@ -208,6 +234,8 @@
   std::map<JobNumber, Job> jobs_;
   std::map<ServiceName, std::deque<JobNumber>> queues_;
   std::map<InstanceName, uint32_t> inFlight_;
+  std::map<InstanceName, Grant> grants_;
+  std::set<InstanceName> draining_;
   uint64_t nextAttempt_ = 1;
   bool stopping_ = false;
   std::vector<EntryAction> actions_;
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -157,6 +157,27 @@
   DrainQueue(aEvent.fact_.service_, aNow);
 }
 
+void EntryCore::On(const GrantsArrived& aEvent, Millis aNow)
+{
+  for (const Grant& grant : aEvent.grants_) {
+    const auto [it, isNew] = grants_.try_emplace(grant.instance_, grant);
+    if (!isNew && grant.epoch_ >= it->second.epoch_) {
+      it->second = grant;
+    }
+  }
+  DrainAllQueues(aNow);
+}
+
+void EntryCore::On(const DrainChanged& aEvent, Millis aNow)
+{
+  if (aEvent.draining_) {
+    draining_.insert(aEvent.instance_);
+    return;
+  }
+  draining_.erase(aEvent.instance_);
+  DrainAllQueues(aNow);
+}
+
 void EntryCore::On(const StopRequested& /*aEvent*/, Millis /*aNow*/)
 {
   stopping_ = true;
@@ -185,11 +206,33 @@
               dispatched ? RanVerdict::kUnknown : RanVerdict::kNo,
               "no answer by the deadline");
   }
+  DrainAllQueues(aNow);
+}
+
+void EntryCore::DrainAllQueues(Millis aNow)
+{
   for (auto& [service, queue] : queues_) {
     DrainQueue(service, aNow);
   }
 }
 
+bool EntryCore::MayUse(const InstanceName& aInstance, Millis aNow) const
+{
+  if (draining_.contains(aInstance)) {
+    return false;
+  }
+  if (!options_.requireGrants_) {
+    return true;
+  }
+  const auto grant = grants_.find(aInstance);
+  if (grant == grants_.end() || aNow >= grant->second.expiresAt_) {
+    return false;
+  }
+  const auto used = inFlight_.find(aInstance);
+  const uint32_t inFlight = used != inFlight_.end() ? used->second : 0;
+  return inFlight < std::min(grant->second.slots_, grant->second.connections_);
+}
+
 void EntryCore::Enqueue(Job& aJob)
 {
   auto& queue = queues_[aJob.request_.service_];
@@ -223,6 +266,9 @@
   std::vector<Candidate> candidates;
   for (const UpstreamFact* upstream :
        directory_.Live(aJob.request_.service_, aNow)) {
+    if (!MayUse(upstream->instance_, aNow)) {
+      continue;
+    }
     const bool tried =
       std::find(aJob.tried_.begin(), aJob.tried_.end(), upstream->instance_) !=
       aJob.tried_.end();
