Planner: typed view of the fleet, forecast, moves, maintenance and roll-outs

The planner is a pure function of the replicated state, the forecasts and the time; all that a started step needs is in the view, so a new leader continues where the last one stopped, and change ids are made of instance, epoch and step count. Ruled out: remembering started steps in the leader (lost with it); canaries of one before each roll-out (one more round than the budget needs, while a first wave as wide as the budget is no more than the pool bears). An instance back from repair is not relied on for 60 s, and not taken either: the first version took it for maintenance, which a second loss would have turned into two unavailable where one is allowed.

--- /dev/null
+++ b/bench/fake_fleet.h
@@ -0,0 +1,371 @@
+// A stand-in for the fleet in virtual time: applies the planner's steps as the
+// replicated log would, lets drains, joins and maintenance take their time,
+// and counts every breach of what must hold. Used by tests and by the
+// capacity experiment.
+#pragma once
+
+#include "vanillahatch/core/planner.h"
+
+#include <functional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace vanillahatch {
+
+struct FakeFleetOptions
+{
+  Millis drain_ = Seconds(2); // until every grant has run out
+  Millis join_ = Seconds(1);  // from the assignment to the first announcement
+  Millis maintenance_ = Seconds(10);
+  Millis healthTimeout_ = Seconds(15); // of an instance that does not start
+  Version badVersion_{};               // never gets healthy; 0: none
+};
+
+// Breaches seen so far; each is a fault of the planner.
+struct FleetBreaches
+{
+  uint32_t budget_ = 0;           // a drain beyond budget, floor or ceiling
+  uint32_t doubleMembership_ = 0; // a move while grants were outstanding
+  uint32_t doubleStart_ = 0;      // a change id applied twice
+  uint32_t wrongState_ = 0;       // a step that its instance's state forbids
+
+  uint32_t Sum() const
+  {
+    return budget_ + doubleMembership_ + doubleStart_ + wrongState_;
+  }
+};
+
+class FakeFleet
+{
+public:
+  FakeFleet(FakeFleetOptions aOptions, FleetView aView)
+    : options_(aOptions)
+    , view_(std::move(aView))
+    , machines_(view_.instances_.size())
+  {
+  }
+
+  // Whether an instance has nothing in flight; always, unless set.
+  std::function<bool(InstanceIndex)> isIdle_ = [](InstanceIndex) {
+    return true;
+  };
+
+  const FleetView& View() const { return view_; }
+  FleetView& Edit() { return view_; }
+  const FleetBreaches& Breaches() const { return breaches_; }
+  uint32_t Moves() const { return moves_; }
+
+  void Apply(const Step& aStep, Millis aNow)
+  {
+    if (aStep.kind_ == StepKind::kHold) {
+      return;
+    }
+    InstanceView& instance = view_.instances_[At(aStep.instance_)];
+    if (!applied_.insert(aStep.ChangeId(view_)).second) {
+      ++breaches_.doubleStart_;
+      return;
+    }
+    switch (aStep.kind_) {
+      case StepKind::kBeginDrain:
+        BeginDrain(instance, aStep, aNow);
+        break;
+      case StepKind::kMoveInstance:
+        Move(instance, aStep, aNow);
+        break;
+      case StepKind::kStartMaintenance:
+        StartMaintenance(instance, aStep, aNow);
+        break;
+      case StepKind::kReturnToService:
+        Return(instance, aStep, aNow);
+        break;
+      case StepKind::kHold:
+        break;
+    }
+    ++instance.step_;
+  }
+
+  // Lets time pass until `aNow`.
+  void Advance(Millis aNow)
+  {
+    for (size_t i = 0; i < machines_.size(); ++i) {
+      AdvanceOne(static_cast<InstanceIndex>(i), aNow);
+    }
+  }
+
+  void Lose(InstanceIndex aInstance)
+  {
+    machines_[At(aInstance)].isDown_ = true;
+    Observe(aInstance);
+  }
+
+  void Repair(InstanceIndex aInstance, Millis aNow)
+  {
+    Machine& machine = machines_[At(aInstance)];
+    if (!machine.isDown_) {
+      return;
+    }
+    machine.isDown_ = false;
+    view_.instances_[At(aInstance)].repairedAt_ = aNow;
+    Observe(aInstance);
+  }
+
+  void LoseRack(RackIndex aRack)
+  {
+    ForEach([&](InstanceIndex aIndex, const InstanceView& aInstance) {
+      if (aInstance.rack_ == aRack) {
+        Lose(aIndex);
+      }
+    });
+  }
+
+  void RepairRack(RackIndex aRack, Millis aNow)
+  {
+    ForEach([&](InstanceIndex aIndex, const InstanceView& aInstance) {
+      if (aInstance.rack_ == aRack) {
+        Repair(aIndex, aNow);
+      }
+    });
+  }
+
+  void SetCut(DataCentreIndex aDataCentre, bool aIsCut)
+  {
+    ForEach([&](InstanceIndex aIndex, const InstanceView& aInstance) {
+      if (aInstance.dataCentre_ == aDataCentre) {
+        machines_[At(aIndex)].isCut_ = aIsCut;
+        Observe(aIndex);
+      }
+    });
+  }
+
+  bool IsUp(InstanceIndex aInstance) const
+  {
+    return !machines_[At(aInstance)].isDown_;
+  }
+
+  uint32_t Count(PoolIndex aPool, InstanceState aState) const
+  {
+    uint32_t count = 0;
+    for (const InstanceView& instance : view_.instances_) {
+      count += instance.pool_ == aPool && instance.state_ == aState ? 1 : 0;
+    }
+    return count;
+  }
+
+private:
+  // What is true of an instance beside what control knows.
+  struct Machine
+  {
+    InstanceState state_ = InstanceState::kServing; // if neither down nor cut
+    bool isDown_ = false;
+    bool isCut_ = false;
+    Millis since_; // start of its state
+  };
+
+  template<class Visit>
+  void ForEach(const Visit& aVisit)
+  {
+    for (size_t i = 0; i < view_.instances_.size(); ++i) {
+      aVisit(static_cast<InstanceIndex>(i), view_.instances_[i]);
+    }
+  }
+
+  Machine& Of(const InstanceView& aInstance)
+  {
+    return machines_[static_cast<size_t>(&aInstance - view_.instances_.data())];
+  }
+
+  void Enter(InstanceView& aInstance, InstanceState aState, Millis aNow)
+  {
+    Machine& machine = Of(aInstance);
+    machine.state_ = aState;
+    machine.since_ = aNow;
+    aInstance.drained_ = false;
+    aInstance.healthy_ = false;
+    aInstance.failed_ = false;
+    aInstance.guard_ = GuardAnswer::kNone;
+    Observe(static_cast<InstanceIndex>(&machine - machines_.data()));
+  }
+
+  void Observe(InstanceIndex aInstance)
+  {
+    const Machine& machine = machines_[At(aInstance)];
+    InstanceView& instance = view_.instances_[At(aInstance)];
+    instance.state_ = machine.state_;
+    if (machine.isDown_ && machine.state_ != InstanceState::kMaintenance) {
+      instance.state_ = InstanceState::kDown;
+    }
+    if (machine.isCut_) {
+      instance.state_ = InstanceState::kCutOff;
+    }
+  }
+
+  void BeginDrain(InstanceView& aInstance, const Step& aStep, Millis aNow)
+  {
+    if (aInstance.state_ != InstanceState::kServing) {
+      ++breaches_.wrongState_;
+      return;
+    }
+    aInstance.purpose_ = aStep.purpose_;
+    aInstance.target_ = aStep.target_;
+    Enter(aInstance, InstanceState::kDraining, aNow);
+    CheckBudget(aInstance.pool_);
+  }
+
+  // Counts from the view alone, on purpose not by the planner's own census.
+  void CheckBudget(PoolIndex aPool)
+  {
+    uint32_t members = 0;
+    uint32_t unavailable = 0;
+    for (const InstanceView& instance : view_.instances_) {
+      const bool isMember =
+        instance.pool_ == aPool && instance.state_ != InstanceState::kJoining;
+      members += isMember ? 1 : 0;
+      unavailable +=
+        isMember && instance.state_ != InstanceState::kServing ? 1 : 0;
+    }
+    const PoolContract& contract = view_.pools_[At(aPool)].contract_;
+    const bool isBelowFloor = members - unavailable < contract.floor_;
+    const bool isOverBudget = unavailable > contract.budget_.Allowed(members);
+    breaches_.budget_ += isBelowFloor || isOverBudget ? 1 : 0;
+  }
+
+  void Move(InstanceView& aInstance, const Step& aStep, Millis aNow)
+  {
+    if (aInstance.state_ != InstanceState::kDraining) {
+      ++breaches_.wrongState_;
+      return;
+    }
+    if (!aInstance.drained_) {
+      ++breaches_.doubleMembership_;
+    }
+    aInstance.pool_ = aStep.target_;
+    aInstance.version_ = aStep.version_;
+    aInstance.purpose_ = Purpose::kNone;
+    ++aInstance.epoch_;
+    ++moves_;
+    Enter(aInstance, InstanceState::kJoining, aNow);
+  }
+
+  void StartMaintenance(InstanceView& aInstance, const Step& aStep, Millis aNow)
+  {
+    const bool isRollBack = aStep.purpose_ == Purpose::kRollBack;
+    const bool mayStart = isRollBack
+                            ? aInstance.state_ == InstanceState::kMaintenance
+                            : aInstance.state_ == InstanceState::kDraining &&
+                                aInstance.drained_ &&
+                                aInstance.guard_ == GuardAnswer::kConsents;
+    if (!mayStart) {
+      ++breaches_.wrongState_;
+      return;
+    }
+    if (isRollBack) {
+      aInstance.failedVersion_ = aInstance.version_;
+    }
+    aInstance.purpose_ = aStep.purpose_;
+    aInstance.version_ = aStep.version_;
+    Enter(aInstance, InstanceState::kMaintenance, aNow);
+  }
+
+  void Return(InstanceView& aInstance, const Step& aStep, Millis aNow)
+  {
+    if (aInstance.state_ == InstanceState::kMaintenance) {
+      if (!aInstance.healthy_) {
+        ++breaches_.wrongState_;
+      }
+      aInstance.lastMaintained_ = aNow;
+    }
+    aInstance.purpose_ = Purpose::kNone;
+    aInstance.holdUntil_ = aStep.holdUntil_;
+    Enter(aInstance, InstanceState::kServing, aNow);
+  }
+
+  void AdvanceOne(InstanceIndex aInstance, Millis aNow)
+  {
+    Machine& machine = machines_[At(aInstance)];
+    InstanceView& instance = view_.instances_[At(aInstance)];
+    const Millis age = aNow - machine.since_;
+    if (machine.isCut_) {
+      return;
+    }
+    if (machine.state_ == InstanceState::kDraining && age >= options_.drain_ &&
+        (isIdle_(aInstance) || machine.isDown_)) {
+      instance.drained_ = true;
+      if (instance.guard_ == GuardAnswer::kNone) {
+        instance.guard_ = GuardAnswer::kConsents;
+      }
+    }
+    if (machine.isDown_) {
+      return;
+    }
+    if (machine.state_ == InstanceState::kJoining && age >= options_.join_) {
+      Enter(instance, InstanceState::kServing, aNow);
+    }
+    if (machine.state_ != InstanceState::kMaintenance) {
+      return;
+    }
+    const bool isBad = instance.version_ != Version{} &&
+                       instance.version_ == options_.badVersion_;
+    instance.healthy_ = !isBad && age >= options_.maintenance_;
+    instance.failed_ = isBad && age >= options_.healthTimeout_;
+  }
+
+  FakeFleetOptions options_;
+  FleetView view_;
+  std::vector<Machine> machines_;
+  std::set<std::string> applied_;
+  FleetBreaches breaches_;
+  uint32_t moves_ = 0;
+};
+
+// How a fleet of equal pools is laid out.
+struct FleetLayout
+{
+  uint32_t pools_ = 5;
+  uint32_t instances_ = 50;
+  uint32_t rackSize_ = 4;
+  uint32_t dataCentres_ = 3;
+  uint32_t floor_ = 2;
+  AvailabilityBudget budget_{ .percent_ = 25 };
+  uint32_t sparePercent_ = 50; // budget of the spare pool, which lends
+  bool yieldToPeak_ = false;
+};
+
+// The last pool is the spare pool. Instances are dealt to the pools in turn.
+inline FleetView MakeFleet(const FleetLayout& aLayout)
+{
+  FleetView view;
+  for (uint32_t i = 0; i < aLayout.pools_; ++i) {
+    const bool isSpare = i + 1 == aLayout.pools_;
+    const std::string name =
+      isSpare ? "billing" : "service-" + std::to_string(i + 1);
+    PoolContract contract{ .name_ = PoolName(name),
+                           .service_ = ServiceName(name),
+                           .floor_ = aLayout.floor_,
+                           .budget_ = aLayout.budget_,
+                           .spare_ = isSpare,
+                           .priority_ = isSpare ? 0U : 1U,
+                           .yieldToPeak_ = aLayout.yieldToPeak_ };
+    if (isSpare) {
+      contract.budget_ = { .percent_ = aLayout.sparePercent_ };
+    }
+    view.pools_.push_back({ .contract_ = contract,
+                            .version_ = Version{ 1 },
+                            .previousVersion_ = Version{ 1 } });
+  }
+  view.rackCount_ =
+    (aLayout.instances_ + aLayout.rackSize_ - 1) / aLayout.rackSize_;
+  view.dataCentreCount_ = aLayout.dataCentres_;
+  for (uint32_t i = 0; i < aLayout.instances_; ++i) {
+    const uint32_t rack = i / aLayout.rackSize_;
+    view.instances_.push_back(
+      { .name_ = InstanceName("i" + std::to_string(i)),
+        .pool_ = PoolIndex{ i % aLayout.pools_ },
+        .rack_ = RackIndex{ rack },
+        .dataCentre_ = DataCentreIndex{ rack % aLayout.dataCentres_ },
+        .version_ = Version{ 1 } });
+  }
+  return view;
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/include/vanillahatch/core/fleet_view.h
@@ -0,0 +1,127 @@
+// The fleet as the planner sees it at one moment: what is replicated (the
+// pool, epoch and current step of each instance) and what was observed of it
+// (drained, healthy, down, cut off).
+//
+// Racks, data centres and pools are numbered, so that a planning step does no
+// look-ups by name. A view is plain data; whoever builds it keeps the numbers
+// dense and from zero.
+#pragma once
+
+#include "vanillahatch/core/clock.h"
+#include "vanillahatch/core/ids.h"
+#include "vanillahatch/core/pool_contract.h"
+
+#include <cstdint>
+#include <vector>
+
+namespace vanillahatch {
+
+enum class InstanceIndex : uint32_t
+{
+};
+enum class PoolIndex : uint32_t
+{
+};
+enum class RackIndex : uint32_t
+{
+};
+enum class DataCentreIndex : uint32_t
+{
+};
+enum class Version : uint32_t
+{
+};
+
+template<class Index>
+constexpr size_t At(Index aIndex)
+{
+  return static_cast<size_t>(aIndex);
+}
+
+enum class InstanceState : uint8_t
+{
+  kJoining,     // assigned to its pool, not yet seen serving there
+  kServing,     //
+  kDraining,    // takes no new work; its step's purpose says why
+  kMaintenance, // being rebooted or restarted
+  kDown,        // its announcements ended without a step of ours
+  kCutOff,      // its data centre is out of reach; it may serve there
+};
+
+// Why an instance was taken out of service.
+enum class Purpose : uint8_t
+{
+  kNone,
+  kMove,     // to the pool `target_`
+  kPeriodic, // reboot that is due once in each maintenance period
+  kRollOut,  // restart in the pool's wanted version
+  kRollBack, // restart in the version before it, after a failure
+};
+
+// The answer of the guard of an instance's worker to the step that drained it.
+enum class GuardAnswer : uint8_t
+{
+  kNone,
+  kConsents,
+  kRefuses,
+};
+
+struct InstanceView
+{
+  InstanceName name_;
+  PoolIndex pool_{};
+  RackIndex rack_{};
+  DataCentreIndex dataCentre_{};
+  InstanceState state_ = InstanceState::kServing;
+
+  // Replicated with each applied step.
+  uint64_t epoch_ = 1; // of its membership
+  uint64_t step_ = 0;  // steps applied so far; makes change ids unique
+  Purpose purpose_ = Purpose::kNone;
+  PoolIndex target_{};      // of a move
+  Version version_{};       // it runs or was last told to run
+  Version failedVersion_{}; // did not get healthy with it; 0: none
+  Millis lastMaintained_;   // end of its last reboot
+  Millis holdUntil_; // no new step before this, after its guard refused one
+
+  // Observed.
+  bool drained_ = false; // no grant outstanding and nothing in flight
+  bool healthy_ = false; // after maintenance: serves in `version_`
+  bool failed_ = false;  // after maintenance: did not get healthy in time
+  GuardAnswer guard_ = GuardAnswer::kNone;
+  bool isPending_ = false; // a proposed step has not been decided yet
+  Millis repairedAt_ = Millis(INT64_MIN / 2); // back after it was down
+};
+
+struct PoolView
+{
+  PoolContract contract_;
+  Version version_{};         // that its members shall run
+  Version previousVersion_{}; // that they go back to if it fails
+};
+
+struct FleetView
+{
+  std::vector<PoolView> pools_;
+  std::vector<InstanceView> instances_;
+  uint32_t rackCount_ = 0;
+  uint32_t dataCentreCount_ = 0;
+};
+
+// Whether an instance counts against its pool's availability budget.
+constexpr bool IsUnavailable(InstanceState aState)
+{
+  switch (aState) {
+    case InstanceState::kDraining:
+    case InstanceState::kMaintenance:
+    case InstanceState::kDown:
+    case InstanceState::kCutOff:
+      return true;
+    case InstanceState::kJoining:
+    case InstanceState::kServing:
+      return false;
+  }
+  return false;
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/core/plan_draft.cpp
@@ -0,0 +1,253 @@
+// What the fleet needs, and the steps that end what has begun.
+#include "plan_draft.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+PlanDraft::PlanDraft(const FleetView& aView,
+                     std::span<const DemandOutlook> aOutlooks,
+                     const PlannerOptions& aOptions,
+                     const Objective& aObjective,
+                     Millis aNow)
+  : view_(aView)
+  , options_(aOptions)
+  , objective_(aObjective)
+  , now_(aNow)
+  , census_(aView, aOptions.probation_, aNow)
+  , needs_(aView.pools_.size())
+  , members_(aView.pools_.size())
+  , isTaken_(aView.instances_.size())
+{
+  for (size_t i = 0; i < view_.pools_.size() && !spare_; ++i) {
+    if (view_.pools_[i].contract_.spare_) {
+      spare_ = static_cast<PoolIndex>(i);
+    }
+  }
+  // One rack may go at any moment, so one buffer of its size serves all pools.
+  plan_.sharedBuffer_ = census_.LargestRack();
+  StudyVersions();
+  StudyNeeds(aOutlooks);
+  PrepareSpares();
+}
+
+const InstanceView& PlanDraft::View(InstanceIndex aInstance) const
+{
+  return view_.instances_[At(aInstance)];
+}
+
+const PoolContract& PlanDraft::Contract(PoolIndex aPool) const
+{
+  return view_.pools_[At(aPool)].contract_;
+}
+
+bool PlanDraft::IsFree(const InstanceView& aInstance) const
+{
+  return aInstance.state_ == InstanceState::kServing && !aInstance.isPending_ &&
+         aInstance.holdUntil_ <= now_;
+}
+
+bool PlanDraft::IsDue(const InstanceView& aInstance) const
+{
+  const Millis lead = options_.maintenancePeriod_ * options_.duePercent_ / 100;
+  return now_ - aInstance.lastMaintained_ >= options_.maintenancePeriod_ - lead;
+}
+
+bool PlanDraft::NeedsRollOut(const InstanceView& aInstance) const
+{
+  const Version wanted = view_.pools_[At(aInstance.pool_)].version_;
+  return aInstance.version_ != wanted && aInstance.failedVersion_ != wanted;
+}
+
+void PlanDraft::StudyVersions()
+{
+  std::vector<uint32_t> failures(view_.pools_.size());
+  for (size_t i = 0; i < view_.instances_.size(); ++i) {
+    const InstanceView& instance = view_.instances_[i];
+    const Version wanted = view_.pools_[At(instance.pool_)].version_;
+    const bool fails = instance.state_ == InstanceState::kMaintenance &&
+                       instance.purpose_ == Purpose::kRollOut &&
+                       instance.failed_;
+    const bool hasFailed =
+      wanted != Version{} && instance.failedVersion_ == wanted;
+    failures[At(instance.pool_)] += fails || hasFailed ? 1 : 0;
+    if (IsFree(instance)) {
+      members_[At(instance.pool_)].push_back(static_cast<InstanceIndex>(i));
+      Need(instance.pool_).isRollingOut_ |= NeedsRollOut(instance);
+    }
+  }
+  for (size_t i = 0; i < failures.size(); ++i) {
+    if (failures[i] >= options_.rollOutFailureLimit_) {
+      needs_[i].isRollOutStopped_ = true;
+      needs_[i].isRollingOut_ = false;
+    }
+  }
+}
+
+void PlanDraft::StudyNeeds(std::span<const DemandOutlook> aOutlooks)
+{
+  for (size_t i = 0; i < needs_.size(); ++i) {
+    const PoolContract& contract = view_.pools_[i].contract_;
+    const DemandOutlook& outlook = aOutlooks[i];
+    PoolNeed& need = needs_[i];
+    const auto instances = [&](double aSlots) {
+      const uint32_t wanted =
+        InstancesFor(aSlots, contract.slotsPerInstance_, options_.headroom_);
+      return std::clamp(wanted, contract.floor_, contract.ceiling_);
+    };
+    need.now_ = instances(outlook.now_);
+    need.ahead_ = instances(outlook.ahead_);
+    need.keep_ = instances(outlook.recent_);
+    need.inPeak_ = outlook.inPeak_;
+    if (need.isRollingOut_ && !contract.spare_) {
+      const uint32_t allowed = contract.budget_.Allowed(
+        census_.Of(static_cast<PoolIndex>(i)).members_);
+      need.borrowed_ = objective_.BorrowsForRollOut() ? allowed : 1;
+    }
+  }
+  for (const auto& members : members_) {
+    for (const InstanceIndex index : members) {
+      const InstanceView& instance = View(index);
+      PoolNeed& need = Need(instance.pool_);
+      if (IsDue(instance) && !Contract(instance.pool_).spare_) {
+        need.borrowed_ = std::max(need.borrowed_, 1U);
+      }
+    }
+  }
+}
+
+void PlanDraft::ContinueSteps()
+{
+  for (size_t i = 0; i < view_.instances_.size(); ++i) {
+    const InstanceView& instance = view_.instances_[i];
+    if (instance.isPending_) {
+      continue;
+    }
+    if (instance.state_ == InstanceState::kDraining) {
+      ContinueDrain(static_cast<InstanceIndex>(i));
+    } else if (instance.state_ == InstanceState::kMaintenance) {
+      ContinueMaintenance(static_cast<InstanceIndex>(i));
+    } else if (instance.state_ == InstanceState::kDown &&
+               instance.purpose_ == Purpose::kMove) {
+      // A pool in need is better served by another instance.
+      plan_.steps_.push_back(MakeStep(static_cast<InstanceIndex>(i),
+                                      StepKind::kReturnToService,
+                                      StepReason::kWentDown));
+    }
+  }
+}
+
+void PlanDraft::ContinueDrain(InstanceIndex aInstance)
+{
+  const InstanceView& instance = View(aInstance);
+  if (instance.guard_ == GuardAnswer::kRefuses) {
+    Step step = MakeStep(
+      aInstance, StepKind::kReturnToService, StepReason::kGuardRefused);
+    step.holdUntil_ = now_ + options_.guardRetry_;
+    plan_.steps_.push_back(step);
+    return;
+  }
+  const bool isStopped = instance.purpose_ == Purpose::kRollOut &&
+                         Need(instance.pool_).isRollOutStopped_;
+  if (isStopped) {
+    plan_.steps_.push_back(MakeStep(
+      aInstance, StepKind::kReturnToService, StepReason::kRollOutStopped));
+    return;
+  }
+  if (!instance.drained_) {
+    return;
+  }
+  if (instance.guard_ == GuardAnswer::kNone) {
+    Hold(instance.pool_, instance.purpose_, StepReason::kGuardSilent);
+    return;
+  }
+  const bool isMove = instance.purpose_ == Purpose::kMove;
+  Step step =
+    MakeStep(aInstance,
+             isMove ? StepKind::kMoveInstance : StepKind::kStartMaintenance,
+             StepReason::kDrained);
+  const PoolIndex pool = isMove ? instance.target_ : instance.pool_;
+  const PoolView& runsIn = view_.pools_[At(pool)];
+  const bool isRestart = isMove || instance.purpose_ == Purpose::kRollOut;
+  if (isRestart) {
+    step.version_ =
+      Need(pool).isRollOutStopped_ ? runsIn.previousVersion_ : runsIn.version_;
+  }
+  plan_.steps_.push_back(step);
+}
+
+void PlanDraft::ContinueMaintenance(InstanceIndex aInstance)
+{
+  const InstanceView& instance = View(aInstance);
+  if (instance.healthy_) {
+    plan_.steps_.push_back(
+      MakeStep(aInstance, StepKind::kReturnToService, StepReason::kHealthy));
+    return;
+  }
+  if (!instance.failed_) {
+    return;
+  }
+  if (instance.purpose_ != Purpose::kRollOut) {
+    Hold(instance.pool_, instance.purpose_, StepReason::kRebootFailed);
+    return;
+  }
+  Step step = MakeStep(
+    aInstance, StepKind::kStartMaintenance, StepReason::kVersionFailed);
+  step.purpose_ = Purpose::kRollBack;
+  step.version_ = view_.pools_[At(instance.pool_)].previousVersion_;
+  plan_.steps_.push_back(step);
+}
+
+Step PlanDraft::MakeStep(InstanceIndex aInstance,
+                         StepKind aKind,
+                         StepReason aReason)
+{
+  const InstanceView& instance = View(aInstance);
+  isTaken_[At(aInstance)] = true;
+  return Step{ .kind_ = aKind,
+               .reason_ = aReason,
+               .pool_ = instance.pool_,
+               .instance_ = aInstance,
+               .purpose_ = instance.purpose_,
+               .target_ = instance.target_,
+               .version_ = instance.version_ };
+}
+
+void PlanDraft::Drain(InstanceIndex aInstance,
+                      Purpose aPurpose,
+                      PoolIndex aTarget,
+                      StepReason aReason)
+{
+  Step step = MakeStep(aInstance, StepKind::kBeginDrain, aReason);
+  step.purpose_ = aPurpose;
+  step.target_ = aTarget;
+  plan_.steps_.push_back(step);
+  census_.CountDrain(aInstance, aPurpose, aTarget);
+  ++drains_;
+}
+
+void PlanDraft::Hold(PoolIndex aPool, Purpose aPurpose, StepReason aReason)
+{
+  for (const Step& step : plan_.steps_) {
+    if (step.kind_ == StepKind::kHold && step.pool_ == aPool &&
+        step.purpose_ == aPurpose && step.reason_ == aReason) {
+      return; // Said once for each pool.
+    }
+  }
+  plan_.steps_.push_back({ .kind_ = StepKind::kHold,
+                           .reason_ = aReason,
+                           .pool_ = aPool,
+                           .purpose_ = aPurpose });
+}
+
+Plan PlanDraft::Finish()
+{
+  if (spare_) {
+    const uint32_t held = Need(*spare_).keep_ + plan_.sharedBuffer_;
+    const uint32_t serving = census_.Of(*spare_).serving_;
+    plan_.releasable_ = serving > held ? serving - held : 0;
+  }
+  return std::move(plan_);
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/core/plan_maintenance.cpp
@@ -0,0 +1,117 @@
+// Roll-outs of changed versions and the reboots that are due.
+#include "plan_draft.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+namespace {
+
+StepReason ReasonOf(Obstacle aObstacle)
+{
+  switch (aObstacle) {
+    case Obstacle::kBudget:
+      return StepReason::kBudget;
+    case Obstacle::kFloor:
+      return StepReason::kFloorReached;
+    case Obstacle::kSpread:
+      return StepReason::kSpread;
+    case Obstacle::kPeak:
+      return StepReason::kPeak;
+    case Obstacle::kDemand:
+      return StepReason::kDemandNeedsAll;
+    case Obstacle::kProbation:
+      return StepReason::kProbation;
+  }
+  return StepReason::kBudget;
+}
+
+} // namespace
+
+bool PlanDraft::Maintain(InstanceIndex aInstance,
+                         Purpose aPurpose,
+                         StepReason aReason)
+{
+  const PoolIndex pool = View(aInstance).pool_;
+  const PoolNeed& need = Need(pool);
+  std::optional<Obstacle> obstacle = census_.ObstacleTo(aInstance);
+  const bool isPatient =
+    aPurpose == Purpose::kPeriodic || !objective_.IsRollOutFirst();
+  if (need.inPeak_ && Contract(pool).yieldToPeak_) {
+    obstacle = Obstacle::kPeak;
+  } else if (!obstacle && isPatient &&
+             census_.Of(pool).serving_ <= need.ahead_) {
+    obstacle = Obstacle::kDemand;
+  }
+  if (obstacle) {
+    Hold(pool, aPurpose, ReasonOf(*obstacle));
+    return false;
+  }
+  Drain(aInstance, aPurpose, pool, aReason);
+  return true;
+}
+
+void PlanDraft::RollOut()
+{
+  for (size_t i = 0; i < needs_.size(); ++i) {
+    if (needs_[i].isRollOutStopped_) {
+      Hold(static_cast<PoolIndex>(i),
+           Purpose::kRollOut,
+           StepReason::kRollOutStopped);
+    }
+    if (!needs_[i].isRollingOut_) {
+      continue;
+    }
+    std::vector<InstanceIndex> members = members_[i];
+    // Members that share a rack go together, so that a wave touches few racks.
+    std::stable_sort(members.begin(), members.end(), [&](auto aL, auto aR) {
+      return View(aL).rack_ < View(aR).rack_;
+    });
+    for (const InstanceIndex member : members) {
+      if (isTaken_[At(member)] || !NeedsRollOut(View(member))) {
+        continue;
+      }
+      const PoolCount& count = census_.Of(static_cast<PoolIndex>(i));
+      const uint32_t allowed =
+        Contract(static_cast<PoolIndex>(i)).budget_.Allowed(count.members_);
+      const bool isFull = count.unavailable_ >= allowed;
+      if (!Maintain(member, Purpose::kRollOut, StepReason::kVersionChanged) &&
+          isFull) {
+        break;
+      }
+    }
+  }
+}
+
+void PlanDraft::MaintainDue()
+{
+  std::vector<InstanceIndex> due;
+  std::vector<std::optional<RackIndex>> racks(view_.dataCentreCount_);
+  for (size_t i = 0; i < view_.instances_.size(); ++i) {
+    const InstanceView& instance = view_.instances_[i];
+    const bool isInProgress = instance.purpose_ == Purpose::kPeriodic &&
+                              (instance.state_ == InstanceState::kDraining ||
+                               instance.state_ == InstanceState::kMaintenance);
+    if (isInProgress) {
+      racks[At(instance.dataCentre_)] = instance.rack_;
+    }
+    if (IsFree(instance) && !isTaken_[i] && IsDue(instance)) {
+      due.push_back(static_cast<InstanceIndex>(i));
+    }
+  }
+  std::stable_sort(due.begin(), due.end(), [&](auto aL, auto aR) {
+    return View(aL).lastMaintained_ < View(aR).lastMaintained_;
+  });
+  // One rack at a time in each data centre, the longest unattended first.
+  for (const InstanceIndex index : due) {
+    std::optional<RackIndex>& rack = racks[At(View(index).dataCentre_)];
+    if (rack && *rack != View(index).rack_) {
+      continue;
+    }
+    if (Maintain(index, Purpose::kPeriodic, StepReason::kMaintenanceDue)) {
+      rack = View(index).rack_;
+    }
+  }
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/core/plan_moves.cpp
@@ -0,0 +1,181 @@
+// Moves of instances between the spare pool and the others.
+#include "plan_draft.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+void PlanDraft::PrepareSpares()
+{
+  spares_.resize(view_.rackCount_);
+  if (!spare_) {
+    return;
+  }
+  for (const InstanceIndex index : members_[At(*spare_)]) {
+    spares_[At(View(index).rack_)].push_back(index);
+  }
+}
+
+std::vector<PlanDraft::Want> PlanDraft::Wants()
+{
+  std::vector<Want> wants;
+  for (size_t i = 0; i < needs_.size(); ++i) {
+    const auto pool = static_cast<PoolIndex>(i);
+    const PoolNeed& need = needs_[i];
+    const PoolCount& count = census_.Of(pool);
+    if (spare_ == pool) {
+      hasUnmetDemand_ |= count.Capacity() < need.now_;
+      continue;
+    }
+    const uint32_t capacity = count.Capacity();
+    const uint32_t target = std::max(need.now_, need.ahead_) + need.borrowed_;
+    const uint32_t future =
+      count.members_ - count.leaving_ + count.joining_ + count.incoming_;
+    const uint32_t ceiling = Contract(pool).ceiling_;
+    const uint32_t room = future < ceiling ? ceiling - future : 0;
+    const uint32_t urgent = need.now_ > capacity ? need.now_ - capacity : 0;
+    const uint32_t missing = target > capacity ? target - capacity : 0;
+    if (urgent > room) {
+      Hold(pool, Purpose::kMove, StepReason::kAtCeiling);
+    }
+    const Want want{ .pool_ = pool,
+                     .urgent_ = std::min(urgent, room),
+                     .ahead_ = std::min(missing, room) -
+                               std::min({ urgent, missing, room }) };
+    if (want.urgent_ + want.ahead_ > 0) {
+      wants.push_back(want);
+    }
+  }
+  std::stable_sort(
+    wants.begin(), wants.end(), [&](const Want& aL, const Want& aR) {
+      return Contract(aL.pool_).priority_ > Contract(aR.pool_).priority_;
+    });
+  return wants;
+}
+
+void PlanDraft::Grow()
+{
+  const std::vector<Want> wants = Wants();
+  for (const Want& want : wants) {
+    Lend({ .pool_ = want.pool_, .urgent_ = want.urgent_ });
+  }
+  for (const Want& want : wants) {
+    Lend({ .pool_ = want.pool_, .ahead_ = want.ahead_ });
+  }
+}
+
+bool PlanDraft::MayLend(bool aUrgent, PoolIndex aTo) const
+{
+  const uint32_t serving = census_.Of(*spare_).serving_;
+  const PoolNeed& need = Need(*spare_);
+  if (!aUrgent) {
+    return serving > need.keep_ + plan_.sharedBuffer_;
+  }
+  const bool isAbove = Contract(aTo).priority_ > Contract(*spare_).priority_;
+  return serving > (isAbove ? Contract(*spare_).floor_ : need.now_);
+}
+
+void PlanDraft::Lend(const Want& aWant)
+{
+  const uint32_t wanted = aWant.urgent_ + aWant.ahead_;
+  const bool isUrgent = aWant.urgent_ > 0;
+  const PoolCount& count = census_.Of(aWant.pool_);
+  const bool isBelowFloor = count.Capacity() < Contract(aWant.pool_).floor_;
+  StepReason reason = isUrgent ? StepReason::kDemand : StepReason::kBorrow;
+  if (isBelowFloor) {
+    reason = StepReason::kFloor;
+  } else if (!isUrgent && Need(aWant.pool_).borrowed_ == 0) {
+    reason = StepReason::kDemand;
+  }
+  for (uint32_t i = 0; i < wanted; ++i) {
+    if (drains_ >= options_.maxDrainsPerPlan_) {
+      return;
+    }
+    std::optional<InstanceIndex> instance;
+    if (spare_ && MayLend(isUrgent, aWant.pool_)) {
+      instance = PickSpare(aWant.pool_);
+    }
+    if (!instance) {
+      hasUnmetDemand_ |= isUrgent;
+      Hold(aWant.pool_, Purpose::kMove, StepReason::kNoSpareInstance);
+      return;
+    }
+    Drain(*instance, Purpose::kMove, aWant.pool_, reason);
+  }
+}
+
+std::optional<InstanceIndex> PlanDraft::PickSpare(PoolIndex aTo)
+{
+  // The rack in which the borrower has fewest keeps it spread; among these
+  // the rack with most spare instances keeps the spare pool spread.
+  std::vector<InstanceIndex>* best = nullptr;
+  uint32_t bestOwn = 0;
+  for (size_t rack = 0; rack < spares_.size(); ++rack) {
+    std::vector<InstanceIndex>& candidates = spares_[rack];
+    while (!candidates.empty() && isTaken_[At(candidates.back())]) {
+      candidates.pop_back();
+    }
+    if (candidates.empty()) {
+      continue;
+    }
+    const uint32_t own = census_.InRack(aTo, static_cast<RackIndex>(rack));
+    const bool isBetter = best == nullptr || own < bestOwn ||
+                          (own == bestOwn && candidates.size() > best->size());
+    if (isBetter && !census_.ObstacleTo(candidates.back())) {
+      best = &candidates;
+      bestOwn = own;
+    }
+  }
+  if (best == nullptr) {
+    return std::nullopt;
+  }
+  const InstanceIndex picked = best->back();
+  best->pop_back();
+  return picked;
+}
+
+void PlanDraft::Shrink()
+{
+  if (!spare_) {
+    return;
+  }
+  for (size_t i = 0; i < needs_.size(); ++i) {
+    const PoolNeed& need = needs_[i];
+    const bool isKept = objective_.IsRollOutFirst() && need.isRollingOut_;
+    if (spare_ == static_cast<PoolIndex>(i) || (isKept && !hasUnmetDemand_)) {
+      continue;
+    }
+    // Others' unmet demand ends the dwell of a surplus.
+    const uint32_t keep =
+      (hasUnmetDemand_ ? need.ahead_ : std::max(need.keep_, need.ahead_)) +
+      need.borrowed_;
+    const uint32_t serving = census_.Of(static_cast<PoolIndex>(i)).serving_;
+    if (serving > keep) {
+      GiveBack(static_cast<PoolIndex>(i), serving - keep);
+    }
+  }
+}
+
+void PlanDraft::GiveBack(PoolIndex aPool, uint32_t aSurplus)
+{
+  std::vector<InstanceIndex> members = members_[At(aPool)];
+  // From the fullest racks first, so that the rest stays spread.
+  std::sort(members.begin(), members.end(), [&](auto aL, auto aR) {
+    const uint32_t left = census_.InRack(aPool, View(aL).rack_);
+    const uint32_t right = census_.InRack(aPool, View(aR).rack_);
+    return left != right ? left > right : aL < aR;
+  });
+  uint32_t given = 0;
+  for (const InstanceIndex member : members) {
+    if (given == aSurplus || drains_ >= options_.maxDrainsPerPlan_) {
+      return;
+    }
+    if (isTaken_[At(member)] || census_.ObstacleTo(member)) {
+      continue;
+    }
+    Drain(member, Purpose::kMove, *spare_, StepReason::kSurplus);
+    ++given;
+  }
+}
+
+} // namespace vanillahatch
