Configuration state machine, and its distribution by long poll

Cause: the thin FleetConfig accepted any value, compared revisions globally, kept its memory of change ids outside the state and without a bound, and entries decided each delta again; entries polled five times a second.

Entries adopt what was decided, never a lower revision, wait at one replica for up to a second per call, probe the others every two seconds, and report ready after a majority of control replicas answered and the highest revision named is held (or after 5 s, marked stale).

Ruled out: ending exceptions only by changes (a replica that is cut off would never end them); a global expected revision (the planner's moves would make operators' changes fail all the time).

No figure of roll-out time yet.

--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -1,31 +1,14 @@
-// The gRPC face of a control replica.
+// The gRPC face of a control replica: hands changes of configuration to
+// entries as soon as they are applied, and takes proposals.
 #pragma once
 
-#include "vanillahatch/core/fleet_config.h"
+#include "control/control_state.h"
+#include "control/sync_waiters.h"
 
 #include "control.grpc.pb.h"
 
-#include <deque>
-#include <mutex>
-
 namespace vanillahatch {
 
-// Holds the configuration and the latest changes, safe from any thread.
-class ControlState
-{
-public:
-  v1::ChangeReply Propose(const v1::Change& aChange);
-  v1::SyncReply Sync(const v1::SyncRequest& aRequest) const;
-  v1::FleetState State() const;
-
-private:
-  static constexpr size_t kKeptChanges = 1000;
-
-  mutable std::mutex mutex_;
-  FleetConfig config_;
-  std::deque<v1::Change> recent_; // the last accepted ones, oldest first
-};
-
 class ControlService : public v1::ControlService::CallbackService
 {
 public:
@@ -40,6 +23,7 @@
 
 private:
   ControlState& state_;
+  SyncWaiters waiters_;
 };
 
 } // namespace vanillahatch
--- /dev/null
+++ b/src/control/control_state.cpp
@@ -0,0 +1,91 @@
+#include "control/control_state.h"
+
+namespace vanillahatch {
+
+v1::ChangeReply ControlState::ApplyCommitted(const v1::Change& aChange)
+{
+  std::unique_lock lock(mutex_);
+  const uint64_t before = config_.Revision();
+  v1::ChangeReply reply = config_.Apply(aChange);
+  if (config_.Revision() == before) {
+    return reply;
+  }
+  recent_.push_back(aChange);
+  if (recent_.size() > kKeptChanges) {
+    recent_.pop_front();
+  }
+  lock.unlock();
+  Notify();
+  return reply;
+}
+
+v1::ChangeReply ControlState::Propose(const v1::Change& aChange)
+{
+  return ApplyCommitted(aChange);
+}
+
+v1::SyncReply ControlState::Sync(const v1::SyncRequest& aRequest) const
+{
+  std::lock_guard lock(mutex_);
+  v1::SyncReply reply;
+  reply.set_revision(config_.Revision());
+  if (aRequest.known_revision() >= config_.Revision()) {
+    return reply;
+  }
+  const uint64_t missing = config_.Revision() - aRequest.known_revision();
+  if (missing > recent_.size()) {
+    *reply.mutable_full() = config_.State();
+    return reply;
+  }
+  const auto first = recent_.end() - static_cast<std::ptrdiff_t>(missing);
+  for (auto it = first; it != recent_.end(); ++it) {
+    *reply.add_deltas() = *it;
+  }
+  return reply;
+}
+
+v1::FleetState ControlState::State() const
+{
+  std::lock_guard lock(mutex_);
+  return config_.State();
+}
+
+uint64_t ControlState::Revision() const
+{
+  std::lock_guard lock(mutex_);
+  return config_.Revision();
+}
+
+std::string ControlState::Snapshot() const
+{
+  std::lock_guard lock(mutex_);
+  return config_.Snapshot();
+}
+
+bool ControlState::RestoreSnapshot(std::string_view aBytes)
+{
+  std::unique_lock lock(mutex_);
+  if (!config_.RestoreSnapshot(aBytes)) {
+    return false;
+  }
+  // The changes that led to the snapshot are not known.
+  recent_.clear();
+  lock.unlock();
+  Notify();
+  return true;
+}
+
+void ControlState::Subscribe(std::function<void()> aListener)
+{
+  std::lock_guard lock(mutex_);
+  listeners_.push_back(std::move(aListener));
+}
+
+void ControlState::Notify() const
+{
+  for (const auto& listener : listeners_) {
+    listener();
+  }
+}
+
+} // namespace vanillahatch
--- a/src/core/fleet_config.cpp
+++ b/src/core/fleet_config.cpp
@@ -1,54 +1,73 @@
 #include "vanillahatch/core/fleet_config.h"
 
+#include "fleet_config_checks.h"
+
 #include <algorithm>
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/io/zero_copy_stream_impl_lite.h>
 
 namespace vanillahatch {
 
-namespace {
-
-template<class Items, class Item>
-void PutByName(Items& aItems, const Item& aItem)
+v1::ChangeReply FleetConfig::Apply(const v1::Change& aChange)
 {
-  const auto it =
-    std::find_if(aItems.begin(), aItems.end(), [&](const auto& aOther) {
-      return aOther.name() == aItem.name();
-    });
-  if (it == aItems.end()) {
-    *aItems.Add() = aItem;
-  } else {
-    *it = aItem;
+  const auto answered = answerById_.find(aChange.change_id());
+  if (answered != answerById_.end()) {
+    return answered->second;
+  }
+  v1::ChangeReply reply = Decide(aChange);
+  if (reply.status() == v1::CHANGE_ACCEPTED) {
+    Adopt(aChange, state_.revision() + 1);
   }
+  reply.set_revision(state_.revision());
+  if (!aChange.change_id().empty()) {
+    Remember(aChange, reply);
+  }
+  return reply;
 }
 
-} // namespace
-
-v1::ChangeReply FleetConfig::Apply(const v1::Change& aChange)
+v1::ChangeReply FleetConfig::Decide(const v1::Change& aChange) const
 {
-  const auto answered = answers_.find(aChange.change_id());
-  if (answered != answers_.end()) {
-    return answered->second;
-  }
   v1::ChangeReply reply;
-  const bool isStale = aChange.has_expected_revision() &&
-                       aChange.expected_revision() != state_.revision();
-  const std::string fault = Check(aChange);
-  if (!fault.empty()) {
-    reply.set_status(v1::CHANGE_INVALID);
-    reply.set_detail(fault);
-  } else if (isStale) {
+  reply.set_status(v1::CHANGE_INVALID);
+  if (aChange.change_id().empty()) {
+    reply.set_detail("change_id: must not be empty");
+    return reply;
+  }
+  if (forgottenUntil_ > 0 && aChange.proposed_at_unix_ms() <= forgottenUntil_) {
+    reply.set_detail("proposed_at_unix_ms: too old; whether this change was "
+                     "made before is no longer known");
+    return reply;
+  }
+  // A stale revision is reported first: the fault may come of the staleness.
+  if (aChange.has_expected_revision() &&
+      aChange.expected_revision() <
+        fleet_config::LastRevision(state_, aChange)) {
     reply.set_status(v1::CHANGE_CONFLICT);
-    reply.set_detail("the configuration has changed since that revision");
-  } else {
-    Perform(aChange);
-    state_.set_revision(state_.revision() + 1);
-    reply.set_status(v1::CHANGE_ACCEPTED);
+    reply.set_detail("changed by another since revision " +
+                     std::to_string(aChange.expected_revision()));
+    reply.set_current(fleet_config::CurrentValue(state_, aChange));
+    return reply;
   }
-  reply.set_revision(state_.revision());
-  answers_[aChange.change_id()] = reply;
+  std::string fault = fleet_config::Check(state_, aChange);
+  if (!fault.empty()) {
+    reply.set_detail(std::move(fault));
+    return reply;
+  }
+  reply.set_status(v1::CHANGE_ACCEPTED);
   return reply;
 }
 
-bool FleetConfig::Restore(const v1::FleetState& aState)
+bool FleetConfig::Adopt(const v1::Change& aChange, uint64_t aRevision)
+{
+  if (aRevision != state_.revision() + 1) {
+    return false;
+  }
+  state_.set_revision(aRevision);
+  fleet_config::Perform(state_, aChange);
+  return true;
+}
+
+bool FleetConfig::AdoptState(const v1::FleetState& aState)
 {
   if (aState.revision() < state_.revision()) {
     return false;
@@ -57,63 +76,79 @@
   return true;
 }
 
-std::string FleetConfig::Check(const v1::Change& aChange) const
+void FleetConfig::Remember(const v1::Change& aChange,
+                           const v1::ChangeReply& aReply)
 {
-  if (aChange.change_id().empty()) {
-    return "change_id: must not be empty";
-  }
-  switch (aChange.body_case()) {
-    case v1::Change::kAddException:
-      if (aChange.add_exception().name().empty()) {
-        return "exception.name: must not be empty";
-      }
-      if (aChange.add_exception().reason().empty()) {
-        return "exception.reason: must not be empty";
-      }
-      if (aChange.add_exception().ends_at_unix_ms() <= 0) {
-        return "exception.ends_at: must be given";
-      }
-      return {};
-    case v1::Change::kPutPool:
-      if (aChange.put_pool().name().empty()) {
-        return "pool.name: must not be empty";
-      }
-      return {};
-    case v1::Change::BODY_NOT_SET:
-      return "body: must be given";
-    default:
-      return {};
+  v1::AnsweredChange answered;
+  answered.set_change_id(aChange.change_id());
+  answered.set_proposed_at_unix_ms(aChange.proposed_at_unix_ms());
+  *answered.mutable_reply() = aReply;
+  answerById_[aChange.change_id()] = aReply;
+  answers_.push_back(std::move(answered));
+  if (answers_.size() > kKeptAnswers) {
+    const v1::AnsweredChange& oldest = answers_.front();
+    forgottenUntil_ = std::max(forgottenUntil_, oldest.proposed_at_unix_ms());
+    answerById_.erase(oldest.change_id());
+    answers_.pop_front();
   }
 }
 
-void FleetConfig::Perform(const v1::Change& aChange)
+std::string FleetConfig::Snapshot() const
 {
-  switch (aChange.body_case()) {
-    case v1::Change::kSetDefault: {
-      const v1::SetDefault& set = aChange.set_default();
-      (*state_.mutable_defaults())[set.setting()] = set.value();
-      break;
+  v1::FleetSnapshot snapshot;
+  *snapshot.mutable_state() = state_;
+  for (const v1::AnsweredChange& answered : answers_) {
+    *snapshot.add_answers() = answered;
+  }
+  snapshot.set_forgotten_until_unix_ms(forgottenUntil_);
+  std::string bytes;
+  {
+    google::protobuf::io::StringOutputStream out(&bytes);
+    google::protobuf::io::CodedOutputStream coded(&out);
+    // Maps are written in the order of their keys.
+    coded.SetSerializationDeterministic(true);
+    snapshot.SerializeToCodedStream(&coded);
+  }
+  return bytes;
+}
+
+bool FleetConfig::RestoreSnapshot(std::string_view aBytes)
+{
+  v1::FleetSnapshot snapshot;
+  if (!snapshot.ParseFromArray(aBytes.data(),
+                               static_cast<int>(aBytes.size()))) {
+    return false;
+  }
+  state_ = snapshot.state();
+  forgottenUntil_ = snapshot.forgotten_until_unix_ms();
+  answers_.assign(snapshot.answers().begin(), snapshot.answers().end());
+  answerById_.clear();
+  for (const v1::AnsweredChange& answered : answers_) {
+    answerById_[answered.change_id()] = answered.reply();
+  }
+  return true;
+}
+
+const v1::Membership* FindMembership(const v1::FleetState& aState,
+                                     std::string_view aInstance)
+{
+  for (const v1::Membership& membership : aState.memberships()) {
+    if (membership.instance() == aInstance) {
+      return &membership;
     }
-    case v1::Change::kAddException:
-      PutByName(*state_.mutable_exceptions(), aChange.add_exception());
-      break;
-    case v1::Change::kRemoveException: {
-      auto& items = *state_.mutable_exceptions();
-      items.erase(std::remove_if(items.begin(),
-                                 items.end(),
-                                 [&](const auto& aItem) {
-                                   return aItem.name() ==
-                                          aChange.remove_exception().name();
-                                 }),
-                  items.end());
-      break;
+  }
+  return nullptr;
+}
+
+const v1::PoolContract* FindPool(const v1::FleetState& aState,
+                                 std::string_view aPool)
+{
+  for (const v1::PoolContract& pool : aState.pools()) {
+    if (pool.name() == aPool) {
+      return &pool;
     }
-    case v1::Change::kPutPool:
-      PutByName(*state_.mutable_pools(), aChange.put_pool());
-      break;
-    default:
-      break;
   }
+  return nullptr;
 }
 
 } // namespace vanillahatch
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -69,7 +69,7 @@
   }
   server_.Start();
   control_ = std::make_unique<ControlLink>(
-    self_, settings_.controls_, [](const FleetConfig&) {});
+    self_, settings_.controls_, [](const v1::FleetState&) {});
   decisions_ = std::thread([this] { DecisionLoop(); });
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
@@ -124,6 +124,7 @@
     co_return HandleAnnouncement(aRequest);
   }
   if (target == "/metrics") {
+    control_->Report(metrics_);
     HttpResponse response = MakeJson(200, metrics_.Render());
     response.set(http::field::content_type, "text/plain; version=0.0.4");
     co_return response;
@@ -216,9 +217,11 @@
   if (stopping_) {
     return MakeProblem(503, "stopping", "no", "planned stop");
   }
-  return MakeJson(200,
-                  "{\"ready\":true,\"revision\":" +
-                    std::to_string(control_->Revision()) + "}");
+  if (!control_->Ready()) {
+    return MakeProblem(
+      503, "starting", "no", "the latest configuration is not known yet");
+  }
+  return MakeJson(200, "{\"ready\":true," + control_->StatusJson() + "}");
 }
 
 asio::awaitable<void> EntryProcess::Attempt(Dispatch aDispatch)
