Entries exchange announcements in batches and pass on only what is news

Ruled out: letting the entry that heard an upstream vouch for it with a heartbeat. Renewals reach any entry through the balancer, so the voucher would change with almost every renewal. A bitmap of all live upstreams needs an order that all entries agree on.

Change: FactExchange (core, no I/O) sends news whole at once; renewals become a 64-bit id and a sequence, wait up to 300 ms to share a message, and are left out for a third of a lease after another entry passed one on. An entry that does not know an id asks for it whole. The time spent waiting is taken off the lease.

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -52,8 +52,8 @@
   , events_(kEventRingSize)
   , core_({ .dataCentre_ = aSelf.dataCentre_ }, MakeLeastInFlight())
   , ledger_(aSettings.ledgers_)
-  , peers_(aSelf.name_, aSettings.entries_)
-  , peerService_([this](const UpstreamFact& aFact) {
+  , peers_(aSelf.name_, aSettings.entries_, sharedFacts_, clock_)
+  , peerService_(sharedFacts_, clock_, [this](const UpstreamFact& aFact) {
     events_.Push(FactArrived{ .fact_ = aFact, .fromPeer_ = true });
   })
 {
@@ -269,6 +269,7 @@
     }
     if (now >= nextTick) {
       nextTick = now + kTick;
+      peers_.Flush();
       for (EntryAction& action : core_.Handle(TimerTick{}, now)) {
         Perform(std::move(action));
       }
@@ -392,7 +393,7 @@
             { { "instance", aAction.fact_.instance_.View() },
               { "service", aAction.fact_.service_.View() } });
   }
-  peers_.Share(aAction.fact_);
+  sharedFacts_.Hear(aAction.fact_, clock_.Now());
 }
 
 void EntryProcess::Do(const UpstreamGone& aAction)
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -78,6 +78,7 @@
   std::thread decisions_;
 
   LedgerLink ledger_;
+  SharedFacts sharedFacts_;
   PeerLink peers_;
   PeerService peerService_;
   std::unique_ptr<grpc::Server> rpcServer_;
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -2,11 +2,14 @@
 
 #include "vanillahatch/shell/rpc.h"
 
+#include <algorithm>
+
 namespace vanillahatch {
 
 namespace {
 
 constexpr Millis kShareTimeout = Seconds(1);
+constexpr Millis kForgetPeriod = Seconds(60);
 
 struct ShareCall
 {
@@ -54,9 +57,77 @@
                        .lease_ = Millis(aFact.lease_ms()) };
 }
 
+void SharedFacts::Hear(const UpstreamFact& aFact, Millis aNow)
+{
+  std::lock_guard lock(mutex_);
+  exchange_.Hear(aFact, aNow);
+}
+
+std::optional<v1::FactBatch> SharedFacts::TakeBatch(Millis aNow)
+{
+  std::lock_guard lock(mutex_);
+  if (aNow >= nextForget_) {
+    exchange_.Forget(aNow);
+    nextForget_ = aNow + kForgetPeriod;
+  }
+  const std::optional<FactParcel> parcel = exchange_.TakeParcel(aNow);
+  if (!parcel) {
+    return std::nullopt;
+  }
+  v1::FactBatch batch;
+  for (const UpstreamFact& fact : parcel->whole_) {
+    *batch.add_facts() = ToWire(fact);
+  }
+  for (const Renewal& renewal : parcel->renewals_) {
+    batch.add_renewed(static_cast<uint64_t>(renewal.id_));
+    batch.add_renewed_sequence(renewal.sequence_);
+  }
+  batch.set_oldest_age_ms(parcel->oldestAge_.Count());
+  return batch;
+}
+
+std::vector<UpstreamFact> SharedFacts::Open(const v1::FactBatch& aBatch,
+                                            Millis aNow,
+                                            v1::FactAck& aAck)
+{
+  FactParcel parcel;
+  for (const v1::UpstreamFact& fact : aBatch.facts()) {
+    parcel.whole_.push_back(FromWire(fact));
+  }
+  const int renewals =
+    std::min(aBatch.renewed_size(), aBatch.renewed_sequence_size());
+  for (int i = 0; i < renewals; ++i) {
+    parcel.renewals_.push_back(
+      Renewal{ .id_ = RenewalId(aBatch.renewed(i)),
+               .sequence_ = aBatch.renewed_sequence(i) });
+  }
+  parcel.oldestAge_ = Millis(aBatch.oldest_age_ms());
+  std::vector<RenewalId> unknown;
+  std::lock_guard lock(mutex_);
+  std::vector<UpstreamFact> facts = exchange_.Open(parcel, aNow, unknown);
+  for (const RenewalId id : unknown) {
+    aAck.add_unknown(static_cast<uint64_t>(id));
+  }
+  return facts;
+}
+
+void SharedFacts::SendWhole(const v1::FactAck& aAck, Millis aNow)
+{
+  std::vector<RenewalId> ids;
+  for (const uint64_t id : aAck.unknown()) {
+    ids.push_back(RenewalId(id));
+  }
+  std::lock_guard lock(mutex_);
+  exchange_.SendWhole(ids, aNow);
+}
+
 PeerLink::PeerLink(const NodeName& aSelf,
-                   std::span<const EntrySettings> aEntries)
+                   std::span<const EntrySettings> aEntries,
+                   SharedFacts& aFacts,
+                   const Clock& aClock)
   : self_(aSelf)
+  , facts_(aFacts)
+  , clock_(aClock)
 {
   for (const EntrySettings& entry : aEntries) {
     if (entry.name_ != aSelf) {
@@ -65,32 +136,43 @@
   }
 }
 
-void PeerLink::Share(const UpstreamFact& aFact)
+void PeerLink::Flush()
 {
+  std::optional<v1::FactBatch> batch = facts_.TakeBatch(clock_.Now());
+  if (!batch) {
+    return;
+  }
+  batch->set_entry(self_.Str());
   for (const auto& stub : stubs_) {
     auto call = std::make_shared<ShareCall>();
-    call->request_.set_entry(self_.Str());
-    *call->request_.add_facts() = ToWire(aFact);
+    call->request_ = *batch;
     SetDeadline(call->context_, kShareTimeout);
     stub->async()->Share(&call->context_,
                          &call->request_,
                          &call->reply_,
-                         [call](const grpc::Status&) {});
+                         [this, call](const grpc::Status& aStatus) {
+                           if (aStatus.ok()) {
+                             facts_.SendWhole(call->reply_, clock_.Now());
+                           }
+                         });
   }
 }
 
-PeerService::PeerService(Sink aSink)
-  : sink_(std::move(aSink))
+PeerService::PeerService(SharedFacts& aFacts, const Clock& aClock, Sink aSink)
+  : facts_(aFacts)
+  , clock_(aClock)
+  , sink_(std::move(aSink))
 {
 }
 
 grpc::ServerUnaryReactor* PeerService::Share(
   grpc::CallbackServerContext* aContext,
   const v1::FactBatch* aRequest,
-  v1::FactAck* /*aReply*/)
+  v1::FactAck* aReply)
 {
-  for (const v1::UpstreamFact& fact : aRequest->facts()) {
-    sink_(FromWire(fact));
+  for (const UpstreamFact& fact :
+       facts_.Open(*aRequest, clock_.Now(), *aReply)) {
+    sink_(fact);
   }
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
   reactor->Finish(grpc::Status::OK);
--- a/src/entry/peer_link.h
+++ b/src/entry/peer_link.h
@@ -2,13 +2,15 @@
 // they tell us.
 #pragma once
 
-#include "vanillahatch/core/upstream.h"
+#include "vanillahatch/core/fact_exchange.h"
 #include "vanillahatch/shell/settings.h"
 
 #include "entry.grpc.pb.h"
 
 #include <functional>
 #include <memory>
+#include <mutex>
+#include <optional>
 #include <span>
 #include <vector>
 
@@ -17,17 +19,38 @@
 v1::UpstreamFact ToWire(const UpstreamFact& aFact);
 UpstreamFact FromWire(const v1::UpstreamFact& aFact);
 
+// The exchange of one entry with the others, safe from any thread.
+class SharedFacts
+{
+public:
+  void Hear(const UpstreamFact& aFact, Millis aNow);
+  std::optional<v1::FactBatch> TakeBatch(Millis aNow);
+  std::vector<UpstreamFact> Open(const v1::FactBatch& aBatch,
+                                 Millis aNow,
+                                 v1::FactAck& aAck);
+  void SendWhole(const v1::FactAck& aAck, Millis aNow);
+
+private:
+  std::mutex mutex_;
+  FactExchange exchange_;
+  Millis nextForget_;
+};
+
 class PeerLink
 {
 public:
-  PeerLink(const NodeName& aSelf, std::span<const EntrySettings> aEntries);
+  PeerLink(const NodeName& aSelf,
+           std::span<const EntrySettings> aEntries,
+           SharedFacts& aFacts,
+           const Clock& aClock);
 
-  // Sends the fact to every other entry; each renewal repeats it, so a lost
-  // message is made good by the next.
-  void Share(const UpstreamFact& aFact);
+  // Sends what waits to every other entry. Called every few milliseconds.
+  void Flush();
 
 private:
   NodeName self_;
+  SharedFacts& facts_;
+  const Clock& clock_;
   std::vector<std::shared_ptr<v1::EntryPeerService::Stub>> stubs_;
 };
 
@@ -36,13 +59,15 @@
 public:
   using Sink = std::function<void(const UpstreamFact&)>;
 
-  explicit PeerService(Sink aSink);
+  PeerService(SharedFacts& aFacts, const Clock& aClock, Sink aSink);
 
   grpc::ServerUnaryReactor* Share(grpc::CallbackServerContext* aContext,
                                   const v1::FactBatch* aRequest,
                                   v1::FactAck* aReply) override;
 
 private:
+  SharedFacts& facts_;
+  const Clock& clock_;
   Sink sink_;
 };
 
