--- a/bench/footprint_bench.py
+++ b/bench/footprint_bench.py
@@ -2,8 +2,10 @@
 a second, at several numbers of upstreams, with a straight line fitted and
 worked out for a larger fleet.
 
-    python3 bench/footprint_bench.py BUILD_DIR [--sizes 50 200 800]
-        [--seconds 15] [--changes-per-day 0] [--target 3700] [--period-ms 500]
+    python3 bench/footprint_bench.py BUILD_DIR [--driver upstreams]
+        [--sizes 50 200 800] [--seconds 15] [--target 3700] [--period-ms 500]
+
+The driver is the number of upstreams, of changes a day, or of jobs a second.
 
 Bytes are those of every connection of a process, both ways, as the kernel
 counts them (`ss -ti`); memory and processor time are from /proc."""
@@ -19,7 +21,8 @@
 import time
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../scripts"))
-from deployment import DATA_CENTRES, UPSTREAM_TOKEN, Deployment, Node
+from deployment import (DATA_CENTRES, UPSTREAM_TOKEN, Deployment, Node,
+                        free_ports)
 
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 SETTLE_SECONDS = 6
@@ -57,7 +60,9 @@
 
 
 def measure(nodes, seconds):
-    """Per node: rss in MB, percent of a core, KB/s, threads."""
+    """Per node: rss in MB, percent of a core, KB/s over HTTP, KB/s between
+    our own processes, threads."""
+    http_ports = {node.http_port for node in nodes}
     before = {node.name: Footprint(node.process.pid) for node in nodes}
     bytes_before, start = bytes_by_connection(), time.monotonic()
     time.sleep(seconds)
@@ -66,12 +71,19 @@
     for node in nodes:
         pid = node.process.pid
         after = Footprint(pid)
-        moved = sum(count - bytes_before.get(key, 0)
-                    for key, count in bytes_after.items() if key[0] == pid)
+        http, own = 0, 0
+        for key, count in bytes_after.items():
+            if key[0] != pid:
+                continue
+            moved = count - bytes_before.get(key, 0)
+            if int(key[1].rsplit(":", 1)[1]) in http_ports:
+                http += moved
+            else:
+                own += moved
         rows[node.name] = (
             after.rss_mb,
             100 * (after.cpu_seconds - before[node.name].cpu_seconds) / span,
-            moved / span / 1000, after.threads)
+            http / span / 1000, own / span / 1000, after.threads)
     return rows
 
 
@@ -105,24 +117,48 @@
             stderr=subprocess.DEVNULL, check=False)
 
 
+def call_jobs(deployment, per_second, stop):
+    """Sends jobs, half of them at most once, at about the given rate."""
+    callers = max(1, per_second // 10)
+    caller = subprocess.Popen(
+        [os.path.join(deployment.build, "load_caller"),
+         "--jobs", "100000000", "--callers", str(callers),
+         "--pause-ms", str(1000 * callers // per_second),
+         "--log", "/dev/null", "--service", *deployment.services,
+         "--entry-port"] + [str(entry.http_port)
+                            for entry in deployment.entries],
+        stdout=subprocess.DEVNULL)
+    stop.wait()
+    caller.kill()
+    caller.wait()
+
+
 def run_size(arguments, size):
-    from deployment import free_ports
+    """One deployment with the driver at `size`; rows as `measure` gives."""
     folder = tempfile.mkdtemp(prefix="vanillahatch-footprint-")
-    deployment = Deployment(arguments.build, folder, services=(),
-                            runners_per_service=0)
-    deployment.runners = announcers(deployment, size, arguments.period_ms,
-                                    free_ports(5))
+    by_upstreams = arguments.driver == "upstreams"
+    deployment = Deployment(
+        arguments.build, folder, services=() if by_upstreams
+        else ("loops", "billing"), runners_per_service=6)
+    if by_upstreams:
+        deployment.runners = announcers(deployment, size,
+                                        arguments.period_ms, free_ports(5))
     stop = threading.Event()
+    drivers = {"changes": change_defaults, "jobs": call_jobs}
+    thread = None
     try:
         deployment.start()
-        if arguments.changes_per_day:
-            threading.Thread(target=change_defaults, daemon=True, args=(
-                deployment, arguments.changes_per_day, stop)).start()
+        if size and arguments.driver in drivers:
+            thread = threading.Thread(target=drivers[arguments.driver],
+                                      args=(deployment, size, stop))
+            thread.start()
         time.sleep(SETTLE_SECONDS)
         return measure(deployment.entries + deployment.controls
                        + deployment.ledgers, arguments.seconds)
     finally:
         stop.set()
+        if thread:
+            thread.join()
         deployment.stop()
         shutil.rmtree(folder, ignore_errors=True)
 
@@ -138,35 +174,42 @@
     return mean_y - slope * mean_x, slope
 
 
+UNITS = ("MB", "% core", "KB/s http", "KB/s own", "threads")
+
+
 def main():
     parser = argparse.ArgumentParser()
     parser.add_argument("build", type=os.path.abspath)
+    parser.add_argument("--driver", default="upstreams",
+                        choices=("upstreams", "changes", "jobs"),
+                        help="upstreams; changes a day; jobs a second")
     parser.add_argument("--sizes", type=int, nargs="+",
                         default=[50, 200, 800])
     parser.add_argument("--seconds", type=float, default=15)
-    parser.add_argument("--changes-per-day", type=int, default=0)
     parser.add_argument("--target", type=int, default=3700)
     parser.add_argument("--period-ms", type=int, default=500)
     arguments = parser.parse_args()
     print("command: bench/footprint_bench.py", *sys.argv[2:])
     roles = ("entry", "control", "ledger")
     points = {}
-    print(f"{'upstreams':>9} {'role':8} {'MB':>7} {'% core':>7} {'KB/s':>8} "
-          f"{'threads':>7}   (the worst node of the role)")
+    print(f"{arguments.driver:>9} {'role':8}"
+          + "".join(f"{unit:>11}" for unit in UNITS)
+          + "   (the worst node of the role)")
     for size in arguments.sizes:
         rows = run_size(arguments, size)
         for role in roles:
             values = [row for name, row in rows.items() if role in name]
             worst = [max(column) for column in zip(*values)]
             points.setdefault(role, []).append((size, worst))
-            print(f"{size:9} {role:8} {worst[0]:7.1f} {worst[1]:7.2f} "
-                  f"{worst[2]:8.2f} {worst[3]:7.0f}", flush=True)
-    print(f"\nfit y = a + b * upstreams, and y at {arguments.target}")
+            print(f"{size:9} {role:8}"
+                  + "".join(f"{value:11.2f}" for value in worst), flush=True)
+    print(f"\nfit y = a + b * {arguments.driver}, and y at "
+          f"{arguments.target}")
     for role in roles:
-        for column, unit in enumerate(("MB", "% core", "KB/s")):
+        for column, unit in enumerate(UNITS[:4]):
             a, b = fit([(size, worst[column])
                         for size, worst in points[role]])
-            print(f"{role:8} {unit:7} a = {a:8.3f}  b = {b:10.6f}  "
+            print(f"{role:8} {unit:10} a = {a:9.4f}  b = {b:12.8f}  "
                   f"at {arguments.target}: {a + b * arguments.target:9.2f}")
 
 
