Control log: elections, replication and replacement as a state machine

Change: ControlLog takes events and time and returns actions with the order in which disk and network must see them. A replacement entry needs a majority of the old and of the new configuration until it is known to be committed; that knowledge is durable, so a restart does not wait for an incarnation that is gone. A cluster is founded only when every replica answers as blank. Ruled out: counting a replacement by the new configuration alone (a vote that the wiped replica forgot could elect a second leader that overwrites it), and removing before adding (a second lost disk in between has no quorum).

--- /dev/null
+++ b/src/core/control_log_election.cpp
@@ -0,0 +1,170 @@
+// Terms, votes and quorums.
+#include "vanillahatch/core/control_log.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+namespace {
+
+bool HasMajority(const v1::LogConfig& aConfig,
+                 const std::function<bool(const v1::LogMember&)>& aHolds)
+{
+  const auto& members = aConfig.members();
+  const auto count = std::count_if(members.begin(), members.end(), aHolds);
+  return count > members.size() / 2;
+}
+
+} // namespace
+
+// While a replacement is not known to be committed, a quorum needs both the
+// old and the new configuration.
+bool ControlLog::HasQuorum(const Predicate& aHolds) const
+{
+  const LogHistory::Configuration* before = history_.BeforeLatest();
+  if (IsConfigPending() && before != nullptr &&
+      !HasMajority(before->config_, aHolds)) {
+    return false;
+  }
+  return HasMajority(history_.Latest().config_, aHolds);
+}
+
+void ControlLog::BecomeFollower(uint64_t aTerm, std::string aLeader)
+{
+  if (aTerm > term_) {
+    term_ = aTerm;
+    votedFor_.reset();
+    RecordVote();
+  }
+  if (role_ != LogRole::kFollower) {
+    ResetElectionTimer();
+  }
+  role_ = LogRole::kFollower;
+  leader_ = std::move(aLeader);
+  votes_.clear();
+  progress_.clear();
+  learner_.reset();
+}
+
+void ControlLog::StartPreVote()
+{
+  role_ = LogRole::kPreCandidate;
+  leader_.clear();
+  SetElectionTimer(options_.minRetry_, options_.maxRetry_);
+  votes_ = { self_ };
+  AskForVotes(true);
+  CountVotes();
+}
+
+void ControlLog::StartElection()
+{
+  role_ = LogRole::kCandidate;
+  ++term_;
+  votedFor_ = self_;
+  RecordVote();
+  SetElectionTimer(options_.minRetry_, options_.maxRetry_);
+  votes_.clear();
+  AskForVotes(false);
+}
+
+void ControlLog::AskForVotes(bool aPreVote)
+{
+  std::vector<v1::LogMember> asked(history_.Latest().config_.members().begin(),
+                                   history_.Latest().config_.members().end());
+  if (IsConfigPending() && history_.BeforeLatest() != nullptr) {
+    const auto& before = history_.BeforeLatest()->config_;
+    for (const v1::LogMember& member : before.members()) {
+      if (!Contains(history_.Latest().config_, member)) {
+        asked.push_back(member);
+      }
+    }
+  }
+  for (const v1::LogMember& member : asked) {
+    if (IsSame(member, self_)) {
+      continue;
+    }
+    v1::PeerMessage message;
+    message.set_term(aPreVote ? term_ + 1 : term_);
+    message.mutable_vote_request()->set_pre_vote(aPreVote);
+    message.mutable_vote_request()->set_last_index(history_.LastIndex());
+    message.mutable_vote_request()->set_last_term(history_.LastTerm());
+    Send(std::move(message), member);
+  }
+}
+
+void ControlLog::CountVotes()
+{
+  const bool isOwnDurable = votedAndSynced_ == term_;
+  const bool won = HasQuorum([&](const v1::LogMember& aMember) {
+    if (role_ == LogRole::kCandidate && IsSame(aMember, self_)) {
+      return isOwnDurable;
+    }
+    return std::any_of(votes_.begin(), votes_.end(), [&](const auto& aVoter) {
+      return IsSame(aVoter, aMember);
+    });
+  });
+  if (!won) {
+    return;
+  }
+  if (role_ == LogRole::kPreCandidate) {
+    StartElection();
+  } else {
+    BecomeLeader();
+  }
+}
+
+bool ControlLog::IsUpToDate(const v1::PeerMessage::VoteRequest& aRequest) const
+{
+  return std::pair(aRequest.last_term(), aRequest.last_index()) >=
+         std::pair(history_.LastTerm(), history_.LastIndex());
+}
+
+void ControlLog::OnVoteRequest(const v1::PeerMessage& aMessage)
+{
+  const v1::PeerMessage::VoteRequest& request = aMessage.vote_request();
+  const bool isPreVote = request.pre_vote();
+  // While a leader is heard nobody is helped to replace it, so a replica that
+  // was cut off and comes back does not disturb the others.
+  const bool hearsLeader =
+    IsLeader() ||
+    (heardLeader_ && now_ - leaderHeardAt_ < options_.minElectionTimeout_);
+  if (!isPreVote && aMessage.term() > term_) {
+    BecomeFollower(aMessage.term(), {});
+  }
+  const bool isFree = isPreVote
+                        ? aMessage.term() > term_ && !hearsLeader
+                        : aMessage.term() == term_ &&
+                            (!votedFor_ || IsSame(*votedFor_, aMessage.from()));
+  const bool granted = IsMember() && isFree && IsUpToDate(request);
+  if (granted && !isPreVote && !votedFor_) {
+    votedFor_ = aMessage.from();
+    RecordVote();
+    ResetElectionTimer();
+  }
+  v1::PeerMessage reply;
+  reply.set_term(granted ? aMessage.term() : term_);
+  reply.mutable_vote_reply()->set_pre_vote(isPreVote);
+  reply.mutable_vote_reply()->set_granted(granted);
+  Send(std::move(reply), aMessage.from());
+}
+
+void ControlLog::OnVoteReply(const v1::PeerMessage& aMessage)
+{
+  const v1::PeerMessage::VoteReply& reply = aMessage.vote_reply();
+  if (!reply.granted()) {
+    if (aMessage.term() > term_) {
+      BecomeFollower(aMessage.term(), {});
+    }
+    return;
+  }
+  const LogRole asked =
+    reply.pre_vote() ? LogRole::kPreCandidate : LogRole::kCandidate;
+  const uint64_t askedTerm = reply.pre_vote() ? term_ + 1 : term_;
+  if (role_ != asked || aMessage.term() != askedTerm) {
+    return;
+  }
+  votes_.push_back(aMessage.from());
+  CountVotes();
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/core/control_log_leader.cpp
@@ -0,0 +1,259 @@
+// What the leader does: replication, commit, replacement of replicas.
+#include "vanillahatch/core/control_log.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+namespace {
+
+// Entries that a joining replica may be behind when it is taken in. It votes
+// only with the configuration entry in its log, so with everything before it.
+constexpr uint64_t kCatchUpSlack = 100;
+
+} // namespace
+
+void ControlLog::BecomeLeader()
+{
+  role_ = LogRole::kLeader;
+  leader_ = self_.name();
+  votes_.clear();
+  progress_.clear();
+  RefreshProgress();
+  heartbeatAt_ = now_ + options_.heartbeat_;
+  AppendOwn({});
+}
+
+void ControlLog::RefreshProgress()
+{
+  std::vector<v1::LogMember> targets;
+  const auto add = [&](const v1::LogMember& aMember) {
+    const bool isNew =
+      std::none_of(targets.begin(), targets.end(), [&](const auto& aOther) {
+        return IsSame(aOther, aMember);
+      });
+    if (isNew && !IsSame(aMember, self_)) {
+      targets.push_back(aMember);
+    }
+  };
+  for (const v1::LogMember& member : history_.Latest().config_.members()) {
+    add(member);
+  }
+  if (IsConfigPending() && history_.BeforeLatest() != nullptr) {
+    const auto& before = history_.BeforeLatest()->config_;
+    std::for_each(before.members().begin(), before.members().end(), add);
+  }
+  if (learner_) {
+    add(*learner_);
+  }
+  std::vector<Progress> fresh;
+  for (const v1::LogMember& member : targets) {
+    const Progress* known = FindProgress(member);
+    fresh.push_back(known != nullptr
+                      ? *known
+                      : Progress{ .member_ = member,
+                                  .next_ = history_.LastIndex() + 1,
+                                  .heardAt_ = now_ });
+  }
+  progress_ = std::move(fresh);
+}
+
+ControlLog::Progress* ControlLog::FindProgress(const v1::LogMember& aMember)
+{
+  const auto it =
+    std::find_if(progress_.begin(), progress_.end(), [&](const auto& aP) {
+      return IsSame(aP.member_, aMember);
+    });
+  return it != progress_.end() ? &*it : nullptr;
+}
+
+void ControlLog::LeadOn()
+{
+  const bool hasQuorum = HasQuorum([&](const v1::LogMember& aMember) {
+    const Progress* progress = FindProgress(aMember);
+    return IsSame(aMember, self_) ||
+           (progress != nullptr &&
+            now_ - progress->heardAt_ < options_.minElectionTimeout_);
+  });
+  if (!hasQuorum) {
+    BecomeFollower(term_, {});
+    return;
+  }
+  if (now_ < heartbeatAt_) {
+    return;
+  }
+  heartbeatAt_ = now_ + options_.heartbeat_;
+  if (learner_ && now_ - learnerHeardAt_ > options_.maxElectionTimeout_) {
+    learner_.reset();
+    RefreshProgress();
+  }
+  for (Progress& progress : progress_) {
+    const bool isUnderWay =
+      progress.sentUpTo_ != 0 &&
+      now_ - progress.sentAt_ < options_.minElectionTimeout_;
+    if (isUnderWay) {
+      SendHeartbeat(progress);
+    } else {
+      SendAppend(progress);
+    }
+  }
+}
+
+void ControlLog::AppendOwn(v1::LogEntry aEntry)
+{
+  aEntry.set_index(history_.LastIndex() + 1);
+  aEntry.set_term(term_);
+  v1::LogRecord record;
+  *record.mutable_entry() = aEntry;
+  Record(record);
+  history_.Put(std::move(aEntry));
+  SendPending();
+}
+
+void ControlLog::SendPending()
+{
+  for (Progress& progress : progress_) {
+    if (progress.sentUpTo_ == 0 && progress.next_ <= history_.LastIndex()) {
+      SendAppend(progress);
+    }
+  }
+}
+
+// Keeps the follower from an election while a large message is under way;
+// says nothing about its log.
+void ControlLog::SendHeartbeat(Progress& aProgress)
+{
+  v1::PeerMessage message;
+  message.mutable_append();
+  Send(std::move(message), aProgress.member_);
+}
+
+void ControlLog::SendAppend(Progress& aProgress)
+{
+  const uint64_t previous = aProgress.next_ - 1;
+  if (previous < history_.BaseIndex()) {
+    SendSnapshot(aProgress);
+    return;
+  }
+  v1::PeerMessage message;
+  v1::PeerMessage::Append& append = *message.mutable_append();
+  append.set_previous_index(previous);
+  append.set_previous_term(history_.TermAt(previous).value());
+  append.set_commit(commit_);
+  size_t bytes = 0;
+  uint64_t index = previous;
+  while (index < history_.LastIndex() && bytes < options_.maxMessageBytes_) {
+    const v1::LogEntry& entry = history_.At(++index);
+    *append.add_entries() = entry;
+    bytes += entry.ByteSizeLong();
+  }
+  aProgress.sentUpTo_ = index > previous ? index : 0;
+  aProgress.sentAt_ = now_;
+  Send(std::move(message), aProgress.member_);
+}
+
+void ControlLog::SendSnapshot(Progress& aProgress)
+{
+  v1::PeerMessage message;
+  *message.mutable_snapshot() = history_.Base();
+  aProgress.sentUpTo_ = history_.BaseIndex();
+  aProgress.sentAt_ = now_;
+  Send(std::move(message), aProgress.member_);
+}
+
+void ControlLog::OnAppendReply(const v1::PeerMessage& aMessage)
+{
+  if (aMessage.term() > term_) {
+    BecomeFollower(aMessage.term(), {});
+    return;
+  }
+  Progress* progress = IsLeader() && aMessage.term() == term_
+                         ? FindProgress(aMessage.from())
+                         : nullptr;
+  if (progress == nullptr) {
+    return;
+  }
+  progress->heardAt_ = now_;
+  const v1::PeerMessage::AppendReply& reply = aMessage.append_reply();
+  if (!reply.accepted()) {
+    const uint64_t before = progress->next_ - 1;
+    progress->next_ =
+      std::max(progress->match_, std::min(before, reply.last())) + 1;
+    SendAppend(*progress);
+    return;
+  }
+  progress->match_ = std::max(progress->match_, reply.match());
+  progress->next_ = std::max(progress->next_, progress->match_ + 1);
+  if (progress->match_ >= progress->sentUpTo_) {
+    progress->sentUpTo_ = 0;
+  }
+  CommitAcknowledged();
+  MaybeReplace();
+  SendPending();
+}
+
+// The highest index that a majority of `aConfig` holds on disk.
+uint64_t ControlLog::AgreedIndex(const v1::LogConfig& aConfig)
+{
+  std::vector<uint64_t> matches;
+  for (const v1::LogMember& member : aConfig.members()) {
+    const Progress* progress = FindProgress(member);
+    const uint64_t other = progress != nullptr ? progress->match_ : 0;
+    matches.push_back(IsSame(member, self_) ? synced_ : other);
+  }
+  std::sort(matches.begin(), matches.end(), std::greater<>());
+  return matches[matches.size() / 2];
+}
+
+void ControlLog::CommitAcknowledged()
+{
+  const bool wasPending = IsConfigPending();
+  uint64_t agreed = AgreedIndex(history_.Latest().config_);
+  if (wasPending && history_.BeforeLatest() != nullptr) {
+    agreed = std::min(agreed, AgreedIndex(history_.BeforeLatest()->config_));
+  }
+  // An entry of an earlier term may still be overwritten although a majority
+  // holds it; it is committed together with the first one of this term.
+  if (agreed <= commit_ || history_.TermAt(agreed) != term_) {
+    return;
+  }
+  SetCommit(agreed);
+  if (wasPending && !IsConfigPending()) {
+    RefreshProgress();
+  }
+  // Followers learn of the commit at once, since they apply it too.
+  for (Progress& progress : progress_) {
+    if (progress.sentUpTo_ == 0) {
+      SendAppend(progress);
+    }
+  }
+}
+
+// Puts a replica that has caught up into the configuration, in the place of
+// its former incarnation if there was one.
+void ControlLog::MaybeReplace()
+{
+  const Progress* progress = learner_ ? FindProgress(*learner_) : nullptr;
+  if (progress == nullptr || progress->match_ == 0 ||
+      progress->match_ + kCatchUpSlack < commit_ || IsConfigPending() ||
+      !IsLeaderInForce()) {
+    return;
+  }
+  v1::LogEntry entry;
+  *entry.mutable_config() = history_.Latest().config_;
+  auto& members = *entry.mutable_config()->mutable_members();
+  const auto it =
+    std::find_if(members.begin(), members.end(), [&](const auto& aMember) {
+      return aMember.name() == learner_->name();
+    });
+  if (it != members.end()) {
+    *it = *learner_;
+  } else {
+    *members.Add() = *learner_;
+  }
+  learner_.reset();
+  AppendOwn(std::move(entry));
+  RefreshProgress();
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/test/control_log_test.cpp
@@ -0,0 +1,371 @@
+#define BOOST_TEST_MODULE control_log
+#include "log_cluster.h"
+
+using namespace vanillahatch;
+
+namespace {
+
+std::string OtherThan(const LogCluster& aCluster, const std::string& aName)
+{
+  for (const std::string& name : aCluster.Names()) {
+    if (name != aName) {
+      return name;
+    }
+  }
+  return {};
+}
+
+std::vector<std::string> AllBut(const LogCluster& aCluster,
+                                const std::string& aName)
+{
+  std::vector<std::string> others;
+  for (const std::string& name : aCluster.Names()) {
+    if (name != aName) {
+      others.push_back(name);
+    }
+  }
+  return others;
+}
+
+bool Commit(LogCluster& aCluster, const std::string& aPayload)
+{
+  const std::string leader = aCluster.WaitForLeader();
+  return aCluster.Propose(leader, aPayload) &&
+         aCluster.RunUntil([&] { return aCluster.IsApplied(aPayload); });
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ANewClusterFoundsItselfAndCommits)
+{
+  for (const size_t count : { 1U, 2U, 3U, 5U }) {
+    LogCluster cluster(count);
+    cluster.StartAll();
+    BOOST_TEST(Commit(cluster, "first"), "replicas: " << count);
+    BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NoClusterIsFoundedWhileOneReplicaIsSilent)
+{
+  LogCluster cluster(3);
+  cluster.Start("a");
+  cluster.Start("b");
+  cluster.Run(Seconds(30));
+  BOOST_TEST(cluster.Leader().empty());
+  BOOST_TEST(cluster.Log("a").Cluster() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(TwoWipedReplicasBesideASurvivorDoNotFoundAgain)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  BOOST_REQUIRE(Commit(cluster, "kept"));
+  cluster.LoseDisk("a");
+  cluster.LoseDisk("b");
+  cluster.Start("a");
+  cluster.Start("b");
+  cluster.Run(Seconds(60));
+  BOOST_TEST(cluster.Leader().empty());
+  BOOST_TEST(!cluster.Propose("c", "by the survivor alone"));
+  for (const std::string name : { "a", "b" }) {
+    const uint64_t joined = cluster.Log(name).Cluster();
+    BOOST_TEST((joined == 0U || joined == cluster.Log("c").Cluster()));
+    BOOST_TEST((cluster.Log(name).Role() != LogRole::kLeader));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AKilledLeaderIsReplacedWithinThreeSeconds)
+{
+  for (uint64_t seed = 1; seed <= 50; ++seed) {
+    LogCluster cluster(3, seed);
+    cluster.StartAll();
+    const std::string old = cluster.WaitForLeader();
+    cluster.Crash(old);
+    const Millis killed = cluster.Now();
+    const std::string leader = cluster.WaitForLeader();
+    BOOST_TEST(leader != old);
+    BOOST_TEST((cluster.Now() - killed).Count() <= 3000, "seed " << seed);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AKillBetweenAnyTwoDurableStepsLosesNothing)
+{
+  for (const bool killLeader : { true, false }) {
+    for (const bool tear : { false, true }) {
+      for (int step = 0; step < 24; ++step) {
+        LogCluster cluster(3, 100 + static_cast<uint64_t>(step));
+        cluster.StartAll();
+        BOOST_REQUIRE(Commit(cluster, "before"));
+        const std::string leader = cluster.Leader();
+        const std::string victim =
+          killLeader ? leader : OtherThan(cluster, leader);
+        cluster.At(victim).tearOnCrash_ = tear;
+        cluster.CrashAfterSteps(victim, step);
+        cluster.Propose(leader, "during");
+        cluster.Run(Seconds(4));
+        cluster.CrashAfterSteps(victim, -1);
+        if (!cluster.At(victim).IsUp()) {
+          cluster.Start(victim);
+        }
+        BOOST_TEST(Commit(cluster, "after"), "step " << step);
+        BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }),
+                   "step " << step << " tear " << tear);
+      }
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AWipedReplicaComesBackUnderANewIncarnation)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  BOOST_REQUIRE(Commit(cluster, "kept"));
+  const std::string victim = OtherThan(cluster, cluster.Leader());
+  const uint64_t before = cluster.Log(victim).Self().incarnation();
+  cluster.LoseDisk(victim);
+  cluster.Start(victim);
+  BOOST_TEST(!cluster.Log(victim).IsMember());
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  BOOST_TEST(cluster.Log(victim).Self().incarnation() != before);
+}
+
+BOOST_AUTO_TEST_CASE(ASecondDiskLostRightAfterTheRepairLosesNothing)
+{
+  for (uint64_t seed = 1; seed <= 20; ++seed) {
+    LogCluster cluster(3, seed);
+    cluster.StartAll();
+    BOOST_REQUIRE(Commit(cluster, "kept"));
+    const std::vector<std::string> order = { "b", "c", "a", "b", "c" };
+    for (const std::string& victim : order) {
+      cluster.LoseDisk(victim);
+      cluster.Run(Millis(100));
+      cluster.Start(victim);
+      BOOST_REQUIRE(
+        cluster.RunUntil([&] { return cluster.Log(victim).IsMember(); }));
+      // The next one goes as soon as the repair is in force.
+      BOOST_REQUIRE(cluster.RunUntil([&] {
+        const std::string leader = cluster.Leader();
+        return !leader.empty() &&
+               cluster.Log(leader).CommitIndex() >=
+                 cluster.Log(leader).History().Latest().index_;
+      }));
+      cluster.Run(Millis(20));
+    }
+    BOOST_TEST(Commit(cluster, "after"), "seed " << seed);
+    BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AReplicaWhoseReplacementWasOverwrittenAsksAgain)
+{
+  LogCluster cluster(5);
+  cluster.StartAll();
+  const std::string old = cluster.WaitForLeader();
+  BOOST_REQUIRE(Commit(cluster, "kept"));
+  const std::string wiped = OtherThan(cluster, old);
+  cluster.LoseDisk(wiped);
+  for (const std::string& other : cluster.Names()) {
+    for (const std::string& side : { old, wiped }) {
+      if (other != old && other != wiped) {
+        cluster.Cut(side, other);
+        cluster.Cut(other, side);
+      }
+    }
+  }
+  cluster.Start(wiped);
+  // The old leader gives it the replacement, which cannot be committed.
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.Log(wiped).IsMember(); },
+                                 Seconds(2)));
+  cluster.Crash(old);
+  BOOST_REQUIRE(Commit(cluster, "by the other three"));
+  cluster.Heal();
+  cluster.Start(old);
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }),
+             cluster.Describe());
+}
+
+BOOST_AUTO_TEST_CASE(AReplacedIncarnationIsNotWaitedForAfterARestart)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  BOOST_REQUIRE(Commit(cluster, "kept"));
+  cluster.LoseDisk("b");
+  cluster.Start("b");
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  cluster.LoseDisk("c");
+  cluster.Crash("a");
+  cluster.Crash("b");
+  cluster.Start("a");
+  cluster.Start("b");
+  BOOST_TEST(Commit(cluster, "without c"));
+}
+
+BOOST_AUTO_TEST_CASE(AnIsolatedLeaderGivesUpAndItsTailIsOverwritten)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  const std::string old = cluster.WaitForLeader();
+  cluster.Isolate(old);
+  BOOST_TEST(cluster.Propose(old, "never agreed"));
+  cluster.Run(Millis(1300));
+  BOOST_TEST(!cluster.Log(old).IsLeader());
+  BOOST_TEST(!cluster.Propose(old, "refused"));
+  BOOST_TEST(Commit(cluster, "by the rest"));
+  const uint64_t term = cluster.Log(cluster.Leader()).Term();
+  cluster.Run(Seconds(60));
+  cluster.Heal();
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  BOOST_TEST(!cluster.IsApplied("never agreed"));
+  // Pre-vote: the return of the isolated replica disturbs nobody.
+  BOOST_TEST(cluster.Log(cluster.Leader()).Term() == term);
+}
+
+BOOST_AUTO_TEST_CASE(ALeaderThatHearsNobodyGivesUp)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  const std::string old = cluster.WaitForLeader();
+  for (const std::string& other : AllBut(cluster, old)) {
+    cluster.Cut(other, old);
+  }
+  BOOST_TEST(cluster.RunUntil([&] {
+    const std::string leader = cluster.Leader();
+    return !leader.empty() && leader != old;
+  }));
+  BOOST_TEST(!cluster.Log(old).IsLeader());
+}
+
+BOOST_AUTO_TEST_CASE(AReplicaThatHearsNobodyDoesNotDisturbTheOthers)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  const std::string leader = cluster.WaitForLeader();
+  const uint64_t term = cluster.Log(leader).Term();
+  const std::string deaf = OtherThan(cluster, leader);
+  for (const std::string& other : AllBut(cluster, deaf)) {
+    cluster.Cut(other, deaf);
+  }
+  cluster.Run(Seconds(30));
+  BOOST_TEST(cluster.Leader() == leader);
+  BOOST_TEST(cluster.Log(leader).Term() == term);
+}
+
+BOOST_AUTO_TEST_CASE(AFrozenLeaderActsOnNothingAfterItThaws)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  const std::string old = cluster.WaitForLeader();
+  cluster.Freeze(old, Seconds(30));
+  cluster.Run(Seconds(10));
+  BOOST_TEST(Commit(cluster, "while frozen"));
+  cluster.Pass(Seconds(30));
+  // Its very first act after the thaw is a proposal: it must be refused.
+  BOOST_TEST(!cluster.Propose(old, "after the thaw"));
+  cluster.ReleaseFrozen();
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+}
+
+BOOST_AUTO_TEST_CASE(AnEvenSplitAcceptsNothingOnEitherSide)
+{
+  LogCluster cluster(4);
+  cluster.StartAll();
+  const std::string leader = cluster.WaitForLeader();
+  const std::string friendName = OtherThan(cluster, leader);
+  for (const std::string& near : { leader, friendName }) {
+    for (const std::string& far : cluster.Names()) {
+      if (far != leader && far != friendName) {
+        cluster.Cut(near, far);
+        cluster.Cut(far, near);
+      }
+    }
+  }
+  cluster.Propose(leader, "left");
+  cluster.Run(Seconds(30));
+  for (const std::string& name : cluster.Names()) {
+    BOOST_TEST(!cluster.Propose(name, "side of " + name));
+  }
+  BOOST_TEST(!cluster.IsApplied("left"));
+  cluster.Heal();
+  BOOST_TEST(Commit(cluster, "healed"));
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+}
+
+BOOST_AUTO_TEST_CASE(HundredsOfChangesPiledUpAreCaughtUp)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  const std::string leader = cluster.WaitForLeader();
+  const std::string late = OtherThan(cluster, leader);
+  cluster.Crash(late);
+  for (int i = 0; i < 700; ++i) {
+    BOOST_REQUIRE(cluster.Propose(leader, "change " + std::to_string(i)));
+  }
+  BOOST_REQUIRE(
+    cluster.RunUntil([&] { return cluster.IsApplied("change 699"); }));
+  cluster.Start(late);
+  const Millis started = cluster.Now();
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  BOOST_TEST((cluster.Now() - started).Count() <= 2000);
+}
+
+BOOST_AUTO_TEST_CASE(AReplicaTooFarBehindIsBroughtUpBySnapshot)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  const std::string leader = cluster.WaitForLeader();
+  const std::string late = OtherThan(cluster, leader);
+  cluster.Crash(late);
+  for (int i = 0; i < 50; ++i) {
+    cluster.Propose(leader, "change " + std::to_string(i));
+  }
+  BOOST_REQUIRE(
+    cluster.RunUntil([&] { return cluster.IsApplied("change 49"); }));
+  for (const std::string& name : AllBut(cluster, late)) {
+    cluster.Log(name).Compact(cluster.At(name).state_);
+    cluster.Tick(name);
+    BOOST_TEST(cluster.Log(name).History().BaseIndex() > 0U);
+  }
+  cluster.Start(late);
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  cluster.Crash(late);
+  cluster.Start(late);
+  BOOST_TEST(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+}
+
+BOOST_AUTO_TEST_CASE(TooManyUncommittedProposalsAreRefused)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  const std::string leader = cluster.WaitForLeader();
+  cluster.Isolate(leader);
+  size_t taken = 0;
+  while (cluster.Propose(leader, "p" + std::to_string(taken)) &&
+         taken < 10000) {
+    ++taken;
+  }
+  BOOST_TEST(taken == 4096U);
+}
+
+BOOST_AUTO_TEST_CASE(MessagesToAFormerIncarnationAreIgnored)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  BOOST_REQUIRE(Commit(cluster, "kept"));
+  v1::PeerMessage request;
+  request.set_cluster(cluster.Log("a").Cluster());
+  *request.mutable_from() = cluster.Log("a").Self();
+  request.set_to("b");
+  request.set_to_incarnation(cluster.Log("b").Self().incarnation());
+  request.set_term(99);
+  request.mutable_vote_request()->set_last_index(1000);
+  request.mutable_vote_request()->set_last_term(99);
+  cluster.LoseDisk("b");
+  cluster.Start("b");
+  cluster.Log("b").Receive(cluster.Now(), request);
+  const LogActions actions = cluster.Log("b").Take();
+  for (const v1::PeerMessage& message : actions.messages_) {
+    BOOST_TEST(message.has_hello(), message.ShortDebugString());
+  }
+  BOOST_TEST(cluster.Log("b").Term() == 0U);
+}
--- /dev/null
+++ b/test/log_cluster.h
@@ -0,0 +1,462 @@
+// Replicas of the control log with fake disks in virtual time, for event-list
+// tests: messages wait until the test delivers, delays, drops or repeats them,
+// and after every step the promises of the log are checked.
+#pragma once
+
+#include "fake_store.h"
+#include "vanillahatch/core/control_log.h"
+
+#include <boost/test/unit_test.hpp>
+#include <functional>
+#include <limits>
+#include <memory>
+#include <set>
+
+namespace vanillahatch {
+
+struct Replica
+{
+  std::string name_;
+  FakeStore disk_;
+  std::unique_ptr<ControlLog> log_;
+  std::string state_; // folded over the applied payloads
+  uint64_t stateIndex_ = 0;
+  Millis frozenUntil_;    // sees neither time nor messages before
+  int stepsToCrash_ = -1; // micro steps of the pump; negative: never
+  bool tearOnCrash_ = false;
+
+  bool IsUp() const { return log_ != nullptr; }
+};
+
+class LogCluster
+{
+public:
+  explicit LogCluster(size_t aCount, uint64_t aSeed = 1)
+    : seed_(aSeed)
+  {
+    for (size_t i = 0; i < aCount; ++i) {
+      names_.push_back(std::string(1, static_cast<char>('a' + i)));
+    }
+    for (const std::string& name : names_) {
+      replicas_[name].name_ = name;
+    }
+  }
+
+  void StartAll()
+  {
+    for (const std::string& name : names_) {
+      Start(name);
+    }
+  }
+
+  void Start(const std::string& aName)
+  {
+    Replica& replica = replicas_.at(aName);
+    auto contents = replica.disk_.Load();
+    const bool usable = contents && !contents.value().tornTail_;
+    if (!usable) {
+      replica.disk_.Create();
+    }
+    replica.state_.clear();
+    replica.stateIndex_ = 0;
+    replica.log_ = std::make_unique<ControlLog>(
+      ControlLogOptions{
+        .self_ = aName, .replicas_ = names_, .seed_ = ++seed_ * 7919 },
+      usable ? &contents.value() : nullptr,
+      now_);
+    if (!usable) {
+      mustHold_[replica.log_->Self().incarnation()] =
+        entries_.empty() ? 0 : entries_.rbegin()->first;
+    }
+    Pump(replica);
+  }
+
+  void Crash(const std::string& aName)
+  {
+    Replica& replica = replicas_.at(aName);
+    replica.log_.reset();
+    replica.stepsToCrash_ = -1;
+    if (replica.tearOnCrash_) {
+      replica.disk_.CrashTorn();
+    } else {
+      replica.disk_.Crash();
+    }
+    replica.tearOnCrash_ = false;
+  }
+
+  void LoseDisk(const std::string& aName)
+  {
+    Crash(aName);
+    replicas_.at(aName).disk_.Vanish();
+  }
+
+  void CrashAfterSteps(const std::string& aName, int aSteps)
+  {
+    replicas_.at(aName).stepsToCrash_ = aSteps;
+  }
+  void Freeze(const std::string& aName, Millis aFor)
+  {
+    replicas_.at(aName).frozenUntil_ = now_ + aFor;
+  }
+  // One direction of a link.
+  void Cut(const std::string& aFrom, const std::string& aTo)
+  {
+    cuts_.insert({ aFrom, aTo });
+  }
+  void Isolate(const std::string& aName)
+  {
+    for (const std::string& other : names_) {
+      Cut(aName, other);
+      Cut(other, aName);
+    }
+  }
+  void Heal() { cuts_.clear(); }
+
+  // Lets time pass in small steps with every message delivered at once.
+  void Run(Millis aFor)
+  {
+    const Millis end = now_ + aFor;
+    while (now_ < end) {
+      now_ = now_ + Millis(20);
+      TickAll();
+      DeliverAll();
+    }
+  }
+
+  bool RunUntil(const std::function<bool()>& aCondition,
+                Millis aFor = Seconds(20))
+  {
+    const Millis end = now_ + aFor;
+    while (!aCondition() && now_ < end) {
+      Run(Millis(20));
+    }
+    return aCondition();
+  }
+
+  void TickAll()
+  {
+    for (const std::string& name : names_) {
+      Tick(name);
+    }
+  }
+
+  void Tick(const std::string& aName)
+  {
+    Replica& replica = replicas_.at(aName);
+    if (replica.IsUp() && now_ >= replica.frozenUntil_) {
+      replica.log_->Tick(now_);
+      Pump(replica);
+    }
+  }
+
+  void DeliverAll()
+  {
+    size_t rounds = 0;
+    while (!pending_.empty() && rounds++ < 10000) {
+      Deliver(0);
+    }
+  }
+
+  // Delivers the message at `aAt` of those under way; `aKeep` leaves a copy.
+  void Deliver(size_t aAt, bool aKeep = false)
+  {
+    const v1::PeerMessage message = pending_[aAt];
+    if (!aKeep) {
+      pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(aAt));
+    }
+    const auto to = replicas_.find(message.to());
+    const bool isCut = cuts_.contains({ message.from().name(), message.to() });
+    if (isCut || to == replicas_.end() || !to->second.IsUp()) {
+      return;
+    }
+    if (now_ < to->second.frozenUntil_) {
+      frozen_.push_back(message);
+      return;
+    }
+    to->second.log_->Receive(now_, message);
+    Pump(to->second);
+  }
+
+  void Drop(size_t aAt)
+  {
+    pending_.erase(pending_.begin() + static_cast<std::ptrdiff_t>(aAt));
+  }
+
+  // What a frozen replica finds in its sockets when it thaws.
+  void ReleaseFrozen()
+  {
+    pending_.insert(pending_.end(), frozen_.begin(), frozen_.end());
+    frozen_.clear();
+  }
+
+  std::string Leader() const
+  {
+    std::string leader;
+    uint64_t term = 0;
+    for (const auto& [name, replica] : replicas_) {
+      if (replica.IsUp() && replica.log_->IsLeaderInForce() &&
+          replica.log_->Term() > term) {
+        leader = name;
+        term = replica.log_->Term();
+      }
+    }
+    return leader;
+  }
+
+  std::string WaitForLeader()
+  {
+    BOOST_REQUIRE_MESSAGE(RunUntil([&] { return !Leader().empty(); }),
+                          "no leader within 20 s, seed " << seed_);
+    return Leader();
+  }
+
+  bool Propose(const std::string& aName, const std::string& aPayload)
+  {
+    Replica& replica = replicas_.at(aName);
+    const bool taken =
+      replica.IsUp() && replica.log_->Propose(now_, aPayload).has_value();
+    if (replica.IsUp()) {
+      Pump(replica);
+    }
+    return taken;
+  }
+
+  bool IsApplied(const std::string& aPayload) const
+  {
+    return payloads_.contains(aPayload);
+  }
+
+  bool AllMembersEqual() const
+  {
+    std::set<std::string> states;
+    for (const auto& [name, replica] : replicas_) {
+      if (!replica.IsUp() || !replica.log_->IsMember()) {
+        return false;
+      }
+      states.insert(replica.state_ + "@" +
+                    std::to_string(replica.log_->AppliedIndex()));
+    }
+    return states.size() == 1;
+  }
+
+  // One line for each replica, for failure messages.
+  std::string Describe() const
+  {
+    std::string text;
+    for (const auto& [name, replica] : replicas_) {
+      text += "\n" + name;
+      if (!replica.IsUp()) {
+        text += " down";
+        continue;
+      }
+      const ControlLog& log = *replica.log_;
+      text += " incarnation " + std::to_string(log.Self().incarnation()) +
+              " role " + std::to_string(static_cast<int>(log.Role())) +
+              " term " + std::to_string(log.Term()) + " commit " +
+              std::to_string(log.CommitIndex()) + " last " +
+              std::to_string(log.History().LastIndex()) + " config " +
+              std::to_string(log.History().Latest().index_) + " " +
+              log.History().Latest().config_.ShortDebugString();
+    }
+    return text;
+  }
+
+  Replica& At(const std::string& aName) { return replicas_.at(aName); }
+  ControlLog& Log(const std::string& aName)
+  {
+    return *replicas_.at(aName).log_;
+  }
+  const std::vector<std::string>& Names() const { return names_; }
+  const std::vector<v1::PeerMessage>& Pending() const { return pending_; }
+  Millis Now() const { return now_; }
+  void Pass(Millis aFor) { now_ = now_ + aFor; }
+  size_t Committed() const { return entries_.size(); }
+  size_t Elections() const { return leaders_.size(); }
+
+private:
+  // True if the replica dies at this point of the pump.
+  bool DiesHere(Replica& aReplica)
+  {
+    if (aReplica.stepsToCrash_ < 0 || aReplica.stepsToCrash_-- > 0) {
+      return false;
+    }
+    Crash(aReplica.name_);
+    return true;
+  }
+
+  // Performs actions as the shell does, with a chance to die between any two.
+  void Pump(Replica& aReplica)
+  {
+    while (aReplica.IsUp() && aReplica.log_->HasActions()) {
+      LogActions actions = aReplica.log_->Take();
+      if (DiesHere(aReplica)) {
+        return;
+      }
+      Post(aReplica, actions.early_);
+      if (DiesHere(aReplica)) {
+        return;
+      }
+      if (actions.compaction_) {
+        (void)aReplica.disk_.Compact(actions.compaction_->snapshot_,
+                                     actions.compaction_->records_);
+      }
+      for (const std::string& record : actions.records_) {
+        (void)aReplica.disk_.Append(record);
+      }
+      if (DiesHere(aReplica)) {
+        return;
+      }
+      (void)aReplica.disk_.Sync();
+      if (DiesHere(aReplica)) {
+        return;
+      }
+      Post(aReplica, actions.messages_);
+      if (DiesHere(aReplica)) {
+        return;
+      }
+      Apply(aReplica, actions);
+      aReplica.log_->Synced();
+    }
+    Check();
+  }
+
+  void Post(const Replica& aReplica,
+            const std::vector<v1::PeerMessage>& aMessages)
+  {
+    for (const v1::PeerMessage& message : aMessages) {
+      const bool isVote =
+        (message.has_vote_reply() && message.vote_reply().granted()) ||
+        message.has_vote_request();
+      if (isVote) {
+        CheckVoter(aReplica);
+      }
+      pending_.push_back(message);
+    }
+  }
+
+  // A replica that lost its disk must hold everything that was committed
+  // when it came back before it helps in any election.
+  void CheckVoter(const Replica& aReplica) const
+  {
+    const auto it = mustHold_.find(aReplica.log_->Self().incarnation());
+    if (it != mustHold_.end()) {
+      BOOST_REQUIRE_MESSAGE(
+        aReplica.log_->History().LastIndex() >= it->second,
+        aReplica.name_ << " votes with " << it->second
+                       << " entries committed before it was wiped and "
+                       << aReplica.log_->History().LastIndex() << " held");
+    }
+  }
+
+  void Apply(Replica& aReplica, const LogActions& aActions)
+  {
+    if (aActions.restored_) {
+      aReplica.state_ = *aActions.restored_;
+      aReplica.stateIndex_ = aReplica.log_->History().BaseIndex();
+      CheckState(aReplica);
+    }
+    for (const v1::LogEntry& entry : aActions.committed_) {
+      BOOST_REQUIRE_EQUAL(entry.index(), aReplica.stateIndex_ + 1);
+      const auto [it, isNew] =
+        entries_.emplace(entry.index(), entry.SerializeAsString());
+      BOOST_REQUIRE_MESSAGE(it->second == entry.SerializeAsString(),
+                            aReplica.name_ << " applies another entry at "
+                                           << entry.index());
+      if (!entry.payload().empty()) {
+        payloads_.insert(entry.payload());
+        aReplica.state_ = std::to_string(
+          std::hash<std::string>()(aReplica.state_ + entry.payload()));
+      }
+      aReplica.stateIndex_ = entry.index();
+      CheckState(aReplica);
+    }
+  }
+
+  void CheckState(const Replica& aReplica)
+  {
+    const auto [it, isNew] =
+      states_.emplace(aReplica.stateIndex_, aReplica.state_);
+    BOOST_REQUIRE_MESSAGE(it->second == aReplica.state_,
+                          aReplica.name_ << " has another state at index "
+                                         << aReplica.stateIndex_);
+  }
+
+  void Check()
+  {
+    for (const auto& [name, replica] : replicas_) {
+      if (!replica.IsUp()) {
+        continue;
+      }
+      if (replica.log_->IsLeader()) {
+        CheckLeader(replica);
+      }
+    }
+    CheckLogsMatch();
+  }
+
+  void CheckLeader(const Replica& aReplica)
+  {
+    const ControlLog& log = *aReplica.log_;
+    const auto [it, isNew] =
+      leaders_.emplace(log.Term(), log.Self().incarnation());
+    BOOST_REQUIRE_MESSAGE(it->second == log.Self().incarnation(),
+                          "two leaders in term " << log.Term());
+    if (!isNew || entries_.empty()) {
+      return;
+    }
+    // A new leader holds everything that was ever committed.
+    for (const auto& [index, bytes] : entries_) {
+      if (index > log.History().BaseIndex()) {
+        BOOST_REQUIRE_MESSAGE(
+          index <= log.History().LastIndex() &&
+            log.History().At(index).SerializeAsString() == bytes,
+          "leader " << aReplica.name_ << " of term " << log.Term()
+                    << " lacks the committed entry " << index);
+      }
+    }
+  }
+
+  void CheckLogsMatch() const
+  {
+    for (auto one = replicas_.begin(); one != replicas_.end(); ++one) {
+      for (auto two = std::next(one); two != replicas_.end(); ++two) {
+        if (one->second.IsUp() && two->second.IsUp()) {
+          CheckPair(one->second.log_->History(), two->second.log_->History());
+        }
+      }
+    }
+  }
+
+  // Equal index and term means that everything up to there is equal.
+  static void CheckPair(const LogHistory& aOne, const LogHistory& aTwo)
+  {
+    const uint64_t first = std::max(aOne.BaseIndex(), aTwo.BaseIndex()) + 1;
+    bool mustAgree = false;
+    for (uint64_t i = std::min(aOne.LastIndex(), aTwo.LastIndex()); i >= first;
+         --i) {
+      const v1::LogEntry& one = aOne.At(i);
+      const v1::LogEntry& two = aTwo.At(i);
+      mustAgree = mustAgree || one.term() == two.term();
+      const bool agrees = one.term() == two.term() &&
+                          one.payload() == two.payload() &&
+                          one.has_config() == two.has_config();
+      BOOST_REQUIRE_MESSAGE(!mustAgree || agrees, "logs differ at " << i);
+    }
+  }
+
+  std::vector<std::string> names_;
+  std::map<std::string, Replica> replicas_;
+  std::vector<v1::PeerMessage> pending_;
+  std::vector<v1::PeerMessage> frozen_;
+  std::set<std::pair<std::string, std::string>> cuts_;
+  Millis now_ = Seconds(1000);
+  uint64_t seed_;
+
+  std::map<uint64_t, std::string> entries_; // ever committed, by index
+  std::map<uint64_t, std::string> states_;  // after each index
+  std::map<uint64_t, uint64_t> leaders_;    // incarnation by term
+  std::map<uint64_t, uint64_t> mustHold_;   // index by incarnation
+  std::set<std::string> payloads_;
+};
+
+} // namespace vanillahatch
