Entries route only under grants; grantors run in vh-control

Cause: the grant state machines were not wired; entries routed to any announced upstream.

A drain in the configuration also reaches the decisions at once.

--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -23,11 +23,15 @@
   kUpstreamAnnounced = 300,
   kUpstreamDeparted = 301,
   kUpstreamExpired = 302,
+  kGrantReceived = 303,
+  kGrantRevoked = 304,
+  kGrantorNew = 305,
   kRequestMalformed = 310,
   kTokenRefused = 311,
   kChangeDecided = 400,
   kRevisionApplied = 401,
   kControlUnreachable = 402,
+  kGrantorProposed = 403,
   kOverloaded = 500,
 };
 
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -2,8 +2,9 @@
 
 namespace vanillahatch {
 
-ControlService::ControlService(ControlState& aState)
+ControlService::ControlService(ControlState& aState, GrantorHost& aGrantors)
   : state_(aState)
+  , grantors_(aGrantors)
   , waiters_(aState)
 {
 }
@@ -29,4 +30,20 @@
   return reactor;
 }
 
+grpc::ServerUnaryReactor* ControlService::Renew(
+  grpc::CallbackServerContext* aContext,
+  const v1::GrantRequest* aRequest,
+  v1::GrantReply* aReply)
+{
+  grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
+  if (grantors_.Renew(*aRequest, *aReply)) {
+    reactor->Finish(grpc::Status::OK);
+  } else {
+    reactor->Finish(
+      grpc::Status(grpc::StatusCode::FAILED_PRECONDITION,
+                   "this replica is not the grantor of that data centre"));
+  }
+  return reactor;
+}
+
 } // namespace vanillahatch
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "control/control_state.h"
+#include "control/grantor_host.h"
 #include "control/sync_waiters.h"
 
 #include "control.grpc.pb.h"
@@ -12,7 +13,7 @@
 class ControlService : public v1::ControlService::CallbackService
 {
 public:
-  explicit ControlService(ControlState& aState);
+  ControlService(ControlState& aState, GrantorHost& aGrantors);
 
   grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* aContext,
                                  const v1::SyncRequest* aRequest,
@@ -20,9 +21,13 @@
   grpc::ServerUnaryReactor* Propose(grpc::CallbackServerContext* aContext,
                                     const v1::Change* aRequest,
                                     v1::ChangeReply* aReply) override;
+  grpc::ServerUnaryReactor* Renew(grpc::CallbackServerContext* aContext,
+                                  const v1::GrantRequest* aRequest,
+                                  v1::GrantReply* aReply) override;
 
 private:
   ControlState& state_;
+  GrantorHost& grantors_;
   SyncWaiters waiters_;
 };
 
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -16,7 +16,10 @@
 int Run(const Settings& aSettings, const ControlSettings& aSelf, Token aToken)
 {
   ControlState state;
-  ControlService service(state);
+  GrantorHost grantors(aSettings, aSelf, state, [&](const v1::Change& aChange) {
+    return state.Propose(aChange);
+  });
+  ControlService service(state, grantors);
   const std::unique_ptr<grpc::Server> rpc = StartServer(aSelf.rpc_, service);
   if (!rpc) {
     std::cerr << "vh-control: cannot listen on " << ToText(aSelf.rpc_) << "\n";
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -50,7 +50,8 @@
       { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
       [this](HttpRequest aRequest) { return HandleHttp(std::move(aRequest)); })
   , events_(kEventRingSize)
-  , core_({ .dataCentre_ = aSelf.dataCentre_ }, MakeLeastInFlight())
+  , core_({ .dataCentre_ = aSelf.dataCentre_, .requireGrants_ = true },
+          MakeLeastInFlight())
   , ledger_(aSettings.ledgers_)
   , peers_(aSelf.name_, aSettings.entries_, sharedFacts_, clock_)
   , peerService_(sharedFacts_, clock_, [this](const UpstreamFact& aFact) {
@@ -67,9 +68,15 @@
   if (!rpcServer_) {
     return 1;
   }
-  server_.Start();
   control_ = std::make_unique<ControlLink>(
-    self_, settings_.controls_, [](const v1::FleetState&) {});
+    self_, settings_.controls_, [this](const v1::FleetState& aState) {
+      ApplyState(aState);
+    });
+  grants_ = std::make_unique<GrantLink>(
+    settings_, self_, startId_, [this](const std::vector<Grant>& aGrants) {
+      return events_.TryPush(GrantsArrived{ .grants_ = aGrants });
+    });
+  server_.Start();
   decisions_ = std::thread([this] { DecisionLoop(); });
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
@@ -85,6 +92,7 @@
   events_.Close();
   decisions_.join();
   control_.reset();
+  grants_.reset();
   rpcServer_->Shutdown();
   LogInfo(Event::kProcessStopped, { { "node", self_.name_.View() } });
   return 0;
@@ -125,6 +133,7 @@
   }
   if (target == "/metrics") {
     control_->Report(metrics_);
+    grants_->Report(metrics_);
     HttpResponse response = MakeJson(200, metrics_.Render());
     response.set(http::field::content_type, "text/plain; version=0.0.4");
     co_return response;
@@ -266,6 +275,7 @@
       for (EntryAction& action : core_.Handle(*event, now)) {
         Perform(std::move(action));
       }
+      TellGrants(*event, now);
     }
     if (now >= nextTick) {
       nextTick = now + kTick;
@@ -277,6 +287,51 @@
   }
 }
 
+void EntryProcess::ApplyState(const v1::FleetState& aState)
+{
+  std::set<std::string> draining;
+  for (const v1::Membership& held : aState.memberships()) {
+    if (held.draining()) {
+      draining.insert(held.instance());
+    }
+  }
+  const auto tell = [&](const std::set<std::string>& aNew,
+                        const std::set<std::string>& aOld,
+                        bool aDraining) {
+    for (const std::string& instance : aNew) {
+      if (!aOld.contains(instance)) {
+        events_.Push(DrainChanged{ .instance_ = InstanceName(instance),
+                                   .draining_ = aDraining });
+      }
+    }
+  };
+  tell(draining, draining_, true);
+  tell(draining_, draining, false);
+  draining_ = std::move(draining);
+}
+
+// Keeps the grants' side informed of upstreams and of work in flight.
+void EntryProcess::TellGrants(const EntryEvent& aEvent, Millis aNow)
+{
+  if (const auto* const fact = std::get_if<FactArrived>(&aEvent)) {
+    const InstanceName& instance = fact->fact_.instance_;
+    const UpstreamFact* known = core_.Directory().Find(instance, aNow);
+    if (known != nullptr) {
+      grants_->PutUpstream(*known);
+    } else {
+      grants_->RemoveUpstream(instance);
+    }
+  } else if (const auto* const ended = std::get_if<AttemptEnded>(&aEvent)) {
+    const auto it = attempts_.find(ended->attempt_);
+    if (it != attempts_.end()) {
+      grants_->Ended(it->second);
+      attempts_.erase(it);
+    }
+  } else if (std::holds_alternative<GrantsArrived>(aEvent)) {
+    grants_->OnHandled();
+  }
+}
+
 void EntryProcess::Perform(EntryAction aAction)
 {
   std::visit([this](auto& aTyped) { Do(std::move(aTyped)); }, aAction);
@@ -309,6 +364,8 @@
 
 void EntryProcess::Do(Dispatch aAction)
 {
+  attempts_[aAction.attempt_] = aAction.instance_;
+  grants_->Begun(aAction.instance_);
   LogInfo(Event::kRouteChosen,
           { { "job", PublicId(aAction.job_) },
             { "attempt", static_cast<uint64_t>(aAction.attempt_) },
@@ -398,6 +455,7 @@
 
 void EntryProcess::Do(const UpstreamGone& aAction)
 {
+  grants_->RemoveUpstream(aAction.instance_);
   LogWarning(Event::kUpstreamExpired,
              { { "instance", aAction.instance_.View() } });
 }
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -3,6 +3,7 @@
 #pragma once
 
 #include "entry/control_link.h"
+#include "entry/grant_link.h"
 #include "entry/ledger_link.h"
 #include "entry/peer_link.h"
 #include "entry/pending_jobs.h"
@@ -17,6 +18,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <set>
 #include <thread>
 
 namespace vanillahatch {
@@ -44,6 +46,8 @@
   boost::asio::awaitable<void> Stop();
 
   void DecisionLoop();
+  void ApplyState(const v1::FleetState& aState);
+  void TellGrants(const EntryEvent& aEvent, Millis aNow);
   void Perform(EntryAction aAction);
   void Do(const StartClaim& aAction);
   void Do(Dispatch aAction);
@@ -83,6 +87,10 @@
   PeerService peerService_;
   std::unique_ptr<grpc::Server> rpcServer_;
   std::unique_ptr<ControlLink> control_;
+  std::unique_ptr<GrantLink> grants_;
+  // Instances of the attempts under way; decision thread.
+  std::map<AttemptNumber, InstanceName> attempts_;
+  std::set<std::string> draining_; // as last applied; control link's thread
 };
 
 } // namespace vanillahatch
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -21,11 +21,15 @@
   EventEntry{ Event::kUpstreamAnnounced, "upstream-announced" },
   EventEntry{ Event::kUpstreamDeparted, "upstream-departed" },
   EventEntry{ Event::kUpstreamExpired, "upstream-expired" },
+  EventEntry{ Event::kGrantReceived, "grant-received" },
+  EventEntry{ Event::kGrantRevoked, "grant-revoked" },
+  EventEntry{ Event::kGrantorNew, "grantor-new" },
   EventEntry{ Event::kRequestMalformed, "request-malformed" },
   EventEntry{ Event::kTokenRefused, "token-refused" },
   EventEntry{ Event::kChangeDecided, "change-decided" },
   EventEntry{ Event::kRevisionApplied, "revision-applied" },
   EventEntry{ Event::kControlUnreachable, "control-unreachable" },
+  EventEntry{ Event::kGrantorProposed, "grantor-proposed" },
   EventEntry{ Event::kOverloaded, "overloaded" },
 };
 
