--- a/include/vanillahatch/shell/program.h
+++ b/include/vanillahatch/shell/program.h
@@ -1,14 +1,24 @@
-// What every program of ours does the same way: command line, settings, log,
-// and the wait for a stop signal.
+// What every program of ours does the same way: command line, settings, log.
+//
+//   int main(int aArgc, char** aArgv)
+//   {
+//     return RunNode(aArgc, aArgv, "vh-ledger", &Settings::ledgers_,
+//                    [](const Settings& aSettings, const LedgerSettings& aSelf)
+//                    { return Run(aSettings, aSelf); });
+//   }
 #pragma once
 
+#include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/settings.h"
+#include "vanillahatch/shell/token.h"
 
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
-#include <functional>
+#include <algorithm>
+#include <exception>
+#include <iostream>
 #include <optional>
 #include <string>
+#include <string_view>
+#include <vector>
 
 namespace vanillahatch {
 
@@ -34,4 +44,46 @@
 // Loads the settings or prints every error and sets `aExitCode`.
 std::optional<Settings> LoadOrReport(const std::string& aFile, int& aExitCode);
 
+// Runs a program that is one node of a deployment: reads arguments and
+// settings, finds the node among `aNodes`, starts the log and calls `aRun`,
+// whose result is the exit code. What `aRun` throws is printed.
+template<class Node, class Run>
+int RunNode(int aArgc,
+            char** aArgv,
+            std::string_view aProgram,
+            std::vector<Node> Settings::*aNodes,
+            Run aRun)
+{
+  int exitCode = kExitOk;
+  const auto arguments = ParseArguments(aArgc, aArgv, aProgram, exitCode);
+  if (!arguments) {
+    return exitCode;
+  }
+  const auto settings = LoadOrReport(arguments->configFile_, exitCode);
+  if (!settings) {
+    return exitCode;
+  }
+  const std::vector<Node>& nodes = (*settings).*aNodes;
+  const auto self =
+    std::find_if(nodes.begin(), nodes.end(), [&](const Node& aNode) {
+      return aNode.name_.Str() == arguments->node_;
+    });
+  if (self == nodes.end()) {
+    std::cerr << aProgram
+              << ": the settings have no such node: " << arguments->node_
+              << "\n";
+    return kExitSettings;
+  }
+  const LogSystem log(arguments->node_, settings->logFolder_);
+  try {
+    return aRun(*settings, *self);
+  } catch (const std::exception& fault) {
+    std::cerr << aProgram << ": " << fault.what() << "\n";
+    return kExitRuntime;
+  }
+}
+
+// Loads a token or prints what is wrong with its file.
+std::optional<Token> LoadTokenOrReport(const std::filesystem::path& aFile);
+
 } // namespace vanillahatch
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -1,11 +1,10 @@
 // vh-control: one replica of the control log, with the operators' API.
 #include "control/control_service.h"
 #include "control/operator_api.h"
-#include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/program.h"
 #include "vanillahatch/shell/rpc.h"
 
-#include <algorithm>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 
@@ -13,8 +12,12 @@
 
 namespace {
 
-int Run(const Settings& aSettings, const ControlSettings& aSelf, Token aToken)
+int Run(const Settings& aSettings, const ControlSettings& aSelf)
 {
+  std::optional<Token> token = LoadTokenOrReport(aSettings.operatorTokenFile_);
+  if (!token) {
+    return kExitSettings;
+  }
   ControlState state;
   ControlService service(state);
   const std::unique_ptr<grpc::Server> rpc = StartServer(aSelf.rpc_, service);
@@ -22,7 +25,7 @@
     std::cerr << "vh-control: cannot listen on " << ToText(aSelf.rpc_) << "\n";
     return kExitRuntime;
   }
-  OperatorApi api(state, std::move(aToken));
+  OperatorApi api(state, std::move(*token));
   boost::asio::io_context io(1);
   HttpServer http(
     io,
@@ -44,34 +47,5 @@
 
 int main(int aArgc, char** aArgv)
 {
-  int exitCode = kExitOk;
-  const auto arguments = ParseArguments(aArgc, aArgv, "vh-control", exitCode);
-  if (!arguments) {
-    return exitCode;
-  }
-  const auto settings = LoadOrReport(arguments->configFile_, exitCode);
-  if (!settings) {
-    return exitCode;
-  }
-  const auto self = std::find_if(
-    settings->controls_.begin(),
-    settings->controls_.end(),
-    [&](const auto& aC) { return aC.name_.Str() == arguments->node_; });
-  if (self == settings->controls_.end()) {
-    std::cerr << "vh-control: no [[control]] named " << arguments->node_
-              << "\n";
-    return kExitSettings;
-  }
-  auto token = Token::Load(settings->operatorTokenFile_);
-  if (!token) {
-    std::cerr << "vh-control: " << token.error() << "\n";
-    return kExitSettings;
-  }
-  const LogSystem log(arguments->node_, settings->logFolder_);
-  try {
-    return Run(*settings, *self, std::move(token).value());
-  } catch (const std::exception& fault) {
-    std::cerr << "vh-control: " << fault.what() << "\n";
-    return kExitRuntime;
-  }
+  return RunNode(aArgc, aArgv, "vh-control", &Settings::controls_, Run);
 }
--- a/src/entry/main.cpp
+++ b/src/entry/main.cpp
@@ -1,43 +1,24 @@
 // vh-entry: takes callers' jobs and upstreams' announcements.
 #include "entry/entry_process.h"
-#include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/program.h"
 
-#include <algorithm>
-#include <iostream>
-
 using namespace vanillahatch;
 
-int main(int aArgc, char** aArgv)
+namespace {
+
+int Run(const Settings& aSettings, const EntrySettings& aSelf)
 {
-  int exitCode = kExitOk;
-  const auto arguments = ParseArguments(aArgc, aArgv, "vh-entry", exitCode);
-  if (!arguments) {
-    return exitCode;
-  }
-  const auto settings = LoadOrReport(arguments->configFile_, exitCode);
-  if (!settings) {
-    return exitCode;
-  }
-  const auto self = std::find_if(
-    settings->entries_.begin(), settings->entries_.end(), [&](const auto& aE) {
-      return aE.name_.Str() == arguments->node_;
-    });
-  if (self == settings->entries_.end()) {
-    std::cerr << "vh-entry: no [[entry]] named " << arguments->node_ << "\n";
-    return kExitSettings;
-  }
-  auto token = Token::Load(settings->upstreamTokenFile_);
+  std::optional<Token> token = LoadTokenOrReport(aSettings.upstreamTokenFile_);
   if (!token) {
-    std::cerr << "vh-entry: " << token.error() << "\n";
     return kExitSettings;
   }
-  const LogSystem log(arguments->node_, settings->logFolder_);
-  try {
-    EntryProcess process(*settings, *self, std::move(token).value());
-    return process.Run() == 0 ? kExitOk : kExitRuntime;
-  } catch (const std::exception& fault) {
-    std::cerr << "vh-entry: " << fault.what() << "\n";
-    return kExitRuntime;
-  }
+  EntryProcess process(aSettings, aSelf, std::move(*token));
+  return process.Run() == 0 ? kExitOk : kExitRuntime;
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  return RunNode(aArgc, aArgv, "vh-entry", &Settings::entries_, Run);
 }
--- a/src/ledger/main.cpp
+++ b/src/ledger/main.cpp
@@ -1,11 +1,10 @@
 // vh-ledger: one replica of the record of jobs that run at most once.
 #include "ledger/ledger_service.h"
 #include "vanillahatch/shell/http_server.h"
-#include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/program.h"
 #include "vanillahatch/shell/rpc.h"
 
-#include <algorithm>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 
@@ -41,28 +40,5 @@
 
 int main(int aArgc, char** aArgv)
 {
-  int exitCode = kExitOk;
-  const auto arguments = ParseArguments(aArgc, aArgv, "vh-ledger", exitCode);
-  if (!arguments) {
-    return exitCode;
-  }
-  const auto settings = LoadOrReport(arguments->configFile_, exitCode);
-  if (!settings) {
-    return exitCode;
-  }
-  const auto self = std::find_if(
-    settings->ledgers_.begin(), settings->ledgers_.end(), [&](const auto& aL) {
-      return aL.name_.Str() == arguments->node_;
-    });
-  if (self == settings->ledgers_.end()) {
-    std::cerr << "vh-ledger: no [[ledger]] named " << arguments->node_ << "\n";
-    return kExitSettings;
-  }
-  const LogSystem log(arguments->node_, settings->logFolder_);
-  try {
-    return Run(*settings, *self);
-  } catch (const std::exception& fault) {
-    std::cerr << "vh-ledger: " << fault.what() << "\n";
-    return kExitRuntime;
-  }
+  return RunNode(aArgc, aArgv, "vh-ledger", &Settings::ledgers_, Run);
 }
--- a/src/shell/program.cpp
+++ b/src/shell/program.cpp
@@ -70,4 +70,14 @@
   return std::nullopt;
 }
 
+std::optional<Token> LoadTokenOrReport(const std::filesystem::path& aFile)
+{
+  Result<Token, std::string> token = Token::Load(aFile);
+  if (token) {
+    return std::move(token).value();
+  }
+  std::cerr << token.error() << "\n";
+  return std::nullopt;
+}
+
 } // namespace vanillahatch
