Ledger: a durable register per key with ballots, quorums and lost-disk rejoin

Cause: the ledger was in memory only, and two racing claimants or one failed round could hold a key for good. Ruled out: a leader's log (an election gap for every key), and a home replica per key (a second hop, and a gap for its keys). The claimant itself proposes to all replicas: a fast ballot that needs all three votes (four of five), then ballots of its own with two phases. A claim that was never dispatched is abandoned durably, so that a resend can claim the key. Change: ClaimQuorum, ClaimRegister, ClaimProposer and ClaimCatchUp in core; group commit on a storage thread; a replica without a disk takes a new identity, has a majority void its old votes and copies their state; first start by an explicit bootstrap file. At-most-once jobs carry Vh-Issued-At, by which the ledger forgets keys. A refusal of such a job says ran: no only while its entry holds the claim, since another entry may have run an earlier request.

--- a/bench/load_caller.cpp
+++ b/bench/load_caller.cpp
@@ -2,6 +2,7 @@
 // one line per job: key, kind, verdict. The demo holds these lines against the
 // runners' own logs.
 #include "vanillahatch/shell/http_client.h"
+#include "vanillahatch/shell/system_clock.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -75,6 +76,7 @@
     request.set("Vh-Deadline-Ms", "5000");
     request.set("Vh-Repeatable", once ? "no" : "yes");
     request.set("Idempotency-Key", key);
+    request.set("Vh-Issued-At", std::to_string(clock_.UnixNow().Count()));
     request.set(http::field::content_type, "text/plain");
     request.body() = "body of " + key;
     request.prepare_payload();
@@ -119,6 +121,7 @@
   }
 
   CallerOptions options_;
+  SystemClock clock_;
   std::ofstream log_;
   asio::io_context io_{ 1 };
   HttpClient client_;
--- a/include/vanillahatch/core/entry_core.h
+++ b/include/vanillahatch/core/entry_core.h
@@ -107,6 +107,8 @@
 {
   JobNumber job_{};
   IdempotencyKey key_;
+  Millis issuedAt_; // Unix time
+  Millis deadline_; // monotonic
 };
 
 struct Dispatch
@@ -200,6 +202,7 @@
   {
     JobRequest request_;
     JobState state_ = JobState::kWaiting;
+    bool hasClaim_ = false; // the key is this job's: nobody else ran it
     AttemptNumber attempt_{};
     InstanceName instance_;
     uint32_t attempts_ = 0;
--- a/include/vanillahatch/core/job.h
+++ b/include/vanillahatch/core/job.h
@@ -33,6 +33,7 @@
   Repeatability repeatability_ = Repeatability::kRepeatable;
   Priority priority_ = Priority::kNormal;
   IdempotencyKey key_; // empty for repeatable jobs
+  Millis issuedAt_;    // Unix time of the key's first use, given by the caller
   Millis arrivedAt_;   // monotonic
   Millis deadline_;    // monotonic instant by which the answer is due
 };
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -111,6 +111,13 @@
                   f'http = "127.0.0.1:{http}"', f'rpc = "127.0.0.1:{rpc}"']
         if kind != "entry":
             lines.append(f'data_folder = "{self.folder}/data/{name}"')
+        if kind == "ledger":
+            # The operator's word that this cluster is new; see docs/LEDGER.md.
+            data = os.path.join(self.folder, "data", name)
+            os.makedirs(data)
+            with open(os.path.join(data, "bootstrap"), "w",
+                      encoding="utf-8"):
+                pass
         command = [os.path.join(self.build, "vh-" + kind), "--config",
                    self.config, "--node", name]
         nodes.append(Node(name, command, self.folder, http))
--- a/src/core/claim_register.cpp
+++ b/src/core/claim_register.cpp
@@ -1,37 +1,271 @@
 #include "vanillahatch/core/claim_register.h"
 
+#include "vanillahatch/core/claim_quorum.h"
+
+#include <algorithm>
+#include <utility>
+
 namespace vanillahatch {
 
-v1::ClaimReply ClaimRegister::Claim(const v1::ClaimRequest& aRequest,
-                                    bool& aChanged)
+namespace {
+
+// What a map node and its two strings take beside the bytes themselves.
+constexpr size_t kKeyOverheadBytes = 144;
+
+constexpr uint64_t kFoundingIdentity = 1;
+
+size_t SizeOf(const std::string& aKey, const std::string& aState)
+{
+  return aKey.size() + aState.size() + kKeyOverheadBytes;
+}
+
+v1::KeyState Parse(const std::string& aBytes)
+{
+  v1::KeyState state;
+  state.ParseFromString(aBytes);
+  return state;
+}
+
+} // namespace
+
+ClaimRegister::ClaimRegister(ClaimRegisterOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+void ClaimRegister::Found()
+{
+  identities_.assign(options_.replicas_, kFoundingIdentity);
+}
+
+RestoreVerdict ClaimRegister::Restore(const StoreContents& aContents)
 {
-  auto [it, isNew] = claims_.try_emplace(aRequest.key());
-  Held& held = it->second;
-  aChanged = isNew;
-  if (isNew) {
-    held.holder_ = aRequest.claimant();
+  if (aContents.tornTail_) {
+    return RestoreVerdict::kTorn;
   }
-  v1::ClaimReply reply;
-  reply.set_holder(held.holder_);
-  if (held.ended_) {
-    reply.set_status(v1::CLAIM_RECORDED);
-    *reply.mutable_outcome() = held.outcome_;
-    return reply;
+  v1::LedgerSnapshot snapshot;
+  if (aContents.snapshot_.empty()) {
+    // A member's first act is to store a snapshot with its identity.
+    return RestoreVerdict::kNew;
   }
-  const bool mine = held.holder_ == aRequest.claimant();
-  reply.set_status(mine ? v1::CLAIM_GRANTED : v1::CLAIM_HELD);
-  return reply;
+  if (!snapshot.ParseFromString(aContents.snapshot_) ||
+      snapshot.replica() != options_.replica_ ||
+      snapshot.identities_size() != static_cast<int>(options_.replicas_)) {
+    return RestoreVerdict::kTorn;
+  }
+  std::vector<v1::LedgerRecord> records(aContents.records_.size());
+  for (size_t i = 0; i < records.size(); ++i) {
+    if (!records[i].ParseFromString(aContents.records_[i])) {
+      return RestoreVerdict::kTorn;
+    }
+  }
+  Install(snapshot);
+  for (const v1::LedgerRecord& record : records) {
+    Apply(record);
+  }
+  return RestoreVerdict::kMember;
+}
+
+void ClaimRegister::Install(const v1::LedgerSnapshot& aSnapshot)
+{
+  keys_.clear();
+  bytes_ = 0;
+  identities_.assign(aSnapshot.identities().begin(),
+                     aSnapshot.identities().end());
+  floor_ = Millis(aSnapshot.floor_unix_ms());
+  for (const v1::KeyState& state : aSnapshot.keys()) {
+    Save(state);
+  }
+}
+
+void ClaimRegister::Apply(const v1::LedgerRecord& aRecord)
+{
+  if (aRecord.identities_size() > 0) {
+    identities_.assign(aRecord.identities().begin(),
+                       aRecord.identities().end());
+  }
+  if (!aRecord.has_state()) {
+    return;
+  }
+  v1::KeyState state = aRecord.state();
+  const auto it = keys_.find(state.key());
+  if (!state.has_value() && it != keys_.end()) {
+    v1::KeyState held = Parse(it->second);
+    *held.mutable_promised() = state.promised();
+    state = std::move(held);
+  }
+  Save(state);
 }
 
-bool ClaimRegister::Record(const v1::OutcomeRequest& aRequest)
+VoteResult ClaimRegister::Vote(const v1::VoteRequest& aRequest)
 {
-  const auto it = claims_.find(aRequest.key());
-  if (it == claims_.end() || it->second.holder_ != aRequest.claimant()) {
+  VoteResult result;
+  if (!IsMember()) {
+    result.reply_.set_status(v1::VOTE_NOT_MEMBER);
+    return result;
+  }
+  const bool isKnown = keys_.contains(aRequest.key());
+  if (!isKnown && Millis(aRequest.issued_at_unix_ms()) < floor_) {
+    Fill(result.reply_, v1::VOTE_EXPIRED, {});
+    return result;
+  }
+  if (!isKnown && bytes_ >= options_.maxBytes_) {
+    Fill(result.reply_, v1::VOTE_OVERLOADED, {});
+    return result;
+  }
+  v1::KeyState state = Load(aRequest);
+  if (!Permits(aRequest, state)) {
+    Fill(result.reply_, v1::VOTE_REFUSED, state);
+    return result;
+  }
+  const bool isRepeat =
+    isKnown && IsSame(state.promised(), aRequest.ballot()) &&
+    (!aRequest.has_value() ||
+     (state.has_value() && IsSame(state.accepted(), aRequest.ballot())));
+  if (!isRepeat) {
+    *state.mutable_promised() = aRequest.ballot();
+    v1::LedgerRecord record;
+    if (aRequest.has_value()) {
+      *state.mutable_accepted() = aRequest.ballot();
+      *state.mutable_value() = aRequest.value();
+      *record.mutable_state() = state;
+    } else {
+      record.mutable_state()->set_key(state.key());
+      record.mutable_state()->set_issued_at_unix_ms(state.issued_at_unix_ms());
+      *record.mutable_state()->mutable_promised() = state.promised();
+    }
+    result.record_ = record.SerializeAsString();
+    Save(state);
+  }
+  Fill(result.reply_, v1::VOTE_GRANTED, state);
+  return result;
+}
+
+bool ClaimRegister::Permits(const v1::VoteRequest& aRequest,
+                            const v1::KeyState& aState)
+{
+  if (IsLess(aRequest.ballot(), aState.promised())) {
+    return false;
+  }
+  // The fast ballot has many proposers, so the first value stands.
+  const bool isFast = aRequest.ballot().round() == 0;
+  return !isFast || !aState.has_value() ||
+         aState.value().claimant() == aRequest.value().claimant();
+}
+
+CopyResult ClaimRegister::Copy(const v1::CopyRequest& aRequest)
+{
+  CopyResult result;
+  v1::CopyReply& reply = result.reply_;
+  if (!IsMember() || aRequest.replica() >= options_.replicas_ ||
+      aRequest.replica() == options_.replica_) {
+    return result;
+  }
+  uint64_t& known = identities_[aRequest.replica()];
+  if (aRequest.identity() != 0 && aRequest.identity() < known) {
+    return result;
+  }
+  if (aRequest.identity() > known) {
+    // From here on every vote of this replica tells proposers that votes of
+    // the earlier identity are void.
+    known = aRequest.identity();
+    v1::LedgerRecord record;
+    record.mutable_identities()->Assign(identities_.begin(), identities_.end());
+    result.record_ = record.SerializeAsString();
+  }
+  reply.set_member(true);
+  reply.mutable_identities()->Assign(identities_.begin(), identities_.end());
+  reply.set_floor_unix_ms(floor_.Count());
+  if (aRequest.identity() == 0) {
+    return result;
+  }
+  size_t bytes = 0;
+  auto it = aRequest.after_key().empty()
+              ? keys_.begin()
+              : keys_.upper_bound(aRequest.after_key());
+  for (; it != keys_.end() && bytes < kPageBytes; ++it) {
+    reply.add_keys()->ParseFromString(it->second);
+    bytes += it->second.size();
+  }
+  reply.set_more(it != keys_.end());
+  return result;
+}
+
+bool ClaimRegister::Expire(Millis aUnixNow)
+{
+  Millis floor = std::max(floor_, aUnixNow - options_.retention_);
+  if (bytes_ >= options_.maxBytes_) {
+    std::vector<int64_t> issued;
+    issued.reserve(keys_.size());
+    for (const auto& [key, bytes] : keys_) {
+      issued.push_back(Parse(bytes).issued_at_unix_ms());
+    }
+    const auto quarter =
+      issued.begin() + static_cast<std::ptrdiff_t>(issued.size() / 4);
+    std::nth_element(issued.begin(), quarter, issued.end());
+    const Millis latest = aUnixNow - options_.minRetention_;
+    floor = std::max(floor, std::min(Millis(*quarter + 1), latest));
+  }
+  if (floor <= floor_) {
     return false;
   }
-  it->second.ended_ = true;
-  it->second.outcome_ = aRequest.outcome();
+  floor_ = floor;
+  std::erase_if(keys_, [&](const auto& aEntry) {
+    const bool isOld =
+      Millis(Parse(aEntry.second).issued_at_unix_ms()) < floor_;
+    bytes_ -= isOld ? SizeOf(aEntry.first, aEntry.second) : 0;
+    return isOld;
+  });
   return true;
 }
 
+std::string ClaimRegister::Snapshot() const
+{
+  v1::LedgerSnapshot snapshot;
+  snapshot.set_replica(options_.replica_);
+  snapshot.mutable_identities()->Assign(identities_.begin(), identities_.end());
+  snapshot.set_floor_unix_ms(floor_.Count());
+  for (const auto& [key, bytes] : keys_) {
+    snapshot.add_keys()->ParseFromString(bytes);
+  }
+  return snapshot.SerializeAsString();
+}
+
+uint64_t ClaimRegister::Identity() const
+{
+  return IsMember() ? identities_[options_.replica_] : 0;
+}
+
+v1::KeyState ClaimRegister::Load(const v1::VoteRequest& aRequest) const
+{
+  const auto it = keys_.find(aRequest.key());
+  if (it != keys_.end()) {
+    return Parse(it->second);
+  }
+  v1::KeyState state;
+  state.set_key(aRequest.key());
+  state.set_issued_at_unix_ms(aRequest.issued_at_unix_ms());
+  return state;
+}
+
+void ClaimRegister::Save(const v1::KeyState& aState)
+{
+  std::string& held = keys_[aState.key()];
+  if (!held.empty()) {
+    bytes_ -= SizeOf(aState.key(), held);
+  }
+  held = aState.SerializeAsString();
+  held.shrink_to_fit();
+  bytes_ += SizeOf(aState.key(), held);
+}
+
+void ClaimRegister::Fill(v1::VoteReply& aReply,
+                         v1::VoteStatus aStatus,
+                         const v1::KeyState& aState) const
+{
+  aReply.set_status(aStatus);
+  *aReply.mutable_state() = aState;
+  aReply.mutable_identities()->Assign(identities_.begin(), identities_.end());
+}
+
 } // namespace vanillahatch
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -38,7 +38,10 @@
   }
   if (job.request_.repeatability_ == Repeatability::kAtMostOnce) {
     job.state_ = JobState::kClaiming;
-    actions_.push_back(StartClaim{ .job_ = number, .key_ = job.request_.key_ });
+    actions_.push_back(StartClaim{ .job_ = number,
+                                   .key_ = job.request_.key_,
+                                   .issuedAt_ = job.request_.issuedAt_,
+                                   .deadline_ = job.request_.deadline_ });
     return;
   }
   Enqueue(job);
@@ -70,6 +73,7 @@
   }
   switch (aEvent.verdict_) {
     case ClaimVerdict::kGranted: {
+      it->second.hasClaim_ = true;
       const ServiceName service = it->second.request_.service_;
       Enqueue(it->second);
       DrainQueue(service, aNow);
@@ -94,7 +98,7 @@
     case ClaimVerdict::kUnavailable:
       RefuseJob(aEvent.job_,
                 RefusalCode::kLedgerUnavailable,
-                RanVerdict::kNo,
+                RanVerdict::kUnknown,
                 "no quorum of the ledger answered");
       break;
   }
@@ -316,6 +320,13 @@
                           RanVerdict aRan,
                           std::string aDetail)
 {
+  // An earlier request with the same key may have run through another entry.
+  // Only the holder of the claim knows that none did.
+  const auto it = jobs_.find(aNumber);
+  const bool isOpen =
+    it != jobs_.end() && !it->second.hasClaim_ &&
+    it->second.request_.repeatability_ == Repeatability::kAtMostOnce;
+  aRan = isOpen ? RanVerdict::kUnknown : aRan;
   actions_.push_back(Refuse{ .job_ = aNumber,
                              .refusal_ = { .code_ = aCode,
                                            .ran_ = aRan,
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -23,6 +23,8 @@
 constexpr size_t kEventRingSize = 16384;
 constexpr Millis kTick = Millis(20);
 constexpr Millis kStopPoll = Millis(20);
+// By how much a caller's clock may be ahead of an entry's.
+constexpr Millis kMaxClockSkew = Seconds(300);
 
 asio::awaitable<void> Sleep(Millis aSpan)
 {
@@ -105,6 +107,9 @@
   while (server_.OpenConnections() > 0 && clock_.Now() < deadline) {
     co_await Sleep(kStopPoll);
   }
+  while (ledger_.OpenOperations() > 0 && clock_.Now() < deadline) {
+    co_await Sleep(kStopPoll);
+  }
   io_.stop();
 }
 
@@ -140,14 +145,20 @@
 EntryProcess::Awaited EntryProcess::HandleJob(HttpRequest aRequest)
 {
   metrics_.Count("vh_jobs_arrived_total");
+  // An earlier request with the same key may have run through another entry.
+  const bool isRepeatable = aRequest["Vh-Repeatable"] != "no";
   Result<JobRequest, MalformedJob> parsed =
     ParseJob(aRequest, settings_.limits_, clock_.Now());
+  if (parsed && parsed.value().issuedAt_ > clock_.UnixNow() + kMaxClockSkew) {
+    parsed = failure(MalformedJob{ .field_ = "Vh-Issued-At",
+                                   .detail_ = "lies in the future" });
+  }
   if (!parsed) {
     LogWarning(Event::kRequestMalformed,
                { { "field", parsed.error().field_ } });
     co_return MakeProblem(400,
                           "malformed-request",
-                          "no",
+                          isRepeatable ? "no" : "unknown",
                           parsed.error().field_ + " " + parsed.error().detail_);
   }
   auto job = std::make_shared<PendingJob>();
@@ -160,10 +171,11 @@
   EntryEvent arrived = JobArrived{ .request_ = job->request_ };
   if (!events_.TryPush(std::move(arrived))) {
     LogWarning(Event::kOverloaded, { { "ring", "entry-events" } });
-    co_return MakeRefusal({ .code_ = RefusalCode::kQueueFull,
-                            .ran_ = RanVerdict::kNo,
-                            .retryAfter_ = Seconds(1),
-                            .detail_ = "this entry is overloaded" });
+    co_return MakeRefusal(
+      { .code_ = RefusalCode::kQueueFull,
+        .ran_ = isRepeatable ? RanVerdict::kNo : RanVerdict::kUnknown,
+        .retryAfter_ = Seconds(1),
+        .detail_ = "this entry is overloaded" });
   }
   pending_.Add(job);
   boost::system::error_code cancelled;
@@ -280,12 +292,11 @@
 
 void EntryProcess::Do(const StartClaim& aAction)
 {
-  v1::ClaimRequest request;
-  request.set_key(aAction.key_.Str());
-  request.set_claimant(Claimant(aAction.job_));
-  request.set_issued_at_unix_ms(clock_.UnixNow().Count());
   ledger_.Claim(
-    request,
+    { .key_ = aAction.key_.Str(),
+      .claimant_ = Claimant(aAction.job_),
+      .issuedAt_ = aAction.issuedAt_,
+      .deadline_ = aAction.deadline_ },
     [this, job = aAction.job_](ClaimVerdict aVerdict,
                                const v1::RecordedOutcome& aOutcome) {
       LogInfo(Event::kClaimDecided,
@@ -311,6 +322,7 @@
             { "candidates", aAction.candidates_ },
             { "choice", aAction.instance_.View() },
             { "reason", aAction.reason_ } });
+  ledger_.MarkDispatched(Claimant(aAction.job_));
   asio::co_spawn(io_, Attempt(std::move(aAction)), asio::detached);
 }
 
@@ -355,6 +367,8 @@
       { "code", ToText(aAction.refusal_.code_) },
       { "ran", aAction.refusal_.ran_ == RanVerdict::kNo ? "no" : "unknown" },
       { "reason", aAction.refusal_.detail_ } });
+  ledger_.Release(Claimant(aAction.job_),
+                  aAction.refusal_.ran_ == RanVerdict::kNo);
   asio::post(io_, [this, aAction] {
     pending_.Complete(aAction.job_, MakeRefusal(aAction.refusal_));
   });
@@ -368,14 +382,11 @@
       return;
     }
     const HttpResponse& answer = job->answers_[aAction.attempt_];
-    v1::OutcomeRequest request;
-    request.set_key(aAction.key_.Str());
-    request.set_claimant(Claimant(aAction.job_));
-    request.mutable_outcome()->set_http_status(answer.result_int());
-    request.mutable_outcome()->set_content_type(
-      std::string(answer[http::field::content_type]));
-    request.mutable_outcome()->set_body(answer.body());
-    ledger_.Record(request);
+    v1::RecordedOutcome outcome;
+    outcome.set_http_status(answer.result_int());
+    outcome.set_content_type(std::string(answer[http::field::content_type]));
+    outcome.set_body(answer.body());
+    ledger_.Record(Claimant(aAction.job_), std::move(outcome));
   });
 }
 
--- a/src/entry/job_api.cpp
+++ b/src/entry/job_api.cpp
@@ -104,6 +104,19 @@
       return failure(
         Malformed("Idempotency-Key", "is required when Vh-Repeatable is no"));
     }
+    // The ledger forgets old keys by this time, so a resend must repeat it.
+    const std::string_view issued = aRequest["Vh-Issued-At"];
+    int64_t issuedAt = 0;
+    const auto [end, error] =
+      std::from_chars(issued.data(), issued.data() + issued.size(), issuedAt);
+    if (error != std::errc() || end != issued.data() + issued.size() ||
+        issuedAt < 1) {
+      return failure(Malformed(
+        "Vh-Issued-At",
+        "is required when Vh-Repeatable is no: the Unix time in ms at which "
+        "the key was first used, the same on every resend"));
+    }
+    job.issuedAt_ = Millis(issuedAt);
     // Keys of different members never meet.
     job.key_ = IdempotencyKey(std::string(member) + "/" + std::string(key));
   }
--- a/src/entry/ledger_link.cpp
+++ b/src/entry/ledger_link.cpp
@@ -1,113 +1,338 @@
 #include "entry/ledger_link.h"
 
+#include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/rpc.h"
+#include "vanillahatch/shell/system_clock.h"
 
-#include <mutex>
+#include <optional>
+#include <utility>
 
 namespace vanillahatch {
 
 namespace {
 
-constexpr Millis kClaimTimeout = Seconds(1);
-constexpr Millis kRecordTimeout = Seconds(5);
+constexpr Millis kVoteTimeout = Seconds(1);
+constexpr Millis kTick = Millis(10);
+// Records and abandonments go on in the background for so long.
+constexpr Millis kBackgroundSpan = Seconds(300);
+// The answer of a claim must reach the caller within the job's deadline.
+constexpr Millis kAnswerMargin = Millis(50);
+// After a silent replica was met, claims go without the fast ballot.
+constexpr Millis kSkipFastSpan = Seconds(2);
+constexpr size_t kMaxOperations = 16384;
 
-// Counts the replicas' replies to one claim and decides once.
-class ClaimRound
+struct Call
 {
-public:
-  ClaimRound(size_t aReplicas, LedgerLink::ClaimDone aDone)
-    : replicas_(aReplicas)
-    , done_(std::move(aDone))
-  {
+  grpc::ClientContext context_;
+  SendVote send_;
+  v1::VoteReply reply_;
+};
+
+Millis Now()
+{
+  return SystemClock().Now();
+}
+
+ClaimVerdict ToVerdict(ClaimOutcome aOutcome)
+{
+  switch (aOutcome) {
+    case ClaimOutcome::kGranted:
+      return ClaimVerdict::kGranted;
+    case ClaimOutcome::kHeld:
+      return ClaimVerdict::kHeld;
+    case ClaimOutcome::kRecorded:
+      return ClaimVerdict::kRecorded;
+    case ClaimOutcome::kExpired:
+      return ClaimVerdict::kExpired;
+    case ClaimOutcome::kAbandoned:
+    case ClaimOutcome::kUnavailable:
+      break;
   }
+  return ClaimVerdict::kUnavailable;
+}
 
-  void Take(bool aAnswered, const v1::ClaimReply& aReply)
-  {
-    std::unique_lock lock(mutex_);
-    ++replies_;
-    if (aAnswered) {
-      granted_ += aReply.status() == v1::CLAIM_GRANTED ? 1 : 0;
-      held_ += aReply.status() == v1::CLAIM_HELD ? 1 : 0;
-      if (aReply.status() == v1::CLAIM_RECORDED) {
-        Decide(lock, ClaimVerdict::kRecorded, aReply.outcome());
-        return;
-      }
-    }
-    const size_t majority = replicas_ / 2 + 1;
-    if (granted_ >= majority) {
-      Decide(lock, ClaimVerdict::kGranted, {});
-    } else if (replies_ == replicas_) {
-      const bool held = held_ > 0;
-      Decide(lock, held ? ClaimVerdict::kHeld : ClaimVerdict::kUnavailable, {});
-    }
+} // namespace
+
+LedgerLink::LedgerLink(std::span<const LedgerSettings> aLedgers)
+{
+  for (const LedgerSettings& ledger : aLedgers) {
+    stubs_.push_back(v1::LedgerService::NewStub(MakeChannel(ledger.rpc_)));
   }
+  ticker_ = std::thread([this] { TickLoop(); });
+}
 
-private:
-  void Decide(std::unique_lock<std::mutex>& aLock,
-              ClaimVerdict aVerdict,
-              const v1::RecordedOutcome& aOutcome)
+LedgerLink::~LedgerLink()
+{
+  std::unique_lock lock(mutex_);
+  stopping_ = true;
+  wake_.notify_all();
+  // Calls end at the latest with their timeout.
+  wake_.wait(lock, [this] { return callsInFlight_ == 0; });
+  lock.unlock();
+  ticker_.join();
+}
+
+void LedgerLink::Claim(ClaimTicket aTicket, ClaimDone aDone)
+{
+  std::unique_lock lock(mutex_);
+  if (operations_.size() >= kMaxOperations) {
+    lock.unlock();
+    LogWarning(Event::kOverloaded, { { "ring", "ledger-operations" } });
+    aDone(ClaimVerdict::kUnavailable, {});
+    return;
+  }
+  const Open open{ .ticket_ = std::move(aTicket) };
+  open_[open.ticket_.claimant_] = open;
+  lock.unlock();
+  Begin(ClaimOperation::kClaim, open, {}, std::move(aDone));
+}
+
+void LedgerLink::MarkDispatched(const std::string& aClaimant)
+{
+  std::lock_guard lock(mutex_);
+  const auto it = open_.find(aClaimant);
+  if (it != open_.end()) {
+    it->second.isDispatched_ = true;
+  }
+}
+
+void LedgerLink::Record(const std::string& aClaimant,
+                        v1::RecordedOutcome aOutcome)
+{
+  std::unique_lock lock(mutex_);
+  const auto it = open_.find(aClaimant);
+  if (it == open_.end()) {
+    return;
+  }
+  const Open open = std::move(it->second);
+  open_.erase(it);
+  lock.unlock();
+  Begin(ClaimOperation::kRecord, open, std::move(aOutcome), {});
+}
+
+void LedgerLink::Release(const std::string& aClaimant, bool aNeverSent)
+{
   {
-    if (decided_) {
+    std::lock_guard lock(mutex_);
+    const auto it = open_.find(aClaimant);
+    if (it == open_.end()) {
       return;
     }
-    decided_ = true;
-    aLock.unlock();
-    done_(aVerdict, aOutcome);
-  }
-
-  std::mutex mutex_;
-  size_t replicas_;
-  size_t replies_ = 0;
-  size_t granted_ = 0;
-  size_t held_ = 0;
-  bool decided_ = false;
-  LedgerLink::ClaimDone done_;
-};
+    if (it->second.isDispatched_ && !aNeverSent) {
+      open_.erase(it);
+      return;
+    }
+    it->second.isReleased_ = true;
+    if (it->second.isClaiming_) {
+      // The claim's end abandons it; nobody waits for it any longer.
+      return;
+    }
+  }
+  Abandon(aClaimant);
+}
 
-template<class Request, class Reply>
-struct Call
+void LedgerLink::Abandon(const std::string& aClaimant)
 {
-  grpc::ClientContext context_;
-  Request request_;
-  Reply reply_;
-};
+  std::unique_lock lock(mutex_);
+  const auto it = open_.find(aClaimant);
+  if (it == open_.end()) {
+    return;
+  }
+  const Open open = std::move(it->second);
+  open_.erase(it);
+  lock.unlock();
+  Begin(ClaimOperation::kAbandon, open, {}, {});
+}
 
-} // namespace
+void LedgerLink::Begin(ClaimOperation aKind,
+                       const Open& aOpen,
+                       v1::RecordedOutcome aOutcome,
+                       ClaimDone aDone)
+{
+  const Millis now = Now();
+  const bool isClaim = aKind == ClaimOperation::kClaim;
+  std::unique_lock lock(mutex_);
+  if (stopping_) {
+    return;
+  }
+  const uint64_t id = nextOperation_++;
+  ClaimProposerOptions options{
+    .key_ = aOpen.ticket_.key_,
+    .claimant_ = aOpen.ticket_.claimant_,
+    .issuedAtUnixMs_ = aOpen.ticket_.issuedAt_.Count(),
+    .operation_ = aKind,
+    .outcome_ = std::move(aOutcome),
+    .replicas_ = stubs_.size(),
+    .deadline_ =
+      isClaim ? aOpen.ticket_.deadline_ - kAnswerMargin : now + kBackgroundSpan,
+    .lastRound_ = aOpen.lastRound_,
+    .skipFast_ = isClaim && SkipFast(now),
+    .seed_ = id ^ static_cast<uint64_t>(now.Count()),
+  };
+  if (!isClaim) {
+    options.quorumWait_ = kBackgroundSpan;
+  }
+  const auto it = operations_.emplace(
+    id,
+    Operation{ .id_ = id,
+               .kind_ = aKind,
+               .claimant_ = aOpen.ticket_.claimant_,
+               .proposer_ = ClaimProposer(std::move(options)),
+               .done_ = std::move(aDone) });
+  Sends sends = it.first->second.proposer_.Start(now);
+  callsInFlight_ += static_cast<int>(sends.size());
+  lock.unlock();
+  Send(id, std::move(sends));
+}
 
-LedgerLink::LedgerLink(std::span<const LedgerSettings> aLedgers)
+// The caller has counted the sends in `callsInFlight_`.
+void LedgerLink::Send(uint64_t aOperation, Sends aSends)
 {
-  for (const LedgerSettings& ledger : aLedgers) {
-    stubs_.push_back(v1::LedgerService::NewStub(MakeChannel(ledger.rpc_)));
+  for (SendVote& send : aSends) {
+    auto call = std::make_shared<Call>();
+    call->send_ = std::move(send);
+    SetDeadline(call->context_, kVoteTimeout);
+    stubs_[call->send_.replica_]->async()->Vote(
+      &call->context_,
+      &call->send_.request_,
+      &call->reply_,
+      [this, call, aOperation](const grpc::Status& aStatus) {
+        OnEnd(aOperation, call->send_, aStatus.ok(), call->reply_);
+      });
+  }
+}
+
+void LedgerLink::OnEnd(uint64_t aOperation,
+                       const SendVote& aSend,
+                       bool aAnswered,
+                       const v1::VoteReply& aReply)
+{
+  Sends sends;
+  std::unique_lock lock(mutex_);
+  const auto it = operations_.find(aOperation);
+  if (it != operations_.end() && !stopping_) {
+    ClaimProposer& proposer = it->second.proposer_;
+    const Millis now = Now();
+    sends = aAnswered
+              ? proposer.OnReply(aSend.replica_, aSend.serial_, aReply, now)
+              : proposer.OnFailure(aSend.replica_, aSend.serial_, now);
+    callsInFlight_ += static_cast<int>(sends.size());
+    Settle(lock, aOperation);
+  }
+  if (lock.owns_lock()) {
+    lock.unlock();
+  }
+  Send(aOperation, std::move(sends));
+  // Last, since the link may be gone once no call is in flight.
+  std::lock_guard last(mutex_);
+  --callsInFlight_;
+  wake_.notify_all();
+}
+
+void LedgerLink::Settle(std::unique_lock<std::mutex>& aLock,
+                        uint64_t aOperation)
+{
+  const auto it = operations_.find(aOperation);
+  if (it->second.proposer_.FastTimedOut()) {
+    skipFastUntil_ = std::max(skipFastUntil_, Now() + kSkipFastSpan);
+  }
+  if (!it->second.proposer_.Result()) {
+    return;
+  }
+  const Operation operation = std::move(it->second);
+  operations_.erase(it);
+  if (operation.kind_ == ClaimOperation::kClaim) {
+    SettleClaim(aLock, operation);
+    return;
+  }
+  aLock.unlock();
+  const ClaimOutcome outcome = operation.proposer_.Result()->outcome_;
+  if (outcome == ClaimOutcome::kUnavailable ||
+      outcome == ClaimOutcome::kExpired) {
+    LogWarning(Event::kClaimLeftOpen, { { "claimant", operation.claimant_ } });
+  } else if (outcome == ClaimOutcome::kAbandoned) {
+    LogInfo(Event::kClaimAbandoned, { { "claimant", operation.claimant_ } });
   }
 }
 
-void LedgerLink::Claim(const v1::ClaimRequest& aRequest, ClaimDone aDone)
+void LedgerLink::SettleClaim(std::unique_lock<std::mutex>& aLock,
+                             const Operation& aOperation)
 {
-  auto round = std::make_shared<ClaimRound>(stubs_.size(), std::move(aDone));
-  for (const auto& stub : stubs_) {
-    auto call = std::make_shared<Call<v1::ClaimRequest, v1::ClaimReply>>();
-    call->request_ = aRequest;
-    SetDeadline(call->context_, kClaimTimeout);
-    stub->async()->Claim(&call->context_,
-                         &call->request_,
-                         &call->reply_,
-                         [call, round](const grpc::Status& aStatus) {
-                           round->Take(aStatus.ok(), call->reply_);
-                         });
+  const ClaimResult& result = *aOperation.proposer_.Result();
+  const auto it = open_.find(aOperation.claimant_);
+  if (it == open_.end()) {
+    return;
+  }
+  Open& open = it->second;
+  open.isClaiming_ = false;
+  open.lastRound_ = result.lastRound_;
+  const bool isGranted = result.outcome_ == ClaimOutcome::kGranted;
+  // Without a grant this claimant never dispatches. A claim that may still be
+  // completed by somebody else is given up, so that the key does not stay
+  // held by a job that never ran.
+  const bool mayStand = isGranted ||
+                        result.outcome_ == ClaimOutcome::kUnavailable ||
+                        result.outcome_ == ClaimOutcome::kHeld;
+  const bool isReleased = open.isReleased_;
+  const bool mustAbandon = mayStand && (isReleased || !isGranted);
+  if (!mayStand) {
+    open_.erase(it);
+  }
+  aLock.unlock();
+  if (mustAbandon) {
+    Abandon(aOperation.claimant_);
+  }
+  if (!isReleased) {
+    aOperation.done_(ToVerdict(result.outcome_), result.recorded_);
   }
 }
 
-void LedgerLink::Record(const v1::OutcomeRequest& aRequest)
+bool LedgerLink::SkipFast(Millis aNow)
 {
-  for (const auto& stub : stubs_) {
-    auto call = std::make_shared<Call<v1::OutcomeRequest, v1::OutcomeReply>>();
-    call->request_ = aRequest;
-    SetDeadline(call->context_, kRecordTimeout);
-    stub->async()->RecordOutcome(&call->context_,
-                                 &call->request_,
-                                 &call->reply_,
-                                 [call](const grpc::Status&) {});
+  if (aNow < skipFastUntil_) {
+    return true;
+  }
+  if (skipFastUntil_ > Millis(0)) {
+    // One claim tries whether the replica is back; the others do not wait.
+    skipFastUntil_ = aNow + kSkipFastSpan;
+    return false;
   }
+  return false;
+}
+
+void LedgerLink::TickLoop()
+{
+  std::unique_lock lock(mutex_);
+  while (!stopping_) {
+    wake_.wait_for(lock, std::chrono::milliseconds(kTick.Count()));
+    const Millis now = Now();
+    std::vector<uint64_t> due;
+    for (const auto& [id, operation] : operations_) {
+      if (operation.proposer_.WakeAt() <= now) {
+        due.push_back(id);
+      }
+    }
+    for (const uint64_t id : due) {
+      const auto it = operations_.find(id);
+      if (it == operations_.end()) {
+        continue;
+      }
+      Sends sends = it->second.proposer_.OnTick(now);
+      callsInFlight_ += static_cast<int>(sends.size());
+      Settle(lock, id);
+      if (lock.owns_lock()) {
+        lock.unlock();
+      }
+      Send(id, std::move(sends));
+      lock.lock();
+    }
+  }
+}
+
+size_t LedgerLink::OpenOperations() const
+{
+  std::lock_guard lock(mutex_);
+  return operations_.size();
 }
 
 } // namespace vanillahatch
--- a/src/ledger/ledger_service.cpp
+++ b/src/ledger/ledger_service.cpp
@@ -1,33 +1,36 @@
 #include "ledger/ledger_service.h"
 
+#include "vanillahatch/shell/log.h"
+
 namespace vanillahatch {
 
-grpc::ServerUnaryReactor* LedgerService::Claim(
+grpc::ServerUnaryReactor* LedgerService::Vote(
   grpc::CallbackServerContext* aContext,
-  const v1::ClaimRequest* aRequest,
-  v1::ClaimReply* aReply)
+  const v1::VoteRequest* aRequest,
+  v1::VoteReply* aReply)
 {
-  {
-    std::lock_guard lock(mutex_);
-    bool changed = false;
-    *aReply = register_.Claim(*aRequest, changed);
-  }
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
-  reactor->Finish(grpc::Status::OK);
+  const bool taken = replica_.TryVote(
+    aRequest, aReply, [reactor] { reactor->Finish(grpc::Status::OK); });
+  if (!taken) {
+    LogWarning(Event::kOverloaded, { { "ring", "ledger-storage" } });
+    aReply->set_status(v1::VOTE_OVERLOADED);
+    reactor->Finish(grpc::Status::OK);
+  }
   return reactor;
 }
 
-grpc::ServerUnaryReactor* LedgerService::RecordOutcome(
+grpc::ServerUnaryReactor* LedgerService::Copy(
   grpc::CallbackServerContext* aContext,
-  const v1::OutcomeRequest* aRequest,
-  v1::OutcomeReply* aReply)
+  const v1::CopyRequest* aRequest,
+  v1::CopyReply* aReply)
 {
-  {
-    std::lock_guard lock(mutex_);
-    aReply->set_recorded(register_.Record(*aRequest));
-  }
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
-  reactor->Finish(grpc::Status::OK);
+  const bool taken = replica_.TryCopy(
+    aRequest, aReply, [reactor] { reactor->Finish(grpc::Status::OK); });
+  if (!taken) {
+    reactor->Finish({ grpc::StatusCode::RESOURCE_EXHAUSTED, "ring is full" });
+  }
   return reactor;
 }
 
--- a/src/ledger/ledger_service.h
+++ b/src/ledger/ledger_service.h
@@ -1,27 +1,29 @@
 // The gRPC face of a ledger replica.
 #pragma once
 
-#include "vanillahatch/core/claim_register.h"
+#include "ledger/ledger_replica.h"
 
 #include "ledger.grpc.pb.h"
 
-#include <mutex>
-
 namespace vanillahatch {
 
 class LedgerService : public v1::LedgerService::CallbackService
 {
 public:
-  grpc::ServerUnaryReactor* Claim(grpc::CallbackServerContext* aContext,
-                                  const v1::ClaimRequest* aRequest,
-                                  v1::ClaimReply* aReply) override;
-  grpc::ServerUnaryReactor* RecordOutcome(grpc::CallbackServerContext* aContext,
-                                          const v1::OutcomeRequest* aRequest,
-                                          v1::OutcomeReply* aReply) override;
+  explicit LedgerService(LedgerReplica& aReplica)
+    : replica_(aReplica)
+  {
+  }
+
+  grpc::ServerUnaryReactor* Vote(grpc::CallbackServerContext* aContext,
+                                 const v1::VoteRequest* aRequest,
+                                 v1::VoteReply* aReply) override;
+  grpc::ServerUnaryReactor* Copy(grpc::CallbackServerContext* aContext,
+                                 const v1::CopyRequest* aRequest,
+                                 v1::CopyReply* aReply) override;
 
 private:
-  std::mutex mutex_;
-  ClaimRegister register_;
+  LedgerReplica& replica_;
 };
 
 } // namespace vanillahatch
--- a/src/ledger/main.cpp
+++ b/src/ledger/main.cpp
@@ -1,4 +1,5 @@
 // vh-ledger: one replica of the record of jobs that run at most once.
+#include "ledger/catch_up_link.h"
 #include "ledger/ledger_service.h"
 #include "vanillahatch/shell/http_server.h"
 #include "vanillahatch/shell/log.h"
@@ -13,20 +14,57 @@
 
 namespace {
 
+void LogStart(const LedgerReplica& aReplica)
+{
+  if (aReplica.HowStarted() == LedgerStart::kLostDisk) {
+    LogWarning(Event::kLedgerCatchingUp, {});
+    return;
+  }
+  const bool isFounded = aReplica.HowStarted() == LedgerStart::kFounded;
+  LogInfo(Event::kLedgerMember,
+          { { "how", isFounded ? "founded" : "remembers" } });
+}
+
+HttpResponse HandleHttp(const HttpRequest& aRequest,
+                        const LedgerReplica& aReplica)
+{
+  if (aRequest.target() == "/metrics") {
+    HttpResponse response = MakeJson(200, aReplica.RenderMetrics());
+    response.set(boost::beast::http::field::content_type,
+                 "text/plain; version=0.0.4");
+    return response;
+  }
+  if (aRequest.target() == "/readyz" && !aReplica.IsMember()) {
+    return MakeProblem(503, "catching-up", "no", "the replica does not vote");
+  }
+  return MakeJson(200, "{\"ok\":true}");
+}
+
 int Run(const Settings& aSettings, const LedgerSettings& aSelf)
 {
-  LedgerService service;
+  const auto place = static_cast<uint32_t>(&aSelf - aSettings.ledgers_.data());
+  const auto count = static_cast<uint32_t>(aSettings.ledgers_.size());
+  LedgerReplica replica(
+    { .register_ = { .replica_ = place, .replicas_ = count },
+      .folder_ = aSelf.dataFolder_ });
+  LogStart(replica);
+  LedgerService service(replica);
   const std::unique_ptr<grpc::Server> rpc = StartServer(aSelf.rpc_, service);
   if (!rpc) {
     std::cerr << "vh-ledger: cannot listen on " << ToText(aSelf.rpc_) << "\n";
     return kExitRuntime;
   }
+  std::unique_ptr<CatchUpLink> catchUp;
+  if (replica.HowStarted() == LedgerStart::kLostDisk) {
+    catchUp = std::make_unique<CatchUpLink>(replica, aSettings.ledgers_, place);
+  }
   boost::asio::io_context io(1);
-  HttpServer http(io,
-                  { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
-                  [](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
-                    co_return MakeJson(200, "{\"ok\":true}");
-                  });
+  HttpServer http(
+    io,
+    { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
+    [&](HttpRequest aRequest) -> boost::asio::awaitable<HttpResponse> {
+      co_return HandleHttp(aRequest, replica);
+    });
   http.Start();
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
