--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -54,8 +54,8 @@
   , events_(kEventRingSize)
   , core_({ .dataCentre_ = aSelf.dataCentre_ }, MakeLeastInFlight())
   , ledger_(aSettings.ledgers_)
-  , peers_(aSelf.name_, aSettings.entries_)
-  , peerService_([this](const UpstreamFact& aFact) {
+  , peers_(aSelf.name_, aSettings.entries_, sharedFacts_, clock_)
+  , peerService_(sharedFacts_, clock_, [this](const UpstreamFact& aFact) {
     events_.Push(FactArrived{ .fact_ = aFact, .fromPeer_ = true });
   })
 {
@@ -71,7 +71,7 @@
   }
   server_.Start();
   control_ = std::make_unique<ControlLink>(
-    self_, settings_.controls_, [](const FleetConfig&) {});
+    self_, settings_.controls_, [](const v1::FleetState&) {});
   decisions_ = std::thread([this] { DecisionLoop(); });
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
@@ -129,6 +129,7 @@
     co_return HandleAnnouncement(aRequest);
   }
   if (target == "/metrics") {
+    control_->Report(metrics_);
     HttpResponse response = MakeJson(200, metrics_.Render());
     response.set(http::field::content_type, "text/plain; version=0.0.4");
     co_return response;
@@ -228,9 +229,11 @@
   if (stopping_) {
     return MakeProblem(503, "stopping", "no", "planned stop");
   }
-  return MakeJson(200,
-                  "{\"ready\":true,\"revision\":" +
-                    std::to_string(control_->Revision()) + "}");
+  if (!control_->Ready()) {
+    return MakeProblem(
+      503, "starting", "no", "the latest configuration is not known yet");
+  }
+  return MakeJson(200, "{\"ready\":true," + control_->StatusJson() + "}");
 }
 
 asio::awaitable<void> EntryProcess::Attempt(Dispatch aDispatch)
@@ -278,6 +281,7 @@
     }
     if (now >= nextTick) {
       nextTick = now + kTick;
+      peers_.Flush();
       for (EntryAction& action : core_.Handle(TimerTick{}, now)) {
         Perform(std::move(action));
       }
@@ -400,7 +404,7 @@
             { { "instance", aAction.fact_.instance_.View() },
               { "service", aAction.fact_.service_.View() } });
   }
-  peers_.Share(aAction.fact_);
+  sharedFacts_.Hear(aAction.fact_, clock_.Now());
 }
 
 void EntryProcess::Do(const UpstreamGone& aAction)
