--- /dev/null
+++ b/test/claim_register_test.cpp
@@ -0,0 +1,210 @@
+#define BOOST_TEST_MODULE claim_register
+#include "vanillahatch/core/claim_register.h"
+
+#include "fake_store.h"
+
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+namespace data = boost::unit_test::data;
+
+BOOST_TEST_DONT_PRINT_LOG_VALUE(vanillahatch::RestoreVerdict)
+
+namespace {
+
+constexpr int64_t kDayMs = 86'400'000;
+constexpr int64_t kNowMs = 1'700'000'000'000;
+
+v1::VoteRequest MakeClaim(const std::string& aKey,
+                          const std::string& aClaimant,
+                          int64_t aIssuedAt = kNowMs)
+{
+  v1::VoteRequest request;
+  request.set_key(aKey);
+  request.set_issued_at_unix_ms(aIssuedAt);
+  request.mutable_ballot();
+  request.mutable_value()->set_phase(v1::CLAIM_HELD);
+  request.mutable_value()->set_claimant(aClaimant);
+  return request;
+}
+
+v1::VoteRequest MakePrepare(const std::string& aKey, uint64_t aRound)
+{
+  v1::VoteRequest request;
+  request.set_key(aKey);
+  request.set_issued_at_unix_ms(kNowMs);
+  request.mutable_ballot()->set_round(aRound);
+  request.mutable_ballot()->set_proposer("p");
+  return request;
+}
+
+ClaimRegister MakeMember(ClaimRegisterOptions aOptions = {})
+{
+  ClaimRegister member(aOptions);
+  member.Found();
+  return member;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ReplicaWithoutIdentityDoesNotVote)
+{
+  ClaimRegister empty({});
+  const VoteResult voted = empty.Vote(MakeClaim("k", "a"));
+  BOOST_TEST(voted.reply_.status() == v1::VOTE_NOT_MEMBER);
+  BOOST_TEST(voted.record_.empty());
+  BOOST_TEST(!empty.Copy({}).reply_.member());
+}
+
+BOOST_AUTO_TEST_CASE(FirstClaimOfTheFastBallotStands)
+{
+  ClaimRegister member = MakeMember();
+  BOOST_TEST(member.Vote(MakeClaim("k", "a")).reply_.status() ==
+             v1::VOTE_GRANTED);
+  const VoteResult other = member.Vote(MakeClaim("k", "b"));
+  BOOST_TEST(other.reply_.status() == v1::VOTE_REFUSED);
+  BOOST_TEST(other.reply_.state().value().claimant() == "a");
+}
+
+BOOST_AUTO_TEST_CASE(RepeatedRequestIsGrantedWithoutANewRecord)
+{
+  ClaimRegister member = MakeMember();
+  BOOST_TEST(!member.Vote(MakeClaim("k", "a")).record_.empty());
+  const VoteResult again = member.Vote(MakeClaim("k", "a"));
+  BOOST_TEST(again.reply_.status() == v1::VOTE_GRANTED);
+  BOOST_TEST(again.record_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(PromiseRefusesEveryLowerBallot)
+{
+  ClaimRegister member = MakeMember();
+  BOOST_TEST(member.Vote(MakePrepare("k", 2)).reply_.status() ==
+             v1::VOTE_GRANTED);
+  BOOST_TEST(member.Vote(MakePrepare("k", 1)).reply_.status() ==
+             v1::VOTE_REFUSED);
+  BOOST_TEST(member.Vote(MakeClaim("k", "a")).reply_.status() ==
+             v1::VOTE_REFUSED);
+}
+
+BOOST_AUTO_TEST_CASE(RecordsAndSnapshotRestoreTheSameState)
+{
+  ClaimRegister member = MakeMember();
+  StoreContents contents{ .snapshot_ = member.Snapshot() };
+  for (const v1::VoteRequest& request :
+       { MakeClaim("k", "a"), MakePrepare("k", 3), MakeClaim("l", "b") }) {
+    contents.records_.push_back(member.Vote(request).record_);
+  }
+  ClaimRegister restored({});
+  BOOST_TEST(restored.Restore(contents) == RestoreVerdict::kMember);
+  BOOST_TEST(restored.Snapshot() == member.Snapshot());
+  BOOST_TEST(restored.Bytes() == member.Bytes());
+}
+
+BOOST_AUTO_TEST_CASE(TornEmptyOrForeignStoreDoesNotMakeAMember)
+{
+  const std::string own = MakeMember().Snapshot();
+  const std::string foreign = MakeMember({ .replica_ = 1 }).Snapshot();
+  ClaimRegister restored({});
+  BOOST_TEST(restored.Restore({}) == RestoreVerdict::kNew);
+  BOOST_TEST(restored.Restore({ .snapshot_ = own, .tornTail_ = true }) ==
+             RestoreVerdict::kTorn);
+  BOOST_TEST(restored.Restore({ .snapshot_ = foreign }) ==
+             RestoreVerdict::kTorn);
+  BOOST_TEST(
+    restored.Restore({ .snapshot_ = own, .records_ = { "\xff\xff" } }) ==
+    RestoreVerdict::kTorn);
+  BOOST_TEST(!restored.IsMember());
+}
+
+BOOST_AUTO_TEST_CASE(ForgottenKeyIsRefusedAsExpiredAlsoAfterARestart)
+{
+  ClaimRegister member = MakeMember();
+  member.Vote(MakeClaim("old", "a", kNowMs));
+  member.Vote(MakeClaim("young", "a", kNowMs + kDayMs));
+  BOOST_TEST(member.Expire(Millis(kNowMs + kDayMs + 1)));
+  BOOST_TEST(member.KeyCount() == 1U);
+  ClaimRegister restored({});
+  BOOST_TEST(restored.Restore({ .snapshot_ = member.Snapshot() }) ==
+             RestoreVerdict::kMember);
+  for (ClaimRegister* one : { &member, &restored }) {
+    BOOST_TEST(one->Vote(MakeClaim("old", "b", kNowMs)).reply_.status() ==
+               v1::VOTE_EXPIRED);
+    // The clock of the machine may go back; the floor does not.
+    BOOST_TEST(!one->Expire(Millis(kNowMs)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ResendWithAnotherIssueTimeMeetsTheFirstClaim)
+{
+  ClaimRegister member = MakeMember();
+  member.Vote(MakeClaim("k", "a", kNowMs));
+  const VoteResult later = member.Vote(MakeClaim("k", "b", kNowMs + 5000));
+  BOOST_TEST(later.reply_.status() == v1::VOTE_REFUSED);
+  BOOST_TEST(later.reply_.state().issued_at_unix_ms() == kNowMs);
+}
+
+BOOST_AUTO_TEST_CASE(FullRegisterForgetsTheOldestButNoYoungKey)
+{
+  constexpr int64_t kMinuteMs = 60'000;
+  ClaimRegister member = MakeMember(
+    { .maxBytes_ = 100'000, .minRetention_ = Millis(30 * kMinuteMs) });
+  int accepted = 0;
+  for (int i = 0; i < 2000; ++i) {
+    const std::string key = "key-" + std::to_string(i);
+    const VoteResult voted =
+      member.Vote(MakeClaim(key, "a", kNowMs + int64_t{ 100 } * i));
+    accepted += voted.reply_.status() == v1::VOTE_GRANTED ? 1 : 0;
+  }
+  BOOST_TEST(accepted < 2000);
+  BOOST_TEST(member.Bytes() < 100'000U + 1000U);
+  // Young keys stay, and new ones are refused without a vote.
+  member.Expire(Millis(kNowMs + kMinuteMs));
+  BOOST_TEST(static_cast<int>(member.KeyCount()) == accepted);
+  BOOST_TEST(
+    member.Vote(MakeClaim("new", "a", kNowMs + kMinuteMs)).reply_.status() ==
+    v1::VOTE_OVERLOADED);
+  // Half an hour later the oldest quarter goes.
+  BOOST_TEST(member.Expire(Millis(kNowMs + 40 * kMinuteMs)));
+  BOOST_TEST(static_cast<int>(member.KeyCount()) < accepted);
+  BOOST_TEST(static_cast<int>(member.KeyCount()) > accepted / 2);
+  BOOST_TEST(member.Vote(MakeClaim("new", "a", kNowMs + 40 * kMinuteMs))
+               .reply_.status() == v1::VOTE_GRANTED);
+}
+
+BOOST_AUTO_TEST_CASE(CopyGivesPagesAndMakesTheNewIdentityDurableFirst)
+{
+  ClaimRegister member = MakeMember();
+  const std::string body(100'000, 'x');
+  for (int i = 0; i < 30; ++i) {
+    v1::VoteRequest request = MakeClaim("key-" + std::to_string(i), "a");
+    request.mutable_value()->mutable_outcome()->set_body(body);
+    member.Vote(request);
+  }
+  v1::CopyRequest request;
+  request.set_replica(2);
+  request.set_identity(5);
+  size_t keys = 0;
+  int pages = 0;
+  for (bool more = true; more; ++pages) {
+    const CopyResult copied = member.Copy(request);
+    BOOST_TEST(copied.record_.empty() == (pages > 0));
+    BOOST_TEST(copied.reply_.identities(2) == 5U);
+    keys += static_cast<size_t>(copied.reply_.keys_size());
+    request.set_after_key(copied.reply_.keys().rbegin()->key());
+    more = copied.reply_.more();
+  }
+  BOOST_TEST(keys == 30U);
+  BOOST_TEST(pages > 1);
+}
+
+BOOST_AUTO_TEST_CASE(CopyForAnEarlierIdentityIsRefused)
+{
+  ClaimRegister member = MakeMember();
+  v1::CopyRequest request;
+  request.set_replica(2);
+  request.set_identity(5);
+  BOOST_TEST(member.Copy(request).reply_.member());
+  request.set_identity(4);
+  BOOST_TEST(!member.Copy(request).reply_.member());
+}
