--- a/bench/claims_bench.cpp
+++ b/bench/claims_bench.cpp
@@ -345,10 +345,11 @@
     logBytes += member.Vote(prepare).record_.size();
     logBytes += member.Vote(request).record_.size();
   }
+  const size_t resident = ResidentBytes() - before;
   const auto perKey = [&](size_t aBytes) { return aBytes / kKeys; };
   std::printf("bytes per key with a 64-byte answer: resident %zu, counted %zu, "
               "snapshot %zu, log %zu\n",
-              perKey(ResidentBytes() - before),
+              perKey(resident),
               perKey(member.Bytes()),
               perKey(member.Snapshot().size()),
               perKey(logBytes));
--- a/include/vanillahatch/core/claim_register.h
+++ b/include/vanillahatch/core/claim_register.h
@@ -30,8 +30,8 @@
   Millis retention_ = Seconds(86'400);
   // Above this many bytes the oldest keys are forgotten early, but none that
   // is younger than `minRetention_`; then new keys are refused instead.
-  size_t maxBytes_ = 8U << 20U;
-  Millis minRetention_ = Seconds(1800);
+  size_t maxBytes_ = 12U << 20U;
+  Millis minRetention_ = Seconds(120);
 };
 
 struct VoteResult
--- a/src/core/claim_register.cpp
+++ b/src/core/claim_register.cpp
@@ -3,6 +3,8 @@
 #include "vanillahatch/core/claim_quorum.h"
 
 #include <algorithm>
+#include <google/protobuf/io/coded_stream.h>
+#include <google/protobuf/wire_format_lite.h>
 #include <utility>
 
 namespace vanillahatch {
@@ -19,6 +21,43 @@
   return aKey.size() + aState.size() + kKeyOverheadBytes;
 }
 
+// Parses all but the keys, whose bytes are left where they are: as messages
+// they would take several times the memory. False if the bytes are malformed.
+bool SplitSnapshot(const std::string& aBytes,
+                   v1::LedgerSnapshot& aHead,
+                   std::vector<std::string_view>& aStates)
+{
+  using google::protobuf::internal::WireFormatLite;
+  constexpr uint32_t kKeysTag =
+    WireFormatLite::MakeTag(v1::LedgerSnapshot::kKeysFieldNumber,
+                            WireFormatLite::WIRETYPE_LENGTH_DELIMITED);
+  const auto* const begin =
+    reinterpret_cast<const uint8_t*>(aBytes.data()); // the stream's type
+  google::protobuf::io::CodedInputStream in(begin,
+                                            static_cast<int>(aBytes.size()));
+  int keysBegin = 0;
+  for (uint32_t tag = in.ReadTag(); tag != 0; tag = in.ReadTag()) {
+    if (tag != kKeysTag) {
+      if (!aStates.empty() || !WireFormatLite::SkipField(&in, tag)) {
+        return false;
+      }
+      keysBegin = in.CurrentPosition();
+      continue;
+    }
+    uint32_t size = 0;
+    if (!in.ReadVarint32(&size)) {
+      return false;
+    }
+    const int at = in.CurrentPosition();
+    if (!in.Skip(static_cast<int>(size))) {
+      return false;
+    }
+    aStates.emplace_back(aBytes.data() + at, size);
+  }
+  return in.ConsumedEntireMessage() &&
+         aHead.ParseFromArray(aBytes.data(), keysBegin);
+}
+
 v1::KeyState Parse(const std::string& aBytes)
 {
   v1::KeyState state;
@@ -43,24 +82,29 @@
   if (aContents.tornTail_) {
     return RestoreVerdict::kTorn;
   }
-  v1::LedgerSnapshot snapshot;
   if (aContents.snapshot_.empty()) {
     // A member's first act is to store a snapshot with its identity.
     return RestoreVerdict::kNew;
   }
-  if (!snapshot.ParseFromString(aContents.snapshot_) ||
+  v1::LedgerSnapshot snapshot;
+  std::vector<std::string_view> states;
+  if (!SplitSnapshot(aContents.snapshot_, snapshot, states) ||
       snapshot.replica() != options_.replica_ ||
       snapshot.identities_size() != static_cast<int>(options_.replicas_)) {
     return RestoreVerdict::kTorn;
   }
-  std::vector<v1::LedgerRecord> records(aContents.records_.size());
-  for (size_t i = 0; i < records.size(); ++i) {
-    if (!records[i].ParseFromString(aContents.records_[i])) {
+  v1::LedgerRecord record;
+  for (const std::string& bytes : aContents.records_) {
+    if (!record.ParseFromString(bytes)) {
       return RestoreVerdict::kTorn;
     }
   }
   Install(snapshot);
-  for (const v1::LedgerRecord& record : records) {
+  for (const std::string_view state : states) {
+    Save(Parse(std::string(state)));
+  }
+  for (const std::string& bytes : aContents.records_) {
+    record.ParseFromString(bytes);
     Apply(record);
   }
   return RestoreVerdict::kMember;
@@ -225,10 +269,16 @@
   snapshot.set_replica(options_.replica_);
   snapshot.mutable_identities()->Assign(identities_.begin(), identities_.end());
   snapshot.set_floor_unix_ms(floor_.Count());
+  // Serialized messages that are joined parse as one; one key at a time keeps
+  // the whole state from being held twice as messages.
+  std::string joined = snapshot.SerializeAsString();
+  joined.reserve(joined.size() + bytes_);
   for (const auto& [key, bytes] : keys_) {
-    snapshot.add_keys()->ParseFromString(bytes);
+    v1::LedgerSnapshot one;
+    one.add_keys()->ParseFromString(bytes);
+    one.AppendToString(&joined);
   }
-  return snapshot.SerializeAsString();
+  return joined;
 }
 
 uint64_t ClaimRegister::Identity() const
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -403,6 +403,7 @@
   asio::post(io_, [this, aAction] {
     const std::shared_ptr<PendingJob> job = pending_.Find(aAction.job_);
     if (!job) {
+      recorded_.erase(aAction.job_);
       return;
     }
     if (!aAction.fromRecord_) {
@@ -412,6 +413,16 @@
     }
     const v1::RecordedOutcome outcome = std::move(recorded_[aAction.job_]);
     recorded_.erase(aAction.job_);
+    if (outcome.body_omitted()) {
+      pending_.Complete(aAction.job_,
+                        MakeProblem(409,
+                                    "answer-not-kept",
+                                    "unknown",
+                                    "the job ran and answered " +
+                                      std::to_string(outcome.http_status()) +
+                                      "; the answer was too large to keep"));
+      return;
+    }
     HttpResponse response = MakeJson(outcome.http_status(), outcome.body());
     response.set(http::field::content_type, outcome.content_type());
     response.set("Vh-From-Record", "yes");
--- a/src/entry/ledger_link.cpp
+++ b/src/entry/ledger_link.cpp
@@ -20,6 +20,8 @@
 // After a silent replica was met, claims go without the fast ballot.
 constexpr Millis kSkipFastSpan = Seconds(2);
 constexpr size_t kMaxOperations = 16384;
+// Larger answers are not kept: the replicas hold the outcomes in memory.
+constexpr size_t kMaxKeptBodyBytes = 4096;
 
 struct Call
 {
@@ -107,6 +109,10 @@
   const Open open = std::move(it->second);
   open_.erase(it);
   lock.unlock();
+  if (aOutcome.body().size() > kMaxKeptBodyBytes) {
+    aOutcome.clear_body();
+    aOutcome.set_body_omitted(true);
+  }
   Begin(ClaimOperation::kRecord, open, std::move(aOutcome), {});
 }
 
@@ -172,13 +178,14 @@
   if (!isClaim) {
     options.quorumWait_ = kBackgroundSpan;
   }
-  const auto it = operations_.emplace(
-    id,
-    Operation{ .id_ = id,
-               .kind_ = aKind,
-               .claimant_ = aOpen.ticket_.claimant_,
-               .proposer_ = ClaimProposer(std::move(options)),
-               .done_ = std::move(aDone) });
+  const auto it =
+    operations_.emplace(id,
+                        Operation{ .id_ = id,
+                                   .kind_ = aKind,
+                                   .claimant_ = aOpen.ticket_.claimant_,
+                                   .proposer_ = ClaimProposer(options),
+                                   .isFast_ = isClaim && !options.skipFast_,
+                                   .done_ = std::move(aDone) });
   Sends sends = it.first->second.proposer_.Start(now);
   callsInFlight_ += static_cast<int>(sends.size());
   lock.unlock();
@@ -235,6 +242,10 @@
   const auto it = operations_.find(aOperation);
   if (it->second.proposer_.FastTimedOut()) {
     skipFastUntil_ = std::max(skipFastUntil_, Now() + kSkipFastSpan);
+  } else if (it->second.isFast_ && it->second.proposer_.Result() &&
+             it->second.proposer_.Result()->outcome_ ==
+               ClaimOutcome::kGranted) {
+    skipFastUntil_ = Millis(0);
   }
   if (!it->second.proposer_.Result()) {
     return;
--- a/src/entry/ledger_link.h
+++ b/src/entry/ledger_link.h
@@ -76,6 +76,7 @@
     ClaimOperation kind_ = ClaimOperation::kClaim;
     std::string claimant_;
     ClaimProposer proposer_;
+    bool isFast_ = false; // began with the fast ballot
     ClaimDone done_;
   };
 
--- a/src/ledger/ledger_replica.h
+++ b/src/ledger/ledger_replica.h
@@ -30,7 +30,7 @@
   std::filesystem::path folder_;
   size_t ringSize_ = 4096;
   size_t maxBatch_ = 256; // requests that share one sync
-  uint64_t maxLogBytes_ = 8U << 20U;
+  uint64_t maxLogBytes_ = 4U << 20U;
   bool sync_ = true; // false only for comparing figures
 };
 
