vh-control runs the control log, with proposals from any replica

Cause: each replica kept its own configuration; a change reached one of three. Change: ControlReplica joins ring, state machine, files and gRPC. GET /v1/replica shows role, term, incarnation and members.

--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -28,6 +28,12 @@
   kChangeDecided = 400,
   kRevisionApplied = 401,
   kControlUnreachable = 402,
+  kLogRoleChanged = 420,
+  kLogMembersChanged = 421,
+  kLogDiskLost = 422,
+  kLogDiskFailed = 423,
+  kLogCompacted = 424,
+  kLogRestored = 425,
   kOverloaded = 500,
 };
 
--- a/include/vanillahatch/shell/rpc.h
+++ b/include/vanillahatch/shell/rpc.h
@@ -6,12 +6,16 @@
 
 #include <grpcpp/grpcpp.h>
 #include <memory>
+#include <span>
 
 namespace vanillahatch {
 
 std::shared_ptr<grpc::Channel> MakeChannel(const Endpoint& aEndpoint);
 
-// Null if the endpoint cannot be bound.
+// Null if the endpoint cannot be bound. The services must outlive the server.
+std::unique_ptr<grpc::Server> StartServer(
+  const Endpoint& aEndpoint,
+  std::span<grpc::Service* const> aServices);
 std::unique_ptr<grpc::Server> StartServer(const Endpoint& aEndpoint,
                                           grpc::Service& aService);
 
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -2,8 +2,9 @@
 
 namespace vanillahatch {
 
-ControlService::ControlService(ControlState& aState)
+ControlService::ControlService(ControlState& aState, ChangeProposer& aProposer)
   : state_(aState)
+  , proposer_(aProposer)
   , waiters_(aState)
 {
 }
@@ -23,9 +24,12 @@
   const v1::Change* aRequest,
   v1::ChangeReply* aReply)
 {
-  *aReply = state_.Propose(*aRequest);
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
-  reactor->Finish(grpc::Status::OK);
+  proposer_.Propose(*aRequest,
+                    [reactor, aReply](const v1::ChangeReply& aDecided) {
+                      *aReply = aDecided;
+                      reactor->Finish(grpc::Status::OK);
+                    });
   return reactor;
 }
 
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -2,6 +2,7 @@
 // entries as soon as they are applied, and takes proposals.
 #pragma once
 
+#include "control/control_replica.h"
 #include "control/control_state.h"
 #include "control/sync_waiters.h"
 
@@ -12,7 +13,7 @@
 class ControlService : public v1::ControlService::CallbackService
 {
 public:
-  explicit ControlService(ControlState& aState);
+  ControlService(ControlState& aState, ChangeProposer& aProposer);
 
   grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* aContext,
                                  const v1::SyncRequest* aRequest,
@@ -23,6 +24,7 @@
 
 private:
   ControlState& state_;
+  ChangeProposer& proposer_;
   SyncWaiters waiters_;
 };
 
--- a/src/control/control_state.cpp
+++ b/src/control/control_state.cpp
@@ -19,11 +19,6 @@
   return reply;
 }
 
-v1::ChangeReply ControlState::Propose(const v1::Change& aChange)
-{
-  return ApplyCommitted(aChange);
-}
-
 v1::SyncReply ControlState::Sync(const v1::SyncRequest& aRequest) const
 {
   std::lock_guard lock(mutex_);
--- a/src/control/control_state.h
+++ b/src/control/control_state.h
@@ -21,9 +21,6 @@
   // Applies a change that the control log has committed, in log order.
   v1::ChangeReply ApplyCommitted(const v1::Change& aChange);
 
-  // The way of changes while there is one replica only.
-  v1::ChangeReply Propose(const v1::Change& aChange);
-
   // What an entry lacks: the changes after its revision, or the whole state.
   v1::SyncReply Sync(const v1::SyncRequest& aRequest) const;
 
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -1,11 +1,15 @@
 // vh-control: one replica of the control log, with the operators' API.
+#include "control/control_replica.h"
 #include "control/control_service.h"
 #include "control/operator_api.h"
 #include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/program.h"
 #include "vanillahatch/shell/rpc.h"
+#include "vanillahatch/shell/system_clock.h"
 
 #include <algorithm>
+#include <array>
+#include <atomic>
 #include <csignal>
 #include <iostream>
 
@@ -15,29 +19,48 @@
 
 int Run(const Settings& aSettings, const ControlSettings& aSelf, Token aToken)
 {
+  const SystemClock clock;
   ControlState state;
-  ControlService service(state);
-  const std::unique_ptr<grpc::Server> rpc = StartServer(aSelf.rpc_, service);
+  boost::asio::io_context io(1);
+  std::atomic<bool> diskFailed = false;
+  ControlReplica replica({ .self_ = aSelf.name_,
+                           .replicas_ = aSettings.controls_,
+                           .dataFolder_ = aSelf.dataFolder_,
+                           .onDiskFailure_ =
+                             [&](const std::string&) {
+                               diskFailed = true;
+                               io.stop();
+                             } },
+                         state,
+                         clock);
+  ControlService service(state, replica);
+  if (!replica.Start()) {
+    std::cerr << "vh-control: cannot use " << aSelf.dataFolder_ << "\n";
+    return kExitRuntime;
+  }
+  const std::array<grpc::Service*, 2> services = { &service,
+                                                   &replica.Service() };
+  const std::unique_ptr<grpc::Server> rpc = StartServer(aSelf.rpc_, services);
   if (!rpc) {
     std::cerr << "vh-control: cannot listen on " << ToText(aSelf.rpc_) << "\n";
     return kExitRuntime;
   }
-  OperatorApi api(state, std::move(aToken));
-  boost::asio::io_context io(1);
+  OperatorApi api(state, replica, std::move(aToken));
   HttpServer http(
     io,
     { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
     [&](HttpRequest aRequest) -> boost::asio::awaitable<HttpResponse> {
-      co_return api.Handle(aRequest);
+      co_return co_await api.Handle(std::move(aRequest));
     });
   http.Start();
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
   LogInfo(Event::kProcessStarted, { { "node", aSelf.name_.View() } });
   io.run();
+  replica.Stop();
   rpc->Shutdown(std::chrono::system_clock::now() + std::chrono::seconds(1));
   LogInfo(Event::kProcessStopped, { { "node", aSelf.name_.View() } });
-  return kExitOk;
+  return diskFailed ? kExitRuntime : kExitOk;
 }
 
 } // namespace
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -2,6 +2,9 @@
 
 #include "vanillahatch/shell/log.h"
 
+#include <boost/asio/post.hpp>
+#include <boost/asio/use_awaitable.hpp>
+#include <boost/json.hpp>
 #include <google/protobuf/util/json_util.h>
 
 namespace vanillahatch {
@@ -21,6 +24,41 @@
   return status.ok() ? text : "{}";
 }
 
+std::string ToJson(const ControlReplicaStatus& aStatus)
+{
+  boost::json::array members(aStatus.members_.begin(), aStatus.members_.end());
+  const boost::json::object object = {
+    { "role", aStatus.role_ },
+    { "leader", aStatus.leader_ },
+    { "term", aStatus.term_ },
+    { "commit_index", aStatus.commitIndex_ },
+    { "snapshot_index", aStatus.snapshotIndex_ },
+    { "incarnation", std::to_string(aStatus.incarnation_) },
+    { "members", members },
+  };
+  return boost::json::serialize(object);
+}
+
+// The answer to a change, awaited without holding up other requests.
+boost::asio::awaitable<v1::ChangeReply> Decide(ChangeProposer& aProposer,
+                                               v1::Change aChange)
+{
+  const auto token = boost::asio::use_awaitable;
+  auto initiate = [&aProposer, change = std::move(aChange)](auto aHandler) {
+    auto handler = std::make_shared<decltype(aHandler)>(std::move(aHandler));
+    const auto executor = boost::asio::get_associated_executor(*handler);
+    aProposer.ProposeAnywhere(
+      change, [handler, executor](const v1::ChangeReply& aReply) {
+        boost::asio::post(executor, [handler, reply = aReply]() mutable {
+          (*handler)(std::move(reply));
+        });
+      });
+  };
+  co_return co_await boost::asio::async_initiate<const decltype(token)&,
+                                                 void(v1::ChangeReply)>(
+    initiate, token);
+}
+
 unsigned StatusOf(v1::ChangeStatus aStatus)
 {
   switch (aStatus) {
@@ -37,46 +75,53 @@
 
 } // namespace
 
-OperatorApi::OperatorApi(ControlState& aState, Token aToken)
+OperatorApi::OperatorApi(ControlState& aState,
+                         ChangeProposer& aProposer,
+                         Token aToken)
   : state_(aState)
+  , proposer_(aProposer)
   , token_(std::move(aToken))
 {
 }
 
-HttpResponse OperatorApi::Handle(const HttpRequest& aRequest)
+boost::asio::awaitable<HttpResponse> OperatorApi::Handle(HttpRequest aRequest)
 {
   const std::string_view target = aRequest.target();
   if (target == "/healthz" || target == "/readyz") {
-    return MakeJson(200, "{\"ok\":true}");
+    co_return MakeJson(200, "{\"ok\":true}");
   }
   if (!token_.Accepts(aRequest[http::field::authorization])) {
     LogWarning(Event::kTokenRefused, { { "path", target } });
-    return MakeProblem(401, "unauthorized", "no", "wrong or missing token");
+    co_return MakeProblem(401, "unauthorized", "no", "wrong or missing token");
   }
   if (target == "/v1/state" && aRequest.method() == http::verb::get) {
-    return MakeJson(200, ToJson(state_.State()));
+    co_return MakeJson(200, ToJson(state_.State()));
+  }
+  if (target == "/v1/replica" && aRequest.method() == http::verb::get) {
+    co_return MakeJson(200, ToJson(proposer_.Status()));
   }
   if (target == "/v1/changes" && aRequest.method() == http::verb::post) {
-    return HandleChange(aRequest);
+    co_return co_await HandleChange(std::move(aRequest));
   }
-  return MakeProblem(404, "no-such-path", "no", target);
+  co_return MakeProblem(404, "no-such-path", "no", target);
 }
 
-HttpResponse OperatorApi::HandleChange(const HttpRequest& aRequest)
+boost::asio::awaitable<HttpResponse> OperatorApi::HandleChange(
+  HttpRequest aRequest)
 {
   v1::Change change;
   const auto status =
     google::protobuf::util::JsonStringToMessage(aRequest.body(), &change);
   if (!status.ok()) {
-    return MakeProblem(400, "malformed-request", "no", status.ToString());
+    co_return MakeProblem(400, "malformed-request", "no", status.ToString());
   }
-  const v1::ChangeReply reply = state_.Propose(change);
+  const v1::ChangeReply reply = co_await Decide(proposer_, change);
   LogInfo(Event::kChangeDecided,
           { { "change", change.change_id() },
             { "author", change.author() },
             { "status", v1::ChangeStatus_Name(reply.status()) },
             { "revision", reply.revision() } });
-  return MakeJson(StatusOf(reply.status()), ToJson(reply));
+  co_return MakeJson(StatusOf(reply.status()), ToJson(reply));
 }
 
 } // namespace vanillahatch
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -2,6 +2,7 @@
 //
 //   GET  /v1/state            the whole configuration with its revision
 //   POST /v1/changes          one change; the answer carries its status
+//   GET  /v1/replica          this replica's part in the control log
 #pragma once
 
 #include "control/control_service.h"
@@ -13,14 +14,15 @@
 class OperatorApi
 {
 public:
-  OperatorApi(ControlState& aState, Token aToken);
+  OperatorApi(ControlState& aState, ChangeProposer& aProposer, Token aToken);
 
-  HttpResponse Handle(const HttpRequest& aRequest);
+  boost::asio::awaitable<HttpResponse> Handle(HttpRequest aRequest);
 
 private:
-  HttpResponse HandleChange(const HttpRequest& aRequest);
+  boost::asio::awaitable<HttpResponse> HandleChange(HttpRequest aRequest);
 
   ControlState& state_;
+  ChangeProposer& proposer_;
   Token token_;
 };
 
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -26,6 +26,12 @@
   EventEntry{ Event::kChangeDecided, "change-decided" },
   EventEntry{ Event::kRevisionApplied, "revision-applied" },
   EventEntry{ Event::kControlUnreachable, "control-unreachable" },
+  EventEntry{ Event::kLogRoleChanged, "log-role-changed" },
+  EventEntry{ Event::kLogMembersChanged, "log-members-changed" },
+  EventEntry{ Event::kLogDiskLost, "log-disk-lost" },
+  EventEntry{ Event::kLogDiskFailed, "log-disk-failed" },
+  EventEntry{ Event::kLogCompacted, "log-compacted" },
+  EventEntry{ Event::kLogRestored, "log-restored" },
   EventEntry{ Event::kOverloaded, "overloaded" },
 };
 
--- a/src/shell/rpc.cpp
+++ b/src/shell/rpc.cpp
@@ -2,6 +2,7 @@
 
 #include "vanillahatch/shell/settings.h"
 
+#include <array>
 #include <chrono>
 
 namespace vanillahatch {
@@ -12,6 +13,7 @@
 constexpr int kKeepaliveTimeoutMs = 2000;
 constexpr int kMinReconnectBackoffMs = 100;
 constexpr int kMaxReconnectBackoffMs = 1000;
+constexpr int kMaxMessageBytes = 64 << 20; // a snapshot of the fleet's state
 
 } // namespace
 
@@ -33,6 +35,14 @@
 
 std::unique_ptr<grpc::Server> StartServer(const Endpoint& aEndpoint,
                                           grpc::Service& aService)
+{
+  const std::array services = { &aService };
+  return StartServer(aEndpoint, services);
+}
+
+std::unique_ptr<grpc::Server> StartServer(
+  const Endpoint& aEndpoint,
+  std::span<grpc::Service* const> aServices)
 {
   grpc::ServerBuilder builder;
   int port = 0;
@@ -46,7 +56,10 @@
   builder.AddChannelArgument(
     GRPC_ARG_HTTP2_MIN_RECV_PING_INTERVAL_WITHOUT_DATA_MS, 1000);
   builder.AddChannelArgument(GRPC_ARG_HTTP2_MAX_PING_STRIKES, 0);
-  builder.RegisterService(&aService);
+  builder.SetMaxReceiveMessageSize(kMaxMessageBytes);
+  for (grpc::Service* service : aServices) {
+    builder.RegisterService(service);
+  }
   std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
   return port != 0 ? std::move(server) : nullptr;
 }
