--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -2,14 +2,13 @@
 #include "control/control_replica.h"
 #include "control/control_service.h"
 #include "control/operator_api.h"
-#include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/program.h"
 #include "vanillahatch/shell/rpc.h"
 #include "vanillahatch/shell/system_clock.h"
 
-#include <algorithm>
 #include <array>
 #include <atomic>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 
@@ -17,8 +16,12 @@
 
 namespace {
 
-int Run(const Settings& aSettings, const ControlSettings& aSelf, Token aToken)
+int Run(const Settings& aSettings, const ControlSettings& aSelf)
 {
+  std::optional<Token> token = LoadTokenOrReport(aSettings.operatorTokenFile_);
+  if (!token) {
+    return kExitSettings;
+  }
   const SystemClock clock;
   ControlState state;
   boost::asio::io_context io(1);
@@ -45,7 +48,7 @@
     std::cerr << "vh-control: cannot listen on " << ToText(aSelf.rpc_) << "\n";
     return kExitRuntime;
   }
-  OperatorApi api(state, replica, std::move(aToken));
+  OperatorApi api(state, replica, std::move(*token));
   HttpServer http(
     io,
     { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
@@ -67,34 +70,5 @@
 
 int main(int aArgc, char** aArgv)
 {
-  int exitCode = kExitOk;
-  const auto arguments = ParseArguments(aArgc, aArgv, "vh-control", exitCode);
-  if (!arguments) {
-    return exitCode;
-  }
-  const auto settings = LoadOrReport(arguments->configFile_, exitCode);
-  if (!settings) {
-    return exitCode;
-  }
-  const auto self = std::find_if(
-    settings->controls_.begin(),
-    settings->controls_.end(),
-    [&](const auto& aC) { return aC.name_.Str() == arguments->node_; });
-  if (self == settings->controls_.end()) {
-    std::cerr << "vh-control: no [[control]] named " << arguments->node_
-              << "\n";
-    return kExitSettings;
-  }
-  auto token = Token::Load(settings->operatorTokenFile_);
-  if (!token) {
-    std::cerr << "vh-control: " << token.error() << "\n";
-    return kExitSettings;
-  }
-  const LogSystem log(arguments->node_, settings->logFolder_);
-  try {
-    return Run(*settings, *self, std::move(token).value());
-  } catch (const std::exception& fault) {
-    std::cerr << "vh-control: " << fault.what() << "\n";
-    return kExitRuntime;
-  }
+  return RunNode(aArgc, aArgv, "vh-control", &Settings::controls_, Run);
 }
--- a/src/ledger/main.cpp
+++ b/src/ledger/main.cpp
@@ -1,11 +1,11 @@
 // vh-ledger: one replica of the record of jobs that run at most once.
+#include "ledger/catch_up_link.h"
 #include "ledger/ledger_service.h"
 #include "vanillahatch/shell/http_server.h"
-#include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/program.h"
 #include "vanillahatch/shell/rpc.h"
 
-#include <algorithm>
+#include <boost/asio/signal_set.hpp>
 #include <csignal>
 #include <iostream>
 
@@ -13,20 +13,57 @@
 
 namespace {
 
+void LogStart(const LedgerReplica& aReplica)
+{
+  if (aReplica.HowStarted() == LedgerStart::kLostDisk) {
+    LogWarning(Event::kLedgerCatchingUp, {});
+    return;
+  }
+  const bool isFounded = aReplica.HowStarted() == LedgerStart::kFounded;
+  LogInfo(Event::kLedgerMember,
+          { { "how", isFounded ? "founded" : "remembers" } });
+}
+
+HttpResponse HandleHttp(const HttpRequest& aRequest,
+                        const LedgerReplica& aReplica)
+{
+  if (aRequest.target() == "/metrics") {
+    HttpResponse response = MakeJson(200, aReplica.RenderMetrics());
+    response.set(boost::beast::http::field::content_type,
+                 "text/plain; version=0.0.4");
+    return response;
+  }
+  if (aRequest.target() == "/readyz" && !aReplica.IsMember()) {
+    return MakeProblem(503, "catching-up", "no", "the replica does not vote");
+  }
+  return MakeJson(200, "{\"ok\":true}");
+}
+
 int Run(const Settings& aSettings, const LedgerSettings& aSelf)
 {
-  LedgerService service;
+  const auto place = static_cast<uint32_t>(&aSelf - aSettings.ledgers_.data());
+  const auto count = static_cast<uint32_t>(aSettings.ledgers_.size());
+  LedgerReplica replica(
+    { .register_ = { .replica_ = place, .replicas_ = count },
+      .folder_ = aSelf.dataFolder_ });
+  LogStart(replica);
+  LedgerService service(replica);
   const std::unique_ptr<grpc::Server> rpc = StartServer(aSelf.rpc_, service);
   if (!rpc) {
     std::cerr << "vh-ledger: cannot listen on " << ToText(aSelf.rpc_) << "\n";
     return kExitRuntime;
   }
+  std::unique_ptr<CatchUpLink> catchUp;
+  if (replica.HowStarted() == LedgerStart::kLostDisk) {
+    catchUp = std::make_unique<CatchUpLink>(replica, aSettings.ledgers_, place);
+  }
   boost::asio::io_context io(1);
-  HttpServer http(io,
-                  { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
-                  [](HttpRequest) -> boost::asio::awaitable<HttpResponse> {
-                    co_return MakeJson(200, "{\"ok\":true}");
-                  });
+  HttpServer http(
+    io,
+    { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
+    [&](HttpRequest aRequest) -> boost::asio::awaitable<HttpResponse> {
+      co_return HandleHttp(aRequest, replica);
+    });
   http.Start();
   boost::asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](boost::system::error_code, int) { io.stop(); });
@@ -41,28 +78,5 @@
 
 int main(int aArgc, char** aArgv)
 {
-  int exitCode = kExitOk;
-  const auto arguments = ParseArguments(aArgc, aArgv, "vh-ledger", exitCode);
-  if (!arguments) {
-    return exitCode;
-  }
-  const auto settings = LoadOrReport(arguments->configFile_, exitCode);
-  if (!settings) {
-    return exitCode;
-  }
-  const auto self = std::find_if(
-    settings->ledgers_.begin(), settings->ledgers_.end(), [&](const auto& aL) {
-      return aL.name_.Str() == arguments->node_;
-    });
-  if (self == settings->ledgers_.end()) {
-    std::cerr << "vh-ledger: no [[ledger]] named " << arguments->node_ << "\n";
-    return kExitSettings;
-  }
-  const LogSystem log(arguments->node_, settings->logFolder_);
-  try {
-    return Run(*settings, *self);
-  } catch (const std::exception& fault) {
-    std::cerr << "vh-ledger: " << fault.what() << "\n";
-    return kExitRuntime;
-  }
+  return RunNode(aArgc, aArgv, "vh-ledger", &Settings::ledgers_, Run);
 }
