Entry decisions in small units, and slots shared through a broker

Cause: the thin EntryCore scanned all jobs on each tick and all candidates on each dispatch, knew no fairness, health, retry budget or estimate of run times, freed an abandoned attempt's slot at once, and entries oversubscribed runners because none saw a runner whole. Change: admission queue (bounded, urgent first, fair between members, aware of deadlines), run-time estimator, retry budget, health tracker, job table with deadlines, slot table (ordered index instead of a scan), slot broker with two allotment strategies (tickets, leased shares), the place of brokers by a rule. The process still uses the entry's own view; the broker is wired next.

--- a/include/vanillahatch/core/entry_core.h
+++ b/include/vanillahatch/core/entry_core.h
@@ -8,16 +8,24 @@
 //              -> AttemptEnded(answered) -> RecordOutcome + Answer
 #pragma once
 
+#include "vanillahatch/core/admission_queue.h"
 #include "vanillahatch/core/grant.h"
+#include "vanillahatch/core/health_tracker.h"
 #include "vanillahatch/core/job.h"
+#include "vanillahatch/core/job_table.h"
+#include "vanillahatch/core/retry_budget.h"
 #include "vanillahatch/core/router.h"
+#include "vanillahatch/core/run_time_estimator.h"
+#include "vanillahatch/core/slot_sharing.h"
+#include "vanillahatch/core/slot_table.h"
 #include "vanillahatch/core/upstream_directory.h"
 
-#include <deque>
-#include <map>
+#include <functional>
 #include <memory>
-#include <set>
+#include <queue>
+#include <random>
 #include <string>
+#include <unordered_map>
 #include <variant>
 #include <vector>
 
@@ -85,6 +93,25 @@
   bool draining_ = false;
 };
 
+// What the configuration allows members on this entry.
+struct MemberLimitsChanged
+{
+  std::vector<MemberLimit> limits_;
+};
+
+// Another entry's part in the sharing of slots.
+struct PeerMessageArrived
+{
+  NodeName from_;
+  PeerMessage message_;
+};
+
+struct LatencyMeasured
+{
+  DataCentreName dataCentre_;
+  Millis roundTrip_;
+};
+
 struct StopRequested
 {};
 
@@ -98,6 +125,9 @@
                                 FactArrived,
                                 GrantsArrived,
                                 DrainChanged,
+                                MemberLimitsChanged,
+                                PeerMessageArrived,
+                                LatencyMeasured,
                                 StopRequested,
                                 TimerTick>;
 
@@ -120,6 +150,8 @@
   std::string reason_;
 };
 
+// The attempt's connection must be closed, so that a late answer is discarded
+// with it; `AttemptEnded` follows when that is done.
 struct AbandonAttempt
 {
   JobNumber job_{};
@@ -156,6 +188,18 @@
   InstanceName instance_;
 };
 
+struct HealthChanged
+{
+  InstanceName instance_;
+  HealthState state_ = HealthState::kHealthy;
+};
+
+struct SendToPeer
+{
+  NodeName to_;
+  PeerMessage message_;
+};
+
 using EntryAction = std::variant<StartClaim,
                                  Dispatch,
                                  AbandonAttempt,
@@ -163,7 +207,9 @@
                                  Refuse,
                                  RecordOutcome,
                                  ShareFact,
-                                 UpstreamGone>;
+                                 UpstreamGone,
+                                 HealthChanged,
+                                 SendToPeer>;
 
 // ---- The state machine --------------------------------------------------
 
@@ -175,35 +221,59 @@
   // Nothing is dispatched to an instance without an unexpired grant, and the
   // grant's share of slots and connections caps this entry's use of it.
   bool requireGrants_ = false;
+  // How long an abandoned attempt occupies its slot after its connection was
+  // closed; the upstream may go on with the job for a while.
+  Millis abandonedSpan_ = Seconds(1);
+  uint64_t seed_ = 1; // of the jitter
 };
 
+using SharingFactory =
+  std::function<std::unique_ptr<SlotSharing>(SlotTable& aTable)>;
+
 class EntryCore
 {
 public:
-  explicit EntryCore(EntryCoreOptions aOptions,
-                     std::unique_ptr<RoutingStrategy> aStrategy);
+  EntryCore(EntryCoreOptions aOptions,
+            std::unique_ptr<RoutingStrategy> aStrategy,
+            const SharingFactory& aMakeSharing);
 
   std::vector<EntryAction> Handle(const EntryEvent& aEvent, Millis aNow);
 
-  size_t JobCount() const { return jobs_.size(); }
+  // When a `TimerTick` must come at the latest.
+  Millis NextWake() const;
+
+  size_t JobCount() const { return jobs_.Size(); }
+  size_t WaitingCount(const ServiceName& aService) const;
   const UpstreamDirectory& Directory() const { return directory_; }
 
 private:
-  enum class JobState
+  // What this entry keeps of one service.
+  struct Service
   {
-    kClaiming,
-    kWaiting,
-    kRunning,
+    AdmissionQueue queue_;
+    RunTimeEstimator runTimes_;
+    RetryBudget budget_;
   };
 
-  struct Job
+  struct Timer
   {
-    JobRequest request_;
-    JobState state_ = JobState::kWaiting;
+    enum class Kind : uint8_t
+    {
+      kStall,   // the attempt has run for longer than nearly all jobs do
+      kRetry,   // the backoff of the job is over
+      kRelease, // the slot of an abandoned attempt is free again
+    };
+
+    Millis at_;
+    Kind kind_ = Kind::kStall;
+    JobNumber job_{};
     AttemptNumber attempt_{};
     InstanceName instance_;
-    uint32_t attempts_ = 0;
-    std::vector<InstanceName> tried_;
+
+    friend bool operator>(const Timer& aLeft, const Timer& aRight)
+    {
+      return aLeft.at_ > aRight.at_;
+    }
   };
 
   void On(const JobArrived& aEvent, Millis aNow);
@@ -213,30 +283,68 @@
   void On(const FactArrived& aEvent, Millis aNow);
   void On(const GrantsArrived& aEvent, Millis aNow);
   void On(const DrainChanged& aEvent, Millis aNow);
+  void On(const MemberLimitsChanged& aEvent, Millis aNow);
+  void On(const PeerMessageArrived& aEvent, Millis aNow);
+  void On(const LatencyMeasured& aEvent, Millis aNow);
   void On(const StopRequested& aEvent, Millis aNow);
   void On(const TimerTick& aEvent, Millis aNow);
 
+  // Waiting and dispatch.
+  Service& ServiceOf(const ServiceName& aService);
   void Enqueue(Job& aJob);
+  void Requeue(Job& aJob);
   void DrainQueue(const ServiceName& aService, Millis aNow);
   void DrainAllQueues(Millis aNow);
-  // Whether drain and grants allow this entry one more attempt on it now.
-  bool MayUse(const InstanceName& aInstance, Millis aNow) const;
-  bool TryDispatch(Job& aJob, Millis aNow);
-  void End(JobNumber aNumber);
-  void RefuseJob(JobNumber aNumber,
-                 RefusalCode aCode,
-                 RanVerdict aRan,
-                 std::string aDetail);
+  FrontVerdict TryDispatch(const WaitingJob& aWaiting,
+                           Service& aService,
+                           Millis aNow);
+  void DispatchTo(Job& aJob,
+                  const SlotChoice& aChoice,
+                  Service& aService,
+                  Millis aNow);
+  void ShareDemand(const ServiceName& aName, Service& aService, Millis aNow);
+
+  // Attempts that end, well or badly.
+  void EndAttempt(Job& aJob, const AttemptEnded& aEvent, Millis aNow);
+  void EndAbandoned(const AttemptEnded& aEvent, Millis aNow);
+  void AnswerJob(Job& aJob);
+  void FailAttempt(Job& aJob, const AttemptEnded& aEvent, Millis aNow);
+  bool TryRetry(Job& aJob, bool aSent, Millis aNow);
+  void Abandon(Job& aJob);
+  void ReleaseSlot(const InstanceName& aInstance, Millis aNow);
+  void NoteOutcome(const InstanceName& aInstance,
+                   AttemptOutcome aOutcome,
+                   Millis aNow);
+  void ApplyHealth(const InstanceName& aInstance);
+
+  // What becomes due with time.
+  void ExpireUpstreams(Millis aNow);
+  void RefuseLateJobs(Millis aNow);
+  void RunTimers(Millis aNow);
+  void RunTimer(const Timer& aTimer, Millis aNow);
+  void OnStall(const Timer& aTimer, Millis aNow);
+  Millis StallSpan(const Job& aJob, const Service& aService, Millis aNow) const;
+  Millis Backoff(uint32_t aAttempts);
+
+  void RemoveFromQueue(const Job& aJob);
+  void RefuseJob(JobNumber aNumber, RefusalCode aCode, std::string aDetail);
+  void Flush(Millis aNow);
+  bool DrainRaised(Millis aNow);
 
   EntryCoreOptions options_;
-  std::unique_ptr<RoutingStrategy> strategy_;
+  std::string_view reason_; // of the routing strategy
   UpstreamDirectory directory_;
-  std::map<JobNumber, Job> jobs_;
-  std::map<ServiceName, std::deque<JobNumber>> queues_;
-  std::map<InstanceName, uint32_t> inFlight_;
-  std::map<InstanceName, Grant> grants_;
-  std::set<InstanceName> draining_;
+  SlotTable slots_;
+  std::unique_ptr<SlotSharing> sharing_;
+  HealthTracker health_;
+  JobTable jobs_;
+  std::unordered_map<ServiceName, Service> services_;
+  std::vector<MemberLimit> limits_;
+  std::unordered_map<AttemptNumber, InstanceName> abandoned_;
+  std::priority_queue<Timer, std::vector<Timer>, std::greater<>> timers_;
+  std::mt19937_64 random_;
   uint64_t nextAttempt_ = 1;
+  Millis nextExpiry_;
   bool stopping_ = false;
   std::vector<EntryAction> actions_;
 };
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -5,10 +5,24 @@
 
 namespace vanillahatch {
 
+namespace {
+
+constexpr Millis kExpiryPeriod = Millis(200);
+// Jobs at the head of a queue that no usable upstream suits, before the rest
+// of the queue is left for later.
+constexpr size_t kMostPassedOver = 8;
+
+} // namespace
+
 EntryCore::EntryCore(EntryCoreOptions aOptions,
-                     std::unique_ptr<RoutingStrategy> aStrategy)
+                     std::unique_ptr<RoutingStrategy> aStrategy,
+                     const SharingFactory& aMakeSharing)
   : options_(std::move(aOptions))
-  , strategy_(std::move(aStrategy))
+  , reason_(aStrategy->Reason())
+  , slots_(options_.dataCentre_, std::move(aStrategy), options_.requireGrants_)
+  , sharing_(aMakeSharing(slots_))
+  , health_(options_.seed_)
+  , random_(options_.seed_)
 {
 }
 
@@ -17,135 +31,146 @@
 {
   actions_.clear();
   std::visit([&](const auto& aTyped) { On(aTyped, aNow); }, aEvent);
+  Flush(aNow);
   return std::exchange(actions_, {});
 }
 
+// Uses what the sharing has raised, then lets it speak: slots that are left
+// idle by then go back.
+void EntryCore::Flush(Millis aNow)
+{
+  DrainRaised(aNow);
+  constexpr int kMostRounds = 4; // a broker in this very entry answers at once
+  for (int round = 0; round < kMostRounds; ++round) {
+    for (OutgoingMessage& message : sharing_->Flush(aNow)) {
+      actions_.push_back(SendToPeer{ .to_ = std::move(message.to_),
+                                     .message_ = std::move(message.message_) });
+    }
+    if (!DrainRaised(aNow)) {
+      return;
+    }
+  }
+}
+
+bool EntryCore::DrainRaised(Millis aNow)
+{
+  std::vector<ServiceName> raised = sharing_->TakeRaised();
+  std::sort(raised.begin(), raised.end());
+  raised.erase(std::unique(raised.begin(), raised.end()), raised.end());
+  for (const ServiceName& service : raised) {
+    DrainQueue(service, aNow);
+  }
+  return !raised.empty();
+}
+
+Millis EntryCore::NextWake() const
+{
+  Millis wake = std::min(jobs_.NextDeadline(), health_.NextChange());
+  wake = std::min(wake, sharing_->NextWake());
+  if (!timers_.empty()) {
+    wake = std::min(wake, timers_.top().at_);
+  }
+  return std::min(wake, nextExpiry_);
+}
+
 void EntryCore::On(const JobArrived& aEvent, Millis aNow)
 {
   const JobNumber number = aEvent.request_.number_;
-  Job& job = jobs_[number];
-  job.request_ = aEvent.request_;
+  Job& job = jobs_.Add(aEvent.request_);
   if (stopping_) {
-    RefuseJob(number, RefusalCode::kStopping, RanVerdict::kNo, "planned stop");
+    RefuseJob(number, RefusalCode::kStopping, "planned stop");
     return;
   }
-  if (!directory_.HasService(job.request_.service_)) {
+  const ServiceName name = job.request_.service_;
+  if (!directory_.HasService(name)) {
     RefuseJob(number,
               RefusalCode::kNoSuchService,
-              RanVerdict::kNo,
               "no upstream has announced this service");
     return;
   }
+  Service& service = ServiceOf(name);
+  const WaitingJob waiting{ .number_ = number,
+                            .member_ = job.request_.member_,
+                            .priority_ = job.request_.priority_,
+                            .arrivedAt_ = job.request_.arrivedAt_,
+                            .deadline_ = job.request_.deadline_ };
+  switch (service.queue_.Check(
+    waiting, service.runTimes_.Quantile(RunTimeQuantile::kLow), aNow)) {
+    case AdmissionVerdict::kQueueFull:
+      RefuseJob(
+        number, RefusalCode::kQueueFull, "too many jobs wait for this service");
+      return;
+    case AdmissionVerdict::kMemberLimit:
+      RefuseJob(
+        number, RefusalCode::kMemberLimit, "the member has too many waiting");
+      return;
+    case AdmissionVerdict::kDeadlineUnreachable:
+      RefuseJob(number,
+                RefusalCode::kDeadlineUnreachable,
+                "the jobs ahead take longer than the deadline allows");
+      return;
+    case AdmissionVerdict::kAdmitted:
+      break;
+  }
   if (job.request_.repeatability_ == Repeatability::kAtMostOnce) {
     job.state_ = JobState::kClaiming;
     actions_.push_back(StartClaim{ .job_ = number, .key_ = job.request_.key_ });
     return;
   }
   Enqueue(job);
-  DrainQueue(job.request_.service_, aNow);
+  DrainQueue(name, aNow);
 }
 
 void EntryCore::On(const JobCancelled& aEvent, Millis /*aNow*/)
 {
-  const auto it = jobs_.find(aEvent.job_);
-  if (it == jobs_.end()) {
+  Job* job = jobs_.Find(aEvent.job_);
+  if (job == nullptr) {
     return;
   }
-  const bool dispatched = it->second.attempts_ > 0;
-  if (it->second.state_ == JobState::kRunning) {
-    actions_.push_back(
-      AbandonAttempt{ .job_ = aEvent.job_, .attempt_ = it->second.attempt_ });
+  if (job->state_ == JobState::kRunning) {
+    Abandon(*job);
   }
-  RefuseJob(aEvent.job_,
-            RefusalCode::kCancelled,
-            dispatched ? RanVerdict::kUnknown : RanVerdict::kNo,
-            "cancelled by the caller");
+  RefuseJob(aEvent.job_, RefusalCode::kCancelled, "cancelled by the caller");
 }
 
 void EntryCore::On(const ClaimEnded& aEvent, Millis aNow)
 {
-  const auto it = jobs_.find(aEvent.job_);
-  if (it == jobs_.end() || it->second.state_ != JobState::kClaiming) {
+  Job* job = jobs_.Find(aEvent.job_);
+  if (job == nullptr || job->state_ != JobState::kClaiming) {
     return;
   }
   switch (aEvent.verdict_) {
     case ClaimVerdict::kGranted: {
-      const ServiceName service = it->second.request_.service_;
-      Enqueue(it->second);
+      const ServiceName service = job->request_.service_;
+      Enqueue(*job);
       DrainQueue(service, aNow);
       break;
     }
     case ClaimVerdict::kRecorded:
       actions_.push_back(Answer{ .job_ = aEvent.job_, .fromRecord_ = true });
-      End(aEvent.job_);
+      jobs_.Remove(aEvent.job_);
       break;
     case ClaimVerdict::kHeld:
+      // Another request with this key may have run the job.
+      job->maybeRan_ = true;
       RefuseJob(aEvent.job_,
                 RefusalCode::kClaimHeld,
-                RanVerdict::kUnknown,
                 "another request with this key has no outcome yet");
       break;
     case ClaimVerdict::kExpired:
+      job->maybeRan_ = true;
       RefuseJob(aEvent.job_,
                 RefusalCode::kKeyExpired,
-                RanVerdict::kUnknown,
                 "the key is older than the ledger remembers");
       break;
     case ClaimVerdict::kUnavailable:
       RefuseJob(aEvent.job_,
                 RefusalCode::kLedgerUnavailable,
-                RanVerdict::kNo,
                 "no quorum of the ledger answered");
       break;
   }
 }
 
-void EntryCore::On(const AttemptEnded& aEvent, Millis aNow)
-{
-  const auto it = jobs_.find(aEvent.job_);
-  const bool known = it != jobs_.end() &&
-                     it->second.state_ == JobState::kRunning &&
-                     it->second.attempt_ == aEvent.attempt_;
-  if (!known) {
-    // The answer of an abandoned attempt; the shell discards it.
-    return;
-  }
-  Job& job = it->second;
-  const ServiceName service = job.request_.service_;
-  --inFlight_[job.instance_];
-  if (aEvent.verdict_ == AttemptVerdict::kAnswered) {
-    if (job.request_.repeatability_ == Repeatability::kAtMostOnce) {
-      actions_.push_back(RecordOutcome{ .job_ = aEvent.job_,
-                                        .attempt_ = aEvent.attempt_,
-                                        .key_ = job.request_.key_ });
-    }
-    actions_.push_back(
-      Answer{ .job_ = aEvent.job_, .attempt_ = aEvent.attempt_ });
-    job.state_ = JobState::kWaiting;
-    End(aEvent.job_);
-    DrainQueue(service, aNow);
-    return;
-  }
-  const bool mayRetry =
-    aEvent.verdict_ == AttemptVerdict::kNotSent ||
-    job.request_.repeatability_ == Repeatability::kRepeatable;
-  if (mayRetry && job.attempts_ < options_.maxAttempts_ &&
-      aNow < job.request_.deadline_) {
-    job.tried_.push_back(job.instance_);
-    Enqueue(job);
-  } else {
-    job.state_ = JobState::kWaiting;
-    const bool neverSent =
-      aEvent.verdict_ == AttemptVerdict::kNotSent &&
-      job.request_.repeatability_ == Repeatability::kAtMostOnce;
-    RefuseJob(aEvent.job_,
-              RefusalCode::kUpstreamFailed,
-              neverSent ? RanVerdict::kNo : RanVerdict::kUnknown,
-              "the upstream did not answer");
-  }
-  DrainQueue(service, aNow);
-}
-
 void EntryCore::On(const FactArrived& aEvent, Millis aNow)
 {
   if (!directory_.Apply(aEvent.fact_, aNow)) {
@@ -154,28 +179,51 @@
   if (!aEvent.fromPeer_) {
     actions_.push_back(ShareFact{ .fact_ = aEvent.fact_ });
   }
+  const InstanceName& instance = aEvent.fact_.instance_;
+  slots_.Put(aEvent.fact_, aNow + aEvent.fact_.lease_);
+  if (aEvent.fact_.departed_) {
+    sharing_->RemoveUpstream(instance);
+    health_.Remove(instance);
+    return;
+  }
+  health_.Add(instance, aEvent.fact_.service_);
+  sharing_->PutUpstream(aEvent.fact_, aNow);
+  ApplyHealth(instance);
   DrainQueue(aEvent.fact_.service_, aNow);
 }
 
 void EntryCore::On(const GrantsArrived& aEvent, Millis aNow)
 {
   for (const Grant& grant : aEvent.grants_) {
-    const auto [it, isNew] = grants_.try_emplace(grant.instance_, grant);
-    if (!isNew && grant.epoch_ >= it->second.epoch_) {
-      it->second = grant;
-    }
+    slots_.SetGrant(grant);
   }
   DrainAllQueues(aNow);
 }
 
 void EntryCore::On(const DrainChanged& aEvent, Millis aNow)
 {
-  if (aEvent.draining_) {
-    draining_.insert(aEvent.instance_);
-    return;
+  slots_.SetDraining(aEvent.instance_, aEvent.draining_);
+  if (!aEvent.draining_) {
+    DrainAllQueues(aNow);
   }
-  draining_.erase(aEvent.instance_);
-  DrainAllQueues(aNow);
+}
+
+void EntryCore::On(const MemberLimitsChanged& aEvent, Millis /*aNow*/)
+{
+  limits_ = aEvent.limits_;
+  for (auto& [name, service] : services_) {
+    service.queue_.SetLimits(limits_);
+  }
+}
+
+void EntryCore::On(const PeerMessageArrived& aEvent, Millis aNow)
+{
+  sharing_->Take(aEvent.from_, aEvent.message_, aNow);
+}
+
+void EntryCore::On(const LatencyMeasured& aEvent, Millis /*aNow*/)
+{
+  slots_.SetLatency(aEvent.dataCentre_, aEvent.roundTrip_);
 }
 
 void EntryCore::On(const StopRequested& /*aEvent*/, Millis /*aNow*/)
@@ -185,142 +233,182 @@
 
 void EntryCore::On(const TimerTick& /*aEvent*/, Millis aNow)
 {
-  for (const InstanceName& instance : directory_.Expire(aNow)) {
-    actions_.push_back(UpstreamGone{ .instance_ = instance });
-  }
-  std::vector<JobNumber> late;
-  for (const auto& [number, job] : jobs_) {
-    if (aNow >= job.request_.deadline_) {
-      late.push_back(number);
-    }
+  if (aNow >= nextExpiry_) {
+    nextExpiry_ = aNow + kExpiryPeriod;
+    ExpireUpstreams(aNow);
   }
-  for (JobNumber number : late) {
-    const Job& job = jobs_.at(number);
-    const bool dispatched = job.attempts_ > 0;
-    if (job.state_ == JobState::kRunning) {
-      actions_.push_back(
-        AbandonAttempt{ .job_ = number, .attempt_ = job.attempt_ });
+  for (const InstanceName& instance : health_.EndEjections(aNow)) {
+    ApplyHealth(instance);
+    if (const UpstreamSlots* upstream = slots_.Find(instance)) {
+      DrainQueue(upstream->fact_.service_, aNow);
     }
-    RefuseJob(number,
-              RefusalCode::kDeadlineExceeded,
-              dispatched ? RanVerdict::kUnknown : RanVerdict::kNo,
-              "no answer by the deadline");
   }
-  DrainAllQueues(aNow);
+  RefuseLateJobs(aNow);
+  RunTimers(aNow);
 }
 
-void EntryCore::DrainAllQueues(Millis aNow)
+EntryCore::Service& EntryCore::ServiceOf(const ServiceName& aService)
 {
-  for (auto& [service, queue] : queues_) {
-    DrainQueue(service, aNow);
+  const auto known = services_.find(aService);
+  if (known != services_.end()) {
+    return known->second;
   }
+  const AdmissionOptions admission{ .maxWaiting_ = options_.maxQueued_ };
+  Service& service =
+    services_
+      .try_emplace(aService, Service{ AdmissionQueue(admission), {}, {} })
+      .first->second;
+  service.queue_.SetLimits(limits_);
+  return service;
 }
 
-bool EntryCore::MayUse(const InstanceName& aInstance, Millis aNow) const
+size_t EntryCore::WaitingCount(const ServiceName& aService) const
 {
-  if (draining_.contains(aInstance)) {
-    return false;
-  }
-  if (!options_.requireGrants_) {
-    return true;
-  }
-  const auto grant = grants_.find(aInstance);
-  if (grant == grants_.end() || aNow >= grant->second.expiresAt_) {
-    return false;
-  }
-  const auto used = inFlight_.find(aInstance);
-  const uint32_t inFlight = used != inFlight_.end() ? used->second : 0;
-  return inFlight < std::min(grant->second.slots_, grant->second.connections_);
+  const auto it = services_.find(aService);
+  return it != services_.end() ? it->second.queue_.Size() : 0;
 }
 
 void EntryCore::Enqueue(Job& aJob)
 {
-  auto& queue = queues_[aJob.request_.service_];
   aJob.state_ = JobState::kWaiting;
-  if (queue.size() >= options_.maxQueued_) {
-    RefuseJob(aJob.request_.number_,
-              RefusalCode::kQueueFull,
-              aJob.attempts_ > 0 ? RanVerdict::kUnknown : RanVerdict::kNo,
-              "too many jobs wait for this service");
-    return;
+  ServiceOf(aJob.request_.service_)
+    .queue_.Push({ .number_ = aJob.request_.number_,
+                   .member_ = aJob.request_.member_,
+                   .priority_ = aJob.request_.priority_,
+                   .arrivedAt_ = aJob.request_.arrivedAt_,
+                   .deadline_ = aJob.request_.deadline_ });
+}
+
+void EntryCore::Requeue(Job& aJob)
+{
+  aJob.state_ = JobState::kWaiting;
+  ServiceOf(aJob.request_.service_)
+    .queue_.PushAgain({ .number_ = aJob.request_.number_,
+                        .member_ = aJob.request_.member_,
+                        .priority_ = aJob.request_.priority_,
+                        .arrivedAt_ = aJob.request_.arrivedAt_,
+                        .deadline_ = aJob.request_.deadline_ });
+}
+
+void EntryCore::RemoveFromQueue(const Job& aJob)
+{
+  if (aJob.state_ == JobState::kWaiting) {
+    ServiceOf(aJob.request_.service_).queue_.Remove(aJob.request_.number_);
   }
-  queue.push_back(aJob.request_.number_);
 }
 
-void EntryCore::DrainQueue(const ServiceName& aService, Millis aNow)
+void EntryCore::DrainAllQueues(Millis aNow)
 {
-  auto& queue = queues_[aService];
-  while (!queue.empty()) {
-    const auto it = jobs_.find(queue.front());
-    const bool gone =
-      it == jobs_.end() || it->second.state_ != JobState::kWaiting;
-    if (!gone && !TryDispatch(it->second, aNow)) {
-      return;
-    }
-    queue.pop_front();
+  for (auto& [name, service] : services_) {
+    DrainQueue(name, aNow);
   }
 }
 
-bool EntryCore::TryDispatch(Job& aJob, Millis aNow)
+void EntryCore::DrainQueue(const ServiceName& aName, Millis aNow)
 {
-  std::vector<Candidate> candidates;
-  for (const UpstreamFact* upstream :
-       directory_.Live(aJob.request_.service_, aNow)) {
-    if (!MayUse(upstream->instance_, aNow)) {
-      continue;
-    }
-    const bool tried =
-      std::find(aJob.tried_.begin(), aJob.tried_.end(), upstream->instance_) !=
-      aJob.tried_.end();
-    candidates.push_back(Candidate{ .upstream_ = upstream,
-                                    .inFlight_ = inFlight_[upstream->instance_],
-                                    .sameDataCentre_ = upstream->dataCentre_ ==
-                                                       options_.dataCentre_,
-                                    .triedBefore_ = tried });
+  Service& service = ServiceOf(aName);
+  std::vector<JobNumber> hopeless;
+  service.queue_.ForFront(
+    kMostPassedOver,
+    [&](const WaitingJob& aWaiting) {
+      const FrontVerdict verdict = TryDispatch(aWaiting, service, aNow);
+      if (verdict == FrontVerdict::kDrop) {
+        hopeless.push_back(aWaiting.number_);
+      }
+      return verdict;
+    },
+    aNow);
+  for (const JobNumber number : hopeless) {
+    RefuseJob(number,
+              RefusalCode::kDeadlineUnreachable,
+              "too little time is left for a job of this service");
+  }
+  ShareDemand(aName, service, aNow);
+}
+
+void EntryCore::ShareDemand(const ServiceName& aName,
+                            Service& aService,
+                            Millis aNow)
+{
+  const AdmissionQueue& queue = aService.queue_;
+  sharing_->SetDemand(
+    aName,
+    { .waiting_ = static_cast<uint32_t>(queue.Size()),
+      .urgent_ = static_cast<uint32_t>(queue.UrgentSize()),
+      .oldestArrivedAt_ = queue.Size() > 0 ? queue.OldestArrival() : aNow },
+    aNow);
+}
+
+FrontVerdict EntryCore::TryDispatch(const WaitingJob& aWaiting,
+                                    Service& aService,
+                                    Millis aNow)
+{
+  const Millis least = aService.runTimes_.Quantile(RunTimeQuantile::kLow);
+  Job& job = *jobs_.Find(aWaiting.number_);
+  if (aNow + least >= aWaiting.deadline_) {
+    job.state_ = JobState::kBackoff; // no longer in the queue
+    return FrontVerdict::kDrop;
+  }
+  if (slots_.UsableCount(job.request_.service_) == 0) {
+    return FrontVerdict::kKeep;
   }
-  const std::optional<size_t> chosen = strategy_->Choose(candidates, aNow);
-  if (!chosen) {
-    return false;
+  const bool repeatable =
+    job.request_.repeatability_ == Repeatability::kRepeatable;
+  const std::optional<SlotChoice> choice =
+    slots_.Choose({ .service_ = job.request_.service_,
+                    .tried_ = job.tried_,
+                    .repeatable_ = repeatable },
+                  aNow);
+  if (!choice) {
+    return FrontVerdict::kKeep;
   }
-  const UpstreamFact& upstream = *candidates[*chosen].upstream_;
+  DispatchTo(job, *choice, aService, aNow);
+  return FrontVerdict::kDispatched;
+}
+
+void EntryCore::DispatchTo(Job& aJob,
+                           const SlotChoice& aChoice,
+                           Service& aService,
+                           Millis aNow)
+{
+  const UpstreamFact& upstream = aChoice.upstream_->fact_;
+  const JobNumber number = aJob.request_.number_;
   aJob.state_ = JobState::kRunning;
   aJob.attempt_ = AttemptNumber(nextAttempt_++);
   aJob.instance_ = upstream.instance_;
-  ++aJob.attempts_;
-  ++inFlight_[upstream.instance_];
+  aJob.dispatchedAt_ = aNow;
+  if (++aJob.attempts_ == 1) {
+    aService.budget_.NoteFirstAttempt();
+  }
   actions_.push_back(
-    Dispatch{ .job_ = aJob.request_.number_,
+    Dispatch{ .job_ = number,
               .attempt_ = aJob.attempt_,
               .instance_ = upstream.instance_,
               .endpoint_ = upstream.endpoint_,
               .timeLeft_ = aJob.request_.deadline_ - aNow,
-              .candidates_ = static_cast<uint32_t>(candidates.size()),
-              .reason_ = aJob.attempts_ > 1 ? "retry" : "fewest in flight" });
-  return true;
-}
-
-void EntryCore::End(JobNumber aNumber)
-{
-  const auto it = jobs_.find(aNumber);
-  if (it == jobs_.end()) {
-    return;
-  }
-  if (it->second.state_ == JobState::kRunning) {
-    --inFlight_[it->second.instance_];
-  }
-  jobs_.erase(it);
+              .candidates_ = aChoice.candidates_,
+              .reason_ = aJob.attempts_ > 1 ? "retry" : std::string(reason_) });
+  timers_.push({ .at_ = aNow + StallSpan(aJob, aService, aNow),
+                 .kind_ = Timer::Kind::kStall,
+                 .job_ = number,
+                 .attempt_ = aJob.attempt_ });
+  slots_.Begin(aJob.instance_);
+  sharing_->Begun(aJob.instance_);
 }
 
 void EntryCore::RefuseJob(JobNumber aNumber,
                           RefusalCode aCode,
-                          RanVerdict aRan,
                           std::string aDetail)
 {
-  actions_.push_back(Refuse{ .job_ = aNumber,
-                             .refusal_ = { .code_ = aCode,
-                                           .ran_ = aRan,
-                                           .detail_ = std::move(aDetail) } });
-  End(aNumber);
+  Job* job = jobs_.Find(aNumber);
+  const bool mayHaveRun = job->maybeRan_ || job->state_ == JobState::kRunning;
+  actions_.push_back(Refuse{
+    .job_ = aNumber,
+    .refusal_ = { .code_ = aCode,
+                  .ran_ = mayHaveRun ? RanVerdict::kUnknown : RanVerdict::kNo,
+                  .detail_ = std::move(aDetail) } });
+  RemoveFromQueue(*job);
+  jobs_.Remove(aNumber);
 }
 
 } // namespace vanillahatch
--- /dev/null
+++ b/src/core/own_view.cpp
@@ -0,0 +1,68 @@
+#include "vanillahatch/core/slot_sharing.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+namespace {
+
+class OwnView : public SlotSharing
+{
+public:
+  OwnView(SlotTable& aTable, size_t aEntries)
+    : table_(aTable)
+    , entries_(aEntries)
+  {
+  }
+
+  void PutUpstream(const UpstreamFact& aFact, Millis /*aNow*/) override
+  {
+    // A sole entry sees the slots whole; several can only keep to the
+    // connections, and what is too much waits at the upstream.
+    const uint32_t most = entries_ <= 1
+                            ? aFact.slots_
+                            : ConnectionShare(aFact.connections_, entries_);
+    table_.SetAllowance(aFact.instance_, most);
+    raised_.push_back(aFact.service_);
+  }
+  void RemoveUpstream(const InstanceName& /*aInstance*/) override {}
+  void SetEjected(const InstanceName& /*aInstance*/, bool /*aOut*/) override {}
+  void SetDemand(const ServiceName& /*aService*/,
+                 const SlotDemand& /*aDemand*/,
+                 Millis /*aNow*/) override
+  {
+  }
+  void Begun(const InstanceName& /*aInstance*/) override {}
+  void Ended(const InstanceName& /*aInstance*/, Millis /*aNow*/) override {}
+  void Take(const NodeName& /*aFrom*/,
+            const PeerMessage& /*aMessage*/,
+            Millis /*aNow*/) override
+  {
+  }
+  std::vector<ServiceName> TakeRaised() override
+  {
+    return std::exchange(raised_, {});
+  }
+  std::vector<OutgoingMessage> Flush(Millis /*aNow*/) override { return {}; }
+  Millis NextWake() const override { return Millis::Max(); }
+
+private:
+  SlotTable& table_;
+  size_t entries_;
+  std::vector<ServiceName> raised_;
+};
+
+} // namespace
+
+uint32_t ConnectionShare(uint32_t aConnections, size_t aEntries)
+{
+  const auto entries = static_cast<uint32_t>(std::max<size_t>(aEntries, 1));
+  return std::max(aConnections / entries, 1U);
+}
+
+std::unique_ptr<SlotSharing> MakeOwnView(SlotTable& aTable, size_t aEntries)
+{
+  return std::make_unique<OwnView>(aTable, aEntries);
+}
+
+} // namespace vanillahatch
--- a/src/core/router.cpp
+++ b/src/core/router.cpp
@@ -1,7 +1,5 @@
 #include "vanillahatch/core/router.h"
 
-#include <tuple>
-
 namespace vanillahatch {
 
 namespace {
@@ -9,29 +7,21 @@
 class LeastInFlight : public RoutingStrategy
 {
 public:
-  std::optional<size_t> Choose(std::span<const Candidate> aCandidates,
-                               Millis /*aNow*/) override
+  uint64_t Rank(const UpstreamSlots& aUpstream) const override
   {
-    std::optional<size_t> best;
-    for (size_t i = 0; i < aCandidates.size(); ++i) {
-      const Candidate& candidate = aCandidates[i];
-      if (candidate.inFlight_ >= candidate.upstream_->slots_) {
-        continue;
-      }
-      if (!best || Rank(candidate) < Rank(aCandidates[*best])) {
-        best = i;
-      }
-    }
-    return best;
+    return aUpstream.Used();
   }
+  std::string_view Reason() const override { return "fewest in flight"; }
+};
 
-private:
-  static std::tuple<bool, bool, uint32_t> Rank(const Candidate& aCandidate)
+class RoundRobin : public RoutingStrategy
+{
+public:
+  uint64_t Rank(const UpstreamSlots& aUpstream) const override
   {
-    return { aCandidate.triedBefore_,
-             !aCandidate.sameDataCentre_,
-             aCandidate.inFlight_ };
+    return aUpstream.lastPick_;
   }
+  std::string_view Reason() const override { return "next in turn"; }
 };
 
 } // namespace
@@ -41,4 +31,9 @@
   return std::make_unique<LeastInFlight>();
 }
 
+std::unique_ptr<RoutingStrategy> MakeRoundRobin()
+{
+  return std::make_unique<RoundRobin>();
+}
+
 } // namespace vanillahatch
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -50,7 +50,11 @@
       { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
       [this](HttpRequest aRequest) { return HandleHttp(std::move(aRequest)); })
   , events_(kEventRingSize)
-  , core_({ .dataCentre_ = aSelf.dataCentre_ }, MakeLeastInFlight())
+  , core_({ .dataCentre_ = aSelf.dataCentre_ },
+          MakeLeastInFlight(),
+          [&](SlotTable& aTable) {
+            return MakeOwnView(aTable, aSettings.entries_.size());
+          })
   , ledger_(aSettings.ledgers_)
   , peers_(aSelf.name_, aSettings.entries_)
   , peerService_([this](const UpstreamFact& aFact) {
@@ -398,6 +402,10 @@
              { { "instance", aAction.instance_.View() } });
 }
 
+void EntryProcess::Do(const HealthChanged& /*aAction*/) {}
+
+void EntryProcess::Do(const SendToPeer& /*aAction*/) {}
+
 std::string EntryProcess::PublicId(JobNumber aNumber) const
 {
   return self_.name_.Str() + "." + startId_ + "." +
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -53,6 +53,8 @@
   void Do(const RecordOutcome& aAction);
   void Do(const ShareFact& aAction);
   void Do(const UpstreamGone& aAction);
+  void Do(const HealthChanged& aAction);
+  void Do(const SendToPeer& aAction);
 
   std::string PublicId(JobNumber aNumber) const;
   std::string Claimant(JobNumber aNumber) const;
--- /dev/null
+++ b/test/admission_queue_test.cpp
@@ -0,0 +1,139 @@
+#define BOOST_TEST_MODULE admission_queue
+#include "vanillahatch/core/admission_queue.h"
+
+#include <boost/test/unit_test.hpp>
+#include <vector>
+
+using namespace vanillahatch;
+
+namespace {
+
+WaitingJob MakeJob(uint64_t aNumber,
+                   const char* aMember,
+                   Priority aPriority = Priority::kNormal)
+{
+  return { .number_ = JobNumber(aNumber),
+           .member_ = MemberName(aMember),
+           .priority_ = aPriority,
+           .arrivedAt_ = Millis(0),
+           .deadline_ = Seconds(10) };
+}
+
+// Dispatches `aCount` jobs at one time and gives their numbers.
+std::vector<uint64_t> Serve(AdmissionQueue& aQueue, size_t aCount, Millis aNow)
+{
+  std::vector<uint64_t> served;
+  aQueue.ForFront(
+    1,
+    [&](const WaitingJob& aJob) {
+      if (served.size() == aCount) {
+        return FrontVerdict::kKeep;
+      }
+      served.push_back(static_cast<uint64_t>(aJob.number_));
+      return FrontVerdict::kDispatched;
+    },
+    aNow);
+  return served;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(FloodOfOneMemberDoesNotDelayAnother)
+{
+  AdmissionQueue queue;
+  for (uint64_t i = 1; i <= 100; ++i) {
+    queue.Push(MakeJob(i, "flood"));
+  }
+  queue.Push(MakeJob(200, "light"));
+  const std::vector<uint64_t> served = Serve(queue, 2, Millis(1));
+  BOOST_TEST(std::count(served.begin(), served.end(), 200U) == 1);
+}
+
+BOOST_AUTO_TEST_CASE(WeightGivesProportionalShare)
+{
+  AdmissionQueue queue;
+  const MemberLimit limit{ .member_ = MemberName("double"), .weight_ = 2 };
+  queue.SetLimits({ &limit, 1 });
+  for (uint64_t i = 0; i < 100; ++i) {
+    queue.Push(MakeJob(i, "double"));
+    queue.Push(MakeJob(1000 + i, "single"));
+  }
+  const std::vector<uint64_t> served = Serve(queue, 60, Millis(1));
+  const auto doubles = std::count_if(
+    served.begin(), served.end(), [](uint64_t aJob) { return aJob < 1000; });
+  BOOST_TEST(doubles >= 39);
+  BOOST_TEST(doubles <= 41);
+}
+
+BOOST_AUTO_TEST_CASE(UrgentJobIsServedFirst)
+{
+  AdmissionQueue queue;
+  queue.Push(MakeJob(1, "a"));
+  queue.Push(MakeJob(2, "b", Priority::kUrgent));
+  const std::vector<uint64_t> expected{ 2, 1 };
+  const std::vector<uint64_t> served = Serve(queue, 2, Millis(1));
+  BOOST_TEST(served == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(RetryGoesBeforeLaterArrivals)
+{
+  AdmissionQueue queue;
+  queue.Push(MakeJob(1, "a"));
+  Serve(queue, 1, Millis(1));
+  queue.Push(MakeJob(2, "b"));
+  queue.PushAgain(MakeJob(1, "a"));
+  BOOST_TEST(Serve(queue, 1, Millis(2)).front() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(FullQueueAndFullMemberAreRefused)
+{
+  AdmissionQueue queue({ .maxWaiting_ = 3 });
+  const MemberLimit limit{ .member_ = MemberName("a"), .maxWaiting_ = 1 };
+  queue.SetLimits({ &limit, 1 });
+  queue.Push(MakeJob(1, "a"));
+  const auto check = [&](const char* aMember) {
+    return queue.Check(MakeJob(9, aMember), Millis(0), Millis(0));
+  };
+  BOOST_TEST((check("a") == AdmissionVerdict::kMemberLimit));
+  BOOST_TEST((check("b") == AdmissionVerdict::kAdmitted));
+  queue.Push(MakeJob(2, "b"));
+  queue.Push(MakeJob(3, "c"));
+  BOOST_TEST((check("b") == AdmissionVerdict::kQueueFull));
+}
+
+BOOST_AUTO_TEST_CASE(JobThatTheQueueMakesLateIsRefusedAtOnce)
+{
+  AdmissionQueue queue;
+  for (uint64_t i = 0; i < 600; ++i) {
+    queue.Push(MakeJob(i, "a"));
+  }
+  // One job each 10 ms for a second: 500 waiting jobs take about 5 s.
+  for (int64_t ms = 10; ms <= 1000; ms += 10) {
+    Serve(queue, 1, Millis(ms));
+  }
+  WaitingJob job = MakeJob(900, "a");
+  const Millis now(1000);
+  job.deadline_ = now + Seconds(1);
+  BOOST_TEST((queue.Check(job, Millis(5), now) ==
+              AdmissionVerdict::kDeadlineUnreachable));
+  job.deadline_ = now + Seconds(6);
+  BOOST_TEST((queue.Check(job, Millis(5), now) == AdmissionVerdict::kAdmitted));
+}
+
+BOOST_AUTO_TEST_CASE(JobShorterThanTheLeastRunTimeIsRefused)
+{
+  AdmissionQueue queue;
+  WaitingJob job = MakeJob(1, "a");
+  job.deadline_ = Millis(20);
+  BOOST_TEST((queue.Check(job, Millis(30), Millis(0)) ==
+              AdmissionVerdict::kDeadlineUnreachable));
+}
+
+BOOST_AUTO_TEST_CASE(RemovedJobIsNeverOffered)
+{
+  AdmissionQueue queue;
+  queue.Push(MakeJob(1, "a"));
+  BOOST_TEST(queue.Remove(JobNumber(1)));
+  BOOST_TEST(!queue.Remove(JobNumber(1)));
+  BOOST_TEST(Serve(queue, 1, Millis(1)).empty());
+}
--- a/test/entry_core_test.cpp
+++ b/test/entry_core_test.cpp
@@ -2,6 +2,7 @@
 #include "vanillahatch/core/entry_core.h"
 
 #include <boost/test/unit_test.hpp>
+#include <optional>
 
 using namespace vanillahatch;
 
@@ -52,7 +53,9 @@
 {
 public:
   explicit EntryHarness(EntryCoreOptions aOptions)
-    : core_(std::move(aOptions), MakeLeastInFlight())
+    : core_(std::move(aOptions), MakeLeastInFlight(), [](SlotTable& aTable) {
+      return MakeOwnView(aTable, 1);
+    })
   {
     core_.Handle(FactArrived{ .fact_ = MakeFact("loops-1") }, Millis(0));
   }
@@ -115,3 +118,193 @@
     harness.core_.Handle(DrainChanged{ instance, false }, Millis(3));
   BOOST_TEST(CountOf<Dispatch>(after) == 1U);
 }
+
+namespace {
+
+EntryCoreOptions Plain()
+{
+  return { .dataCentre_ = DataCentreName("north") };
+}
+
+JobArrived MakeOnceJob(uint64_t aNumber)
+{
+  JobArrived job = MakeJob(aNumber);
+  job.request_.repeatability_ = Repeatability::kAtMostOnce;
+  job.request_.key_ = IdempotencyKey("k");
+  return job;
+}
+
+AttemptEnded MakeEnd(uint64_t aJob, uint64_t aAttempt, AttemptVerdict aVerdict)
+{
+  return { .job_ = JobNumber(aJob),
+           .attempt_ = AttemptNumber(aAttempt),
+           .verdict_ = aVerdict,
+           .httpStatus_ = 200 };
+}
+
+// What the job was refused with, or nothing.
+std::optional<Refusal> RefusalIn(const std::vector<EntryAction>& aActions)
+{
+  for (const EntryAction& action : aActions) {
+    if (const auto* refuse = std::get_if<Refuse>(&action)) {
+      return refuse->refusal_;
+    }
+  }
+  return std::nullopt;
+}
+
+// Two upstreams and a service that has spare retry budget.
+class RetryHarness : public EntryHarness
+{
+public:
+  RetryHarness()
+    : EntryHarness(Plain())
+  {
+    core_.Handle(FactArrived{ .fact_ = MakeFact("loops-2") }, Millis(0));
+    for (uint64_t i = 1000; i < 1040; ++i) {
+      core_.Handle(MakeJob(i), Millis(0));
+      const uint64_t attempt = i - 999;
+      core_.Handle(MakeEnd(i, attempt, AttemptVerdict::kAnswered), Millis(10));
+    }
+  }
+
+  static constexpr uint64_t kNextAttempt = 41;
+};
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(CancelledWaitingJobNeverRunsAndIsSaidNotToHave)
+{
+  EntryHarness harness(Granted());
+  harness.core_.Handle(MakeJob(1), Millis(1));
+  const auto cancelled =
+    harness.core_.Handle(JobCancelled{ JobNumber(1) }, Millis(2));
+  BOOST_TEST((RefusalIn(cancelled)->ran_ == RanVerdict::kNo));
+  const auto granted =
+    harness.core_.Handle(MakeGrant(1, 8, Seconds(10)), Millis(3));
+  BOOST_TEST(CountOf<Dispatch>(granted) == 0U);
+  const auto again =
+    harness.core_.Handle(JobCancelled{ JobNumber(1) }, Millis(4));
+  BOOST_TEST(CountOf<Refuse>(again) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(CancelledRunningJobAbandonsItsAttempt)
+{
+  EntryHarness harness(Plain());
+  harness.core_.Handle(MakeJob(1), Millis(1));
+  const auto actions =
+    harness.core_.Handle(JobCancelled{ JobNumber(1) }, Millis(2));
+  BOOST_TEST(CountOf<AbandonAttempt>(actions) == 1U);
+  BOOST_TEST((RefusalIn(actions)->ran_ == RanVerdict::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(LateAnswerOfAbandonedAttemptIsNotPassedOn)
+{
+  EntryHarness harness(Plain());
+  harness.core_.Handle(MakeJob(1), Millis(1));
+  harness.core_.Handle(JobCancelled{ JobNumber(1) }, Millis(2));
+  const auto actions =
+    harness.core_.Handle(MakeEnd(1, 1, AttemptVerdict::kAnswered), Millis(3));
+  BOOST_TEST(CountOf<Answer>(actions) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AbandonedAttemptOccupiesItsSlotForTheStatedSpan)
+{
+  EntryHarness harness(Plain());
+  for (uint64_t i = 1; i <= 8; ++i) {
+    harness.core_.Handle(MakeJob(i), Millis(1));
+  }
+  harness.core_.Handle(JobCancelled{ JobNumber(1) }, Millis(2));
+  harness.core_.Handle(MakeEnd(1, 1, AttemptVerdict::kUnknown), Millis(3));
+  const auto before = harness.core_.Handle(MakeJob(9), Millis(4));
+  BOOST_TEST(CountOf<Dispatch>(before) == 0U);
+  harness.core_.Handle(TimerTick{}, Millis(1002));
+  const auto after = harness.core_.Handle(TimerTick{}, Millis(1003));
+  BOOST_TEST(CountOf<Dispatch>(after) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(BrokenRepeatableJobIsRetriedOnAnotherUpstream)
+{
+  RetryHarness harness;
+  const auto first = harness.core_.Handle(MakeJob(1), Millis(20));
+  const InstanceName tried = std::get<Dispatch>(first.front()).instance_;
+  const auto broken = harness.core_.Handle(
+    MakeEnd(1, RetryHarness::kNextAttempt, AttemptVerdict::kUnknown),
+    Millis(30));
+  BOOST_TEST(CountOf<Refuse>(broken) == 0U);
+  const auto retry = harness.core_.Handle(TimerTick{}, Millis(60));
+  BOOST_REQUIRE(CountOf<Dispatch>(retry) == 1U);
+  for (const EntryAction& action : retry) {
+    if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+      BOOST_TEST(dispatch->instance_ != tried);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(BrokenOnceJobIsNeverSentAgain)
+{
+  RetryHarness harness;
+  harness.core_.Handle(MakeOnceJob(1), Millis(20));
+  harness.core_.Handle(ClaimEnded{ JobNumber(1), ClaimVerdict::kGranted },
+                       Millis(21));
+  const auto broken = harness.core_.Handle(
+    MakeEnd(1, RetryHarness::kNextAttempt, AttemptVerdict::kUnknown),
+    Millis(30));
+  BOOST_TEST((RefusalIn(broken)->ran_ == RanVerdict::kUnknown));
+  BOOST_TEST(CountOf<Dispatch>(broken) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(OnceJobThatWasNotSentIsTriedElsewhereThenSaidNotToHaveRun)
+{
+  RetryHarness harness;
+  harness.core_.Handle(MakeOnceJob(1), Millis(20));
+  harness.core_.Handle(ClaimEnded{ JobNumber(1), ClaimVerdict::kGranted },
+                       Millis(21));
+  const uint64_t attempt = RetryHarness::kNextAttempt;
+  const auto second = harness.core_.Handle(
+    MakeEnd(1, attempt, AttemptVerdict::kNotSent), Millis(30));
+  BOOST_TEST(CountOf<Dispatch>(second) == 1U);
+  const auto refused = harness.core_.Handle(
+    MakeEnd(1, attempt + 1, AttemptVerdict::kNotSent), Millis(40));
+  BOOST_TEST((RefusalIn(refused)->ran_ == RanVerdict::kNo));
+}
+
+BOOST_AUTO_TEST_CASE(RepeatableJobSentOnceIsNeverSaidNotToHaveRun)
+{
+  RetryHarness harness;
+  harness.core_.Handle(MakeJob(1), Millis(20));
+  const uint64_t attempt = RetryHarness::kNextAttempt;
+  harness.core_.Handle(MakeEnd(1, attempt, AttemptVerdict::kUnknown),
+                       Millis(30));
+  harness.core_.Handle(TimerTick{}, Millis(60));
+  const auto refused = harness.core_.Handle(
+    MakeEnd(1, attempt + 1, AttemptVerdict::kNotSent), Millis(70));
+  BOOST_TEST((RefusalIn(refused)->ran_ == RanVerdict::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(StalledAttemptIsAbandonedAndTriedElsewhere)
+{
+  RetryHarness harness;
+  harness.core_.Handle(MakeJob(1), Millis(20));
+  const auto stalled = harness.core_.Handle(TimerTick{}, Millis(320));
+  BOOST_TEST(CountOf<AbandonAttempt>(stalled) == 1U);
+  const auto retry = harness.core_.Handle(TimerTick{}, Millis(340));
+  BOOST_TEST(CountOf<Dispatch>(retry) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(BurstOfCancellationsEndsEveryJobOnce)
+{
+  EntryHarness harness(Granted());
+  for (uint64_t i = 1; i <= 1000; ++i) {
+    harness.core_.Handle(MakeJob(i), Millis(1));
+  }
+  size_t refused = 0;
+  for (int round = 0; round < 2; ++round) {
+    for (uint64_t i = 1; i <= 1000; ++i) {
+      refused += CountOf<Refuse>(
+        harness.core_.Handle(JobCancelled{ JobNumber(i) }, Millis(2)));
+    }
+  }
+  BOOST_TEST(refused == 1000U);
+  BOOST_TEST(harness.core_.JobCount() == 0U);
+}
