--- /dev/null
+++ b/bench/footprint_bench.py
@@ -0,0 +1,217 @@
+"""What each of our programs costs: resident memory, processor share and bytes
+a second, at several numbers of upstreams, with a straight line fitted and
+worked out for a larger fleet.
+
+    python3 bench/footprint_bench.py BUILD_DIR [--driver upstreams]
+        [--sizes 50 200 800] [--seconds 15] [--target 3700] [--period-ms 500]
+
+The driver is the number of upstreams, of changes a day, or of jobs a second.
+
+Bytes are those of every connection of a process, both ways, as the kernel
+counts them (`ss -ti`); memory and processor time are from /proc."""
+
+import argparse
+import os
+import re
+import shutil
+import subprocess
+import sys
+import tempfile
+import threading
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../scripts"))
+from deployment import (DATA_CENTRES, UPSTREAM_TOKEN, Deployment, Node,
+                        free_ports)
+
+TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
+SETTLE_SECONDS = 6
+
+
+class Footprint:
+    """Totals of one process at one moment."""
+
+    def __init__(self, pid):
+        with open(f"/proc/{pid}/stat", encoding="utf-8") as file:
+            fields = file.read().rsplit(")", 1)[1].split()
+        self.cpu_seconds = (int(fields[11]) + int(fields[12])) \
+            / TICKS_PER_SECOND
+        with open(f"/proc/{pid}/status", encoding="utf-8") as file:
+            status = file.read()
+        self.rss_mb = int(re.search(r"VmRSS:\s+(\d+)", status)[1]) / 1024
+        self.threads = int(re.search(r"Threads:\s+(\d+)", status)[1])
+
+
+def bytes_by_connection():
+    """Bytes both ways of every TCP connection, by (pid, local, remote)."""
+    text = subprocess.run(["ss", "-tinpH"], capture_output=True, text=True,
+                          check=True).stdout
+    counts, key = {}, None
+    for line in text.splitlines():
+        head = re.match(r"\S+\s+\d+\s+\d+\s+(\S+)\s+(\S+).*?pid=(\d+)", line)
+        if head:
+            key = (int(head[3]), head[1], head[2])
+        elif key and line.startswith("\t"):
+            sent = re.search(r"bytes_sent:(\d+)", line)
+            received = re.search(r"bytes_received:(\d+)", line)
+            counts[key] = (int(sent[1]) if sent else 0) \
+                + (int(received[1]) if received else 0)
+    return counts
+
+
+def measure(nodes, seconds):
+    """Per node: rss in MB, percent of a core, KB/s over HTTP, KB/s between
+    our own processes, threads."""
+    http_ports = {node.http_port for node in nodes}
+    before = {node.name: Footprint(node.process.pid) for node in nodes}
+    bytes_before, start = bytes_by_connection(), time.monotonic()
+    time.sleep(seconds)
+    bytes_after, span = bytes_by_connection(), time.monotonic() - start
+    rows = {}
+    for node in nodes:
+        pid = node.process.pid
+        after = Footprint(pid)
+        http, own = 0, 0
+        for key, count in bytes_after.items():
+            if key[0] != pid:
+                continue
+            moved = count - bytes_before.get(key, 0)
+            if int(key[1].rsplit(":", 1)[1]) in http_ports:
+                http += moved
+            else:
+                own += moved
+        rows[node.name] = (
+            after.rss_mb,
+            100 * (after.cpu_seconds - before[node.name].cpu_seconds) / span,
+            http / span / 1000, own / span / 1000, after.threads)
+    return rows
+
+
+def announcers(deployment, size, period_ms, ports):
+    """Stand-ins that announce `size` upstreams between them."""
+    nodes = []
+    services = 5
+    for number in range(services):
+        name = f"bulk{number}"
+        nodes.append(Node(name, [
+            os.path.join(deployment.build, "fake_runner"), "--instance", name,
+            "--service", name, "--data-centre", DATA_CENTRES[number % 3],
+            "--port", str(ports[number]), "--token", UPSTREAM_TOKEN,
+            "--log", os.path.join(deployment.folder, name + ".ran"),
+            "--instances", str(size // services),
+            "--announce-period-ms", str(period_ms), "--entry-port"]
+            + [str(entry.http_port) for entry in deployment.entries],
+            deployment.folder))
+    return nodes
+
+
+def change_defaults(deployment, per_day, stop):
+    """Makes changes of configuration at a steady rate until told to stop."""
+    pause, number = 86400 / per_day, 0
+    while not stop.wait(pause):
+        number += 1
+        subprocess.run(
+            [os.path.join(deployment.build, "vhctl"), "--config",
+             deployment.config, "default", "set", "job.max-attempts",
+             str(2 + number % 2)], stdout=subprocess.DEVNULL,
+            stderr=subprocess.DEVNULL, check=False)
+
+
+def call_jobs(deployment, per_second, stop):
+    """Sends jobs, half of them at most once, at about the given rate."""
+    callers = max(1, per_second // 10)
+    caller = subprocess.Popen(
+        [os.path.join(deployment.build, "load_caller"),
+         "--jobs", "100000000", "--callers", str(callers),
+         "--pause-ms", str(1000 * callers // per_second),
+         "--log", "/dev/null", "--service", *deployment.services,
+         "--entry-port"] + [str(entry.http_port)
+                            for entry in deployment.entries],
+        stdout=subprocess.DEVNULL)
+    stop.wait()
+    caller.kill()
+    caller.wait()
+
+
+def run_size(arguments, size):
+    """One deployment with the driver at `size`; rows as `measure` gives."""
+    folder = tempfile.mkdtemp(prefix="vanillahatch-footprint-")
+    by_upstreams = arguments.driver == "upstreams"
+    deployment = Deployment(
+        arguments.build, folder, services=() if by_upstreams
+        else ("loops", "billing"), runners_per_service=6)
+    if by_upstreams:
+        deployment.runners = announcers(deployment, size,
+                                        arguments.period_ms, free_ports(5))
+    stop = threading.Event()
+    drivers = {"changes": change_defaults, "jobs": call_jobs}
+    thread = None
+    try:
+        deployment.start()
+        if size and arguments.driver in drivers:
+            thread = threading.Thread(target=drivers[arguments.driver],
+                                      args=(deployment, size, stop))
+            thread.start()
+        time.sleep(SETTLE_SECONDS)
+        return measure(deployment.entries + deployment.controls
+                       + deployment.ledgers, arguments.seconds)
+    finally:
+        stop.set()
+        if thread:
+            thread.join()
+        deployment.stop()
+        shutil.rmtree(folder, ignore_errors=True)
+
+
+def fit(points):
+    """Least squares: (intercept, slope) of [(x, y)]."""
+    count = len(points)
+    mean_x = sum(x for x, _ in points) / count
+    mean_y = sum(y for _, y in points) / count
+    spread = sum((x - mean_x) ** 2 for x, _ in points)
+    slope = sum((x - mean_x) * (y - mean_y) for x, y in points) / spread \
+        if spread else 0.0
+    return mean_y - slope * mean_x, slope
+
+
+UNITS = ("MB", "% core", "KB/s http", "KB/s own", "threads")
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("build", type=os.path.abspath)
+    parser.add_argument("--driver", default="upstreams",
+                        choices=("upstreams", "changes", "jobs"),
+                        help="upstreams; changes a day; jobs a second")
+    parser.add_argument("--sizes", type=int, nargs="+",
+                        default=[50, 200, 800])
+    parser.add_argument("--seconds", type=float, default=15)
+    parser.add_argument("--target", type=int, default=3700)
+    parser.add_argument("--period-ms", type=int, default=500)
+    arguments = parser.parse_args()
+    print("command: bench/footprint_bench.py", *sys.argv[2:])
+    roles = ("entry", "control", "ledger")
+    points = {}
+    print(f"{arguments.driver:>9} {'role':8}"
+          + "".join(f"{unit:>11}" for unit in UNITS)
+          + "   (the worst node of the role)")
+    for size in arguments.sizes:
+        rows = run_size(arguments, size)
+        for role in roles:
+            values = [row for name, row in rows.items() if role in name]
+            worst = [max(column) for column in zip(*values)]
+            points.setdefault(role, []).append((size, worst))
+            print(f"{size:9} {role:8}"
+                  + "".join(f"{value:11.2f}" for value in worst), flush=True)
+    print(f"\nfit y = a + b * {arguments.driver}, and y at "
+          f"{arguments.target}")
+    for role in roles:
+        for column, unit in enumerate(UNITS[:4]):
+            a, b = fit([(size, worst[column])
+                        for size, worst in points[role]])
+            print(f"{role:8} {unit:10} a = {a:9.4f}  b = {b:12.8f}  "
+                  f"at {arguments.target}: {a + b * arguments.target:9.2f}")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/load_caller.cpp
+++ b/bench/load_caller.cpp
@@ -2,6 +2,7 @@
 // one line per job: key, kind, verdict. The demo holds these lines against the
 // runners' own logs.
 #include "vanillahatch/shell/http_client.h"
+#include "vanillahatch/shell/system_clock.h"
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -75,14 +76,21 @@
     request.set("Vh-Deadline-Ms", "5000");
     request.set("Vh-Repeatable", once ? "no" : "yes");
     request.set("Idempotency-Key", key);
+    request.set("Vh-Issued-At", std::to_string(clock_.UnixNow().Count()));
     request.set(http::field::content_type, "text/plain");
     request.body() = "body of " + key;
     request.prepare_payload();
-    const uint16_t port =
-      options_.entryPorts_[aNumber % options_.entryPorts_.size()];
-    const Endpoint entry{ .address_ = "127.0.0.1", .port_ = port };
-    const ExchangeResult result =
-      co_await client_.Exchange(entry, std::move(request), Millis(8000));
+    ExchangeResult result;
+    // The balancer sends a connection that is refused to the next entry.
+    for (size_t i = 0; i < options_.entryPorts_.size(); ++i) {
+      const uint16_t port =
+        options_.entryPorts_[(aNumber + i) % options_.entryPorts_.size()];
+      const Endpoint entry{ .address_ = "127.0.0.1", .port_ = port };
+      result = co_await client_.Exchange(entry, request, Millis(8000));
+      if (result.verdict_ != ExchangeVerdict::kNotSent) {
+        break;
+      }
+    }
     log_ << key << ' ' << (once ? "once" : "repeatable") << ' '
          << Judge(key, result) << '\n';
   }
@@ -113,6 +121,7 @@
   }
 
   CallerOptions options_;
+  SystemClock clock_;
   std::ofstream log_;
   asio::io_context io_{ 1 };
   HttpClient client_;
--- a/include/vanillahatch/core/entry_core.h
+++ b/include/vanillahatch/core/entry_core.h
@@ -137,6 +137,8 @@
 {
   JobNumber job_{};
   IdempotencyKey key_;
+  Millis issuedAt_; // Unix time
+  Millis deadline_; // monotonic
 };
 
 struct Dispatch
--- a/include/vanillahatch/core/job_table.h
+++ b/include/vanillahatch/core/job_table.h
@@ -24,6 +24,7 @@
 {
   JobRequest request_;
   JobState state_ = JobState::kWaiting;
+  bool hasClaim_ = false; // the key is this job's: nobody else ran it
   AttemptNumber attempt_{};
   InstanceName instance_; // of the running attempt
   Millis dispatchedAt_;
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -114,7 +114,10 @@
   }
   if (job.request_.repeatability_ == Repeatability::kAtMostOnce) {
     job.state_ = JobState::kClaiming;
-    actions_.push_back(StartClaim{ .job_ = number, .key_ = job.request_.key_ });
+    actions_.push_back(StartClaim{ .job_ = number,
+                                   .key_ = job.request_.key_,
+                                   .issuedAt_ = job.request_.issuedAt_,
+                                   .deadline_ = job.request_.deadline_ });
     return;
   }
   Enqueue(job);
@@ -141,6 +144,7 @@
   }
   switch (aEvent.verdict_) {
     case ClaimVerdict::kGranted: {
+      job->hasClaim_ = true;
       const ServiceName service = job->request_.service_;
       Enqueue(*job);
       DrainQueue(service, aNow);
@@ -401,7 +405,13 @@
                           std::string aDetail)
 {
   Job* job = jobs_.Find(aNumber);
-  const bool mayHaveRun = job->maybeRan_ || job->state_ == JobState::kRunning;
+  // An earlier request with the same key may have run through another entry.
+  // Only the holder of the claim knows that none did.
+  const bool isOpen =
+    job->request_.repeatability_ == Repeatability::kAtMostOnce &&
+    !job->hasClaim_;
+  const bool mayHaveRun =
+    isOpen || job->maybeRan_ || job->state_ == JobState::kRunning;
   actions_.push_back(Refuse{
     .job_ = aNumber,
     .refusal_ = { .code_ = aCode,
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -23,6 +23,8 @@
 constexpr size_t kEventRingSize = 16384;
 constexpr Millis kTick = Millis(20);
 constexpr Millis kStopPoll = Millis(20);
+// By how much a caller's clock may be ahead of an entry's.
+constexpr Millis kMaxClockSkew = Seconds(300);
 
 asio::awaitable<void> Sleep(Millis aSpan)
 {
@@ -56,8 +58,8 @@
             return MakeOwnView(aTable, aSettings.entries_.size());
           })
   , ledger_(aSettings.ledgers_)
-  , peers_(aSelf.name_, aSettings.entries_)
-  , peerService_([this](const UpstreamFact& aFact) {
+  , peers_(aSelf.name_, aSettings.entries_, sharedFacts_, clock_)
+  , peerService_(sharedFacts_, clock_, [this](const UpstreamFact& aFact) {
     events_.Push(FactArrived{ .fact_ = aFact, .fromPeer_ = true });
   })
 {
@@ -73,7 +75,7 @@
   }
   server_.Start();
   control_ = std::make_unique<ControlLink>(
-    self_, settings_.controls_, [](const FleetConfig&) {});
+    self_, settings_.controls_, [](const v1::FleetState&) {});
   decisions_ = std::thread([this] { DecisionLoop(); });
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
@@ -109,6 +111,9 @@
   while (server_.OpenConnections() > 0 && clock_.Now() < deadline) {
     co_await Sleep(kStopPoll);
   }
+  while (ledger_.OpenOperations() > 0 && clock_.Now() < deadline) {
+    co_await Sleep(kStopPoll);
+  }
   io_.stop();
 }
 
@@ -128,6 +133,7 @@
     co_return HandleAnnouncement(aRequest);
   }
   if (target == "/metrics") {
+    control_->Report(metrics_);
     HttpResponse response = MakeJson(200, metrics_.Render());
     response.set(http::field::content_type, "text/plain; version=0.0.4");
     co_return response;
@@ -144,14 +150,20 @@
 EntryProcess::Awaited EntryProcess::HandleJob(HttpRequest aRequest)
 {
   metrics_.Count("vh_jobs_arrived_total");
+  // An earlier request with the same key may have run through another entry.
+  const bool isRepeatable = aRequest["Vh-Repeatable"] != "no";
   Result<JobRequest, MalformedJob> parsed =
     ParseJob(aRequest, settings_.limits_, clock_.Now());
+  if (parsed && parsed.value().issuedAt_ > clock_.UnixNow() + kMaxClockSkew) {
+    parsed = failure(MalformedJob{ .field_ = "Vh-Issued-At",
+                                   .detail_ = "lies in the future" });
+  }
   if (!parsed) {
     LogWarning(Event::kRequestMalformed,
                { { "field", parsed.error().field_ } });
     co_return MakeProblem(400,
                           "malformed-request",
-                          "no",
+                          isRepeatable ? "no" : "unknown",
                           parsed.error().field_ + " " + parsed.error().detail_);
   }
   auto job = std::make_shared<PendingJob>();
@@ -164,10 +176,11 @@
   EntryEvent arrived = JobArrived{ .request_ = job->request_ };
   if (!events_.TryPush(std::move(arrived))) {
     LogWarning(Event::kOverloaded, { { "ring", "entry-events" } });
-    co_return MakeRefusal({ .code_ = RefusalCode::kQueueFull,
-                            .ran_ = RanVerdict::kNo,
-                            .retryAfter_ = Seconds(1),
-                            .detail_ = "this entry is overloaded" });
+    co_return MakeRefusal(
+      { .code_ = RefusalCode::kQueueFull,
+        .ran_ = isRepeatable ? RanVerdict::kNo : RanVerdict::kUnknown,
+        .retryAfter_ = Seconds(1),
+        .detail_ = "this entry is overloaded" });
   }
   pending_.Add(job);
   boost::system::error_code cancelled;
@@ -220,9 +233,11 @@
   if (stopping_) {
     return MakeProblem(503, "stopping", "no", "planned stop");
   }
-  return MakeJson(200,
-                  "{\"ready\":true,\"revision\":" +
-                    std::to_string(control_->Revision()) + "}");
+  if (!control_->Ready()) {
+    return MakeProblem(
+      503, "starting", "no", "the latest configuration is not known yet");
+  }
+  return MakeJson(200, "{\"ready\":true," + control_->StatusJson() + "}");
 }
 
 asio::awaitable<void> EntryProcess::Attempt(Dispatch aDispatch)
@@ -270,6 +285,7 @@
     }
     if (now >= nextTick) {
       nextTick = now + kTick;
+      peers_.Flush();
       for (EntryAction& action : core_.Handle(TimerTick{}, now)) {
         Perform(std::move(action));
       }
@@ -284,12 +300,11 @@
 
 void EntryProcess::Do(const StartClaim& aAction)
 {
-  v1::ClaimRequest request;
-  request.set_key(aAction.key_.Str());
-  request.set_claimant(Claimant(aAction.job_));
-  request.set_issued_at_unix_ms(clock_.UnixNow().Count());
   ledger_.Claim(
-    request,
+    { .key_ = aAction.key_.Str(),
+      .claimant_ = Claimant(aAction.job_),
+      .issuedAt_ = aAction.issuedAt_,
+      .deadline_ = aAction.deadline_ },
     [this, job = aAction.job_](ClaimVerdict aVerdict,
                                const v1::RecordedOutcome& aOutcome) {
       LogInfo(Event::kClaimDecided,
@@ -315,6 +330,7 @@
             { "candidates", aAction.candidates_ },
             { "choice", aAction.instance_.View() },
             { "reason", aAction.reason_ } });
+  ledger_.MarkDispatched(Claimant(aAction.job_));
   asio::co_spawn(io_, Attempt(std::move(aAction)), asio::detached);
 }
 
@@ -359,6 +375,8 @@
       { "code", ToText(aAction.refusal_.code_) },
       { "ran", aAction.refusal_.ran_ == RanVerdict::kNo ? "no" : "unknown" },
       { "reason", aAction.refusal_.detail_ } });
+  ledger_.Release(Claimant(aAction.job_),
+                  aAction.refusal_.ran_ == RanVerdict::kNo);
   asio::post(io_, [this, aAction] {
     pending_.Complete(aAction.job_, MakeRefusal(aAction.refusal_));
   });
@@ -372,14 +390,11 @@
       return;
     }
     const HttpResponse& answer = job->answers_[aAction.attempt_];
-    v1::OutcomeRequest request;
-    request.set_key(aAction.key_.Str());
-    request.set_claimant(Claimant(aAction.job_));
-    request.mutable_outcome()->set_http_status(answer.result_int());
-    request.mutable_outcome()->set_content_type(
-      std::string(answer[http::field::content_type]));
-    request.mutable_outcome()->set_body(answer.body());
-    ledger_.Record(request);
+    v1::RecordedOutcome outcome;
+    outcome.set_http_status(answer.result_int());
+    outcome.set_content_type(std::string(answer[http::field::content_type]));
+    outcome.set_body(answer.body());
+    ledger_.Record(Claimant(aAction.job_), std::move(outcome));
   });
 }
 
@@ -393,7 +408,7 @@
             { { "instance", aAction.fact_.instance_.View() },
               { "service", aAction.fact_.service_.View() } });
   }
-  peers_.Share(aAction.fact_);
+  sharedFacts_.Hear(aAction.fact_, clock_.Now());
 }
 
 void EntryProcess::Do(const UpstreamGone& aAction)
