--- /dev/null
+++ b/bench/capacity_bench.cpp
@@ -0,0 +1,531 @@
+// Buffer cost, roll-out time, moves, late jobs and breaches of the planner and
+// of three baselines, under the demand and the failures of both deployments.
+//
+//   capacity_bench [--seeds N] [--minutes N]
+#include "capacity_model.h"
+#include "capacity_policies.h"
+
+#include <boost/program_options.hpp>
+#include <cstdio>
+#include <iostream>
+#include <map>
+
+using namespace vanillahatch;
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr Millis kTick = Millis(100);
+constexpr Millis kPlanEvery = Millis(200);
+constexpr Millis kReportEvery = Seconds(1);
+constexpr Millis kDetection = Seconds(2); // an announcement's lease
+constexpr Version kNewVersion{ 2 };
+
+enum class Fault
+{
+  kNone,
+  kRackAtPeak,
+  kSecondAfterRepair,
+  kDataCentreCut,
+  kRollOutAtPeak,
+};
+
+struct Row
+{
+  const char* name_;
+  Fault fault_ = Fault::kNone;
+  Millis lag_ = Seconds(1);
+  double declaredFactor_ = 1;
+};
+
+constexpr Row kRows[] = {
+  { "turn-taking demand" },
+  { "rack lost at the peak", Fault::kRackAtPeak },
+  { "second lost after repair", Fault::kSecondAfterRepair },
+  { "data centre cut 10 min", Fault::kDataCentreCut },
+  { "roll-out during a peak", Fault::kRollOutAtPeak },
+  { "reports lag 30 s", Fault::kNone, Seconds(30) },
+  { "declared sizes x5", Fault::kNone, Seconds(1), 5 },
+  { "declared sizes /5", Fault::kNone, Seconds(1), 0.2 },
+};
+
+struct Deployment
+{
+  const char* name_;
+  const char* objective_;
+  bool yieldsToPeak_;
+  uint32_t floor_; // of each pool
+};
+
+constexpr Deployment kDeployments[] = {
+  { "ajoke", "idle-capacity", true, 1 },
+  { "ryggstein", "roll-out-time", false, 2 },
+};
+
+enum class PolicyKind
+{
+  kStatic,
+  kFixed,
+  kReactive,
+  kPlanner,
+};
+
+struct PolicyName
+{
+  PolicyKind kind_;
+  const char* name_;
+};
+
+constexpr PolicyName kPolicies[] = {
+  { PolicyKind::kStatic, "static pools" },
+  { PolicyKind::kFixed, "fixed buffer per pool" },
+  { PolicyKind::kReactive, "reactive threshold" },
+  { PolicyKind::kPlanner, "planner" },
+};
+
+struct Figures
+{
+  double idleSlotSeconds_ = 0;
+  double moves_ = 0;
+  double late_ = 0;
+  double arrived_ = 0;
+  double rollOutSeconds_ = 0;   // of the pool that took longest
+  double rollOutOverBound_ = 0; // the worst of the pools
+  uint32_t rollOutsLeft_ = 0;   // pools not through at the end
+  FleetBreaches breaches_;
+};
+
+std::unique_ptr<SizingPolicy> MakePolicy(PolicyKind aKind,
+                                         size_t aPools,
+                                         Millis aDwell)
+{
+  switch (aKind) {
+    case PolicyKind::kStatic:
+      return std::make_unique<StaticSizing>();
+    case PolicyKind::kFixed:
+      return std::make_unique<FixedBufferSizing>(aPools, aDwell);
+    case PolicyKind::kReactive:
+      return std::make_unique<ReactiveSizing>(aPools, aDwell);
+    case PolicyKind::kPlanner:
+      return std::make_unique<ForecastSizing>(aPools, aDwell);
+  }
+  return nullptr;
+}
+
+// One run of one policy through one row.
+class Run
+{
+public:
+  Run(const Row& aRow,
+      const Deployment& aDeployment,
+      PolicyKind aPolicy,
+      uint32_t aSeed,
+      Millis aSpan)
+    : row_(aRow)
+    , span_(aSpan)
+    , fleet_(kFleet,
+             MakeFleet({ .floor_ = aDeployment.floor_,
+                         .yieldToPeak_ = aDeployment.yieldsToPeak_ }))
+    , jobs_({ .declaredFactor_ = aRow.declaredFactor_ }, fleet_, aSeed)
+    , objective_(MakeObjective(aDeployment.objective_))
+    , policy_(MakePolicy(aPolicy,
+                         fleet_.View().pools_.size(),
+                         objective_->SurplusDwell(8)))
+    , planner_({ .headroom_ = policy_->Headroom() }, *objective_)
+  {
+    for (InstanceView& instance : fleet_.Edit().instances_) {
+      instance.lastMaintained_ = Millis(0);
+    }
+  }
+
+  Figures Go()
+  {
+    for (Millis now = kTick; now <= span_; now = now + kTick) {
+      now_ = now;
+      Disturb();
+      fleet_.Advance(now);
+      jobs_.Step(now, kTick);
+      if (now.Count() % kReportEvery.Count() == 0) {
+        Report();
+      }
+      if (now.Count() % kPlanEvery.Count() == 0) {
+        MakeAndApply();
+      }
+      CountIdle();
+      WatchRollOut();
+    }
+    const JobCounts counts = jobs_.Counts();
+    figures_.late_ = static_cast<double>(counts.late_);
+    figures_.arrived_ = static_cast<double>(counts.arrived_);
+    figures_.moves_ = fleet_.Moves();
+    figures_.breaches_ = fleet_.Breaches();
+    figures_.rollOutsLeft_ = static_cast<uint32_t>(rollOuts_.size());
+    return figures_;
+  }
+
+private:
+  static constexpr FakeFleetOptions kFleet{};
+
+  struct Later
+  {
+    Millis at_;
+    std::function<void()> act_;
+  };
+  struct RollOutWatch
+  {
+    Millis start_;
+    uint32_t waves_ = 0;
+  };
+
+  void After(Millis aAfter, std::function<void()> aAct)
+  {
+    later_.push_back({ now_ + aAfter, std::move(aAct) });
+  }
+
+  void Disturb()
+  {
+    for (size_t i = 0; i < later_.size();) {
+      if (later_[i].at_ <= now_) {
+        const auto act = std::move(later_[i].act_);
+        later_.erase(later_.begin() + static_cast<std::ptrdiff_t>(i));
+        act();
+      } else {
+        ++i;
+      }
+    }
+    const bool isMiddleOfTurn =
+      jobs_.TurnEnds() - now_ == Seconds(15) ||
+      (jobs_.TurnEnds() - now_ < Seconds(15) && armedFor_ != jobs_.TurnEnds());
+    if (!isMiddleOfTurn) {
+      return;
+    }
+    armedFor_ = jobs_.TurnEnds();
+    ++turns_;
+    Inject();
+  }
+
+  // Called in the middle of each turn.
+  void Inject()
+  {
+    switch (row_.fault_) {
+      case Fault::kRackAtPeak:
+        if (turns_ % 10 == 5) {
+          LoseRack();
+        }
+        break;
+      case Fault::kSecondAfterRepair:
+        if (turns_ % 5 == 3) {
+          LoseTwo();
+        }
+        break;
+      case Fault::kDataCentreCut:
+        if (turns_ == 20) {
+          Cut(DataCentreIndex{ 1 });
+        }
+        break;
+      case Fault::kRollOutAtPeak:
+        if (turns_ == 20) {
+          StartRollOut();
+        }
+        break;
+      case Fault::kNone:
+        break;
+    }
+  }
+
+  InstanceIndex PeakMember() const
+  {
+    const auto& instances = fleet_.View().instances_;
+    for (size_t i = 0; i < instances.size(); ++i) {
+      if (instances[i].pool_ == jobs_.PeakPool() &&
+          instances[i].state_ == InstanceState::kServing) {
+        return static_cast<InstanceIndex>(i);
+      }
+    }
+    return InstanceIndex{ 0 };
+  }
+
+  // Control learns of the loss when the announcement's lease has run out.
+  void Lose(InstanceIndex aInstance, Millis aFor)
+  {
+    jobs_.Break(aInstance, true);
+    After(kDetection, [this, aInstance] { fleet_.Lose(aInstance); });
+    After(aFor, [this, aInstance] {
+      jobs_.Break(aInstance, false);
+      fleet_.Repair(aInstance, now_);
+    });
+  }
+
+  void LoseRack()
+  {
+    const RackIndex rack = fleet_.View().instances_[At(PeakMember())].rack_;
+    const auto& instances = fleet_.View().instances_;
+    for (size_t i = 0; i < instances.size(); ++i) {
+      if (instances[i].rack_ == rack) {
+        Lose(static_cast<InstanceIndex>(i), Seconds(120));
+      }
+    }
+  }
+
+  void LoseTwo()
+  {
+    const InstanceIndex first = PeakMember();
+    Lose(first, Seconds(20));
+    After(Seconds(25), [this] { Lose(PeakMember(), Seconds(20)); });
+  }
+
+  void Cut(DataCentreIndex aDataCentre)
+  {
+    jobs_.SetCut(aDataCentre);
+    After(kDetection,
+          [this, aDataCentre] { fleet_.SetCut(aDataCentre, true); });
+    After(Seconds(600), [this, aDataCentre] {
+      jobs_.SetCut(std::nullopt);
+      fleet_.SetCut(aDataCentre, false);
+    });
+  }
+
+  void StartRollOut()
+  {
+    auto& pools = fleet_.Edit().pools_;
+    for (size_t i = 0; i < pools.size(); ++i) {
+      pools[i].version_ = kNewVersion;
+      rollOuts_[i] = { now_, Waves(i) };
+    }
+  }
+
+  // As many waves as the budget sets for the pool's size of this moment.
+  uint32_t Waves(size_t aPool) const
+  {
+    uint32_t members = 0;
+    for (const InstanceView& instance : fleet_.View().instances_) {
+      members += At(instance.pool_) == aPool ? 1 : 0;
+    }
+    const uint32_t allowed =
+      fleet_.View().pools_[aPool].contract_.budget_.Allowed(members);
+    return (members + allowed - 1) / allowed;
+  }
+
+  void WatchRollOut()
+  {
+    for (auto it = rollOuts_.begin(); it != rollOuts_.end();) {
+      bool isDone = true;
+      for (const InstanceView& instance : fleet_.View().instances_) {
+        const bool isMember = At(instance.pool_) == it->first;
+        const bool isThrough = instance.version_ == kNewVersion &&
+                               instance.state_ != InstanceState::kMaintenance;
+        isDone &= !isMember || isThrough;
+      }
+      if (!isDone) {
+        ++it;
+        continue;
+      }
+      const auto took =
+        static_cast<double>((now_ - it->second.start_).Count()) / 1000;
+      const Millis one = kFleet.drain_ + kFleet.maintenance_;
+      const double bound =
+        static_cast<double>((one * it->second.waves_).Count()) / 1000;
+      figures_.rollOutSeconds_ = std::max(figures_.rollOutSeconds_, took);
+      figures_.rollOutOverBound_ =
+        std::max(figures_.rollOutOverBound_, took / bound);
+      it = rollOuts_.erase(it);
+    }
+  }
+
+  void Report()
+  {
+    for (size_t i = 0; i < fleet_.View().pools_.size(); ++i) {
+      const auto pool = static_cast<uint32_t>(i);
+      const PoolReport report{
+        .demand_ = jobs_.TakeReport(pool, kReportEvery),
+        .busy_ = jobs_.Busy(PoolIndex{ pool }),
+      };
+      After(row_.lag_, [this, i, report] { policy_->Take(i, report); });
+    }
+  }
+
+  void MakeAndApply()
+  {
+    const FleetView& view = fleet_.View();
+    const auto outlooks = policy_->Outlooks(view, now_);
+    const Plan plan = planner_.MakePlan(view, outlooks, now_);
+    releasable_ = policy_->Releasable(view, plan);
+    for (const Step& step : plan.steps_) {
+      fleet_.Apply(step, now_);
+    }
+  }
+
+  // Idle slots of what is held; what the spare pool could release is not.
+  void CountIdle()
+  {
+    double slots = 0;
+    for (const InstanceView& instance : fleet_.View().instances_) {
+      slots += instance.state_ == InstanceState::kServing ? 8 : 0;
+    }
+    double busy = 0;
+    for (uint32_t i = 0; i < fleet_.View().pools_.size(); ++i) {
+      busy += jobs_.Busy(PoolIndex{ i });
+    }
+    const double idle = slots - busy - releasable_ * 8.0;
+    const double seconds = static_cast<double>(kTick.Count()) / 1000;
+    figures_.idleSlotSeconds_ += std::max(0.0, idle) * seconds;
+  }
+
+  Row row_;
+  Millis span_;
+  FakeFleet fleet_;
+  JobModel jobs_;
+  std::unique_ptr<Objective> objective_;
+  std::unique_ptr<SizingPolicy> policy_;
+  Planner planner_;
+  Millis now_;
+  std::vector<Later> later_;
+  Millis armedFor_;
+  uint32_t turns_ = 0;
+  uint32_t releasable_ = 0;
+  std::map<size_t, RollOutWatch> rollOuts_;
+  Figures figures_;
+};
+
+void Add(Figures& aSum, const Figures& aOne, double aShare)
+{
+  aSum.idleSlotSeconds_ += aOne.idleSlotSeconds_ * aShare;
+  aSum.moves_ += aOne.moves_ * aShare;
+  aSum.late_ += aOne.late_ * aShare;
+  aSum.arrived_ += aOne.arrived_ * aShare;
+  aSum.rollOutSeconds_ += aOne.rollOutSeconds_ * aShare;
+  aSum.rollOutOverBound_ =
+    std::max(aSum.rollOutOverBound_, aOne.rollOutOverBound_);
+  aSum.rollOutsLeft_ += aOne.rollOutsLeft_;
+  aSum.breaches_.budget_ += aOne.breaches_.budget_;
+  aSum.breaches_.doubleMembership_ += aOne.breaches_.doubleMembership_;
+  aSum.breaches_.doubleStart_ += aOne.breaches_.doubleStart_;
+  aSum.breaches_.wrongState_ += aOne.breaches_.wrongState_;
+}
+
+std::string RollOutText(const Row& aRow, const Figures& aFigures)
+{
+  if (aRow.fault_ != Fault::kRollOutAtPeak) {
+    return "-";
+  }
+  char text[64];
+  std::snprintf(text,
+                sizeof text,
+                "%.0f (%.2f)%s",
+                aFigures.rollOutSeconds_,
+                aFigures.rollOutOverBound_,
+                aFigures.rollOutsLeft_ > 0 ? " unfinished" : "");
+  return text;
+}
+
+// The stated targets; false if one is missed.
+bool Check(const Deployment& aDeployment,
+           const Row& aRow,
+           const Figures& aFixed,
+           const Figures& aPlanner)
+{
+  bool isMet = true;
+  const auto demand = [&](bool aHolds, const char* aWhat) {
+    if (!aHolds) {
+      std::printf("MISSED %s, %s: %s\n", aDeployment.name_, aRow.name_, aWhat);
+      isMet = false;
+    }
+  };
+  demand(aPlanner.breaches_.Sum() == 0, "breaches of budget or membership");
+  const bool isAjoke = std::string_view(aDeployment.name_) == "ajoke";
+  if (isAjoke) {
+    demand(aPlanner.idleSlotSeconds_ <= 0.5 * aFixed.idleSlotSeconds_,
+           "buffer cost over 50% of a fixed buffer per pool");
+    demand(aPlanner.late_ <= aFixed.late_,
+           "more late jobs than a fixed buffer per pool");
+  } else if (aRow.fault_ == Fault::kRollOutAtPeak) {
+    demand(aPlanner.rollOutsLeft_ == 0 && aPlanner.rollOutOverBound_ <= 1.2,
+           "roll-out over 1.2 times the bound");
+  }
+  return isMet;
+}
+
+bool RunRow(const Deployment& aDeployment,
+            const Row& aRow,
+            uint32_t aSeeds,
+            Millis aSpan)
+{
+  std::map<PolicyKind, Figures> figures;
+  for (const PolicyName& policy : kPolicies) {
+    Figures& sum = figures[policy.kind_];
+    for (uint32_t seed = 1; seed <= aSeeds; ++seed) {
+      Run run(aRow, aDeployment, policy.kind_, seed, aSpan);
+      Add(sum, run.Go(), 1.0 / aSeeds);
+    }
+  }
+  const Figures& fixed = figures[PolicyKind::kFixed];
+  for (const PolicyName& policy : kPolicies) {
+    const Figures& one = figures[policy.kind_];
+    std::printf("%-10s %-25s %-22s %10.0f %5.0f%% %17s %6.0f %7.0f %6.2f%% "
+                "%7u %7u %7u\n",
+                aDeployment.name_,
+                aRow.name_,
+                policy.name_,
+                one.idleSlotSeconds_,
+                100 * one.idleSlotSeconds_ / fixed.idleSlotSeconds_,
+                RollOutText(aRow, one).c_str(),
+                one.moves_,
+                one.late_,
+                100 * one.late_ / one.arrived_,
+                one.breaches_.budget_,
+                one.breaches_.doubleMembership_,
+                one.breaches_.doubleStart_ + one.breaches_.wrongState_);
+  }
+  std::fflush(stdout);
+  return Check(aDeployment, aRow, fixed, figures[PolicyKind::kPlanner]);
+}
+
+} // namespace
+
+int main(int aArgc, char** aArgv)
+{
+  uint32_t seeds = 3;
+  int64_t minutes = 60;
+  po::options_description described("capacity_bench options");
+  described.add_options()("help", "this text")              //
+    ("seeds", po::value(&seeds), "seeds 1..N for each row") //
+    ("minutes", po::value(&minutes), "virtual time of a run");
+  try {
+    po::variables_map values;
+    po::store(po::parse_command_line(aArgc, aArgv, described), values);
+    po::notify(values);
+    if (values.contains("help")) {
+      std::cout << described;
+      return 0;
+    }
+  } catch (const po::error& fault) {
+    std::cerr << "capacity_bench: " << fault.what() << "\n" << described;
+    return 2;
+  }
+  std::printf("command: capacity_bench --seeds %u --minutes %lld\n",
+              seeds,
+              static_cast<long long>(minutes));
+  std::printf("50 instances, 5 pools, racks of 4, 3 data centres; means over "
+              "the seeds, breaches summed\n");
+  std::printf("%-10s %-25s %-22s %10s %6s %17s %6s %7s %7s %7s %7s %7s\n",
+              "deployment",
+              "row",
+              "policy",
+              "idle slot-s",
+              "/fixed",
+              "roll-out s (/bound)",
+              "moves",
+              "late",
+              "late %",
+              "budget",
+              "double",
+              "other");
+  bool isMet = true;
+  for (const Deployment& deployment : kDeployments) {
+    for (const Row& row : kRows) {
+      isMet &= RunRow(deployment, row, seeds, Seconds(minutes * 60));
+    }
+  }
+  std::printf("targets: %s\n", isMet ? "met" : "missed");
+  return isMet ? 0 : 1;
+}
--- a/bench/fake_fleet.h
+++ b/bench/fake_fleet.h
@@ -138,9 +138,11 @@
     });
   }
 
-  bool IsUp(InstanceIndex aInstance) const
+  // Whether it serves callers of its own side, cut off or not.
+  bool CanServe(InstanceIndex aInstance) const
   {
-    return !machines_[At(aInstance)].isDown_;
+    const Machine& machine = machines_[At(aInstance)];
+    return machine.state_ == InstanceState::kServing && !machine.isDown_;
   }
 
   uint32_t Count(PoolIndex aPool, InstanceState aState) const
@@ -212,14 +214,18 @@
     CheckBudget(aInstance.pool_);
   }
 
-  // Counts from the view alone, on purpose not by the planner's own census.
+  // Counts from the view alone, on purpose not by the planner's own census. A
+  // member that leaves by a move makes the pool smaller; what stays must be
+  // within the budget and the floor.
   void CheckBudget(PoolIndex aPool)
   {
     uint32_t members = 0;
     uint32_t unavailable = 0;
     for (const InstanceView& instance : view_.instances_) {
-      const bool isMember =
-        instance.pool_ == aPool && instance.state_ != InstanceState::kJoining;
+      const bool isLeaving = instance.state_ == InstanceState::kDraining &&
+                             instance.purpose_ == Purpose::kMove;
+      const bool isMember = instance.pool_ == aPool && !isLeaving &&
+                            instance.state_ != InstanceState::kJoining;
       members += isMember ? 1 : 0;
       unavailable +=
         isMember && instance.state_ != InstanceState::kServing ? 1 : 0;
@@ -251,7 +257,7 @@
   {
     const bool isRollBack = aStep.purpose_ == Purpose::kRollBack;
     const bool mayStart = isRollBack
-                            ? aInstance.state_ == InstanceState::kMaintenance
+                            ? aInstance.failed_
                             : aInstance.state_ == InstanceState::kDraining &&
                                 aInstance.drained_ &&
                                 aInstance.guard_ == GuardAnswer::kConsents;
@@ -298,14 +304,21 @@
     if (machine.isDown_) {
       return;
     }
+    const bool isBad = instance.version_ != Version{} &&
+                       instance.version_ == options_.badVersion_;
+    if (machine.state_ == InstanceState::kJoining && isBad) {
+      if (age >= options_.healthTimeout_) {
+        Enter(instance, InstanceState::kDown, aNow);
+        instance.failed_ = true;
+      }
+      return;
+    }
     if (machine.state_ == InstanceState::kJoining && age >= options_.join_) {
       Enter(instance, InstanceState::kServing, aNow);
     }
     if (machine.state_ != InstanceState::kMaintenance) {
       return;
     }
-    const bool isBad = instance.version_ != Version{} &&
-                       instance.version_ == options_.badVersion_;
     instance.healthy_ = !isBad && age >= options_.maintenance_;
     instance.failed_ = isBad && age >= options_.healthTimeout_;
   }
--- a/include/vanillahatch/core/pool_census.h
+++ b/include/vanillahatch/core/pool_census.h
@@ -9,6 +9,7 @@
 
 #include <cstdint>
 #include <optional>
+#include <span>
 #include <vector>
 
 namespace vanillahatch {
@@ -26,12 +27,12 @@
 
 struct PoolCount
 {
-  uint32_t members_ = 0; // established: seen serving in the pool
+  uint32_t members_ = 0; // seen serving in the pool and not leaving it
   uint32_t joining_ = 0;
   uint32_t serving_ = 0;
   uint32_t unsettled_ = 0;   // of the serving, repaired only just now
-  uint32_t unavailable_ = 0; // draining, in maintenance, down or cut off
-  uint32_t leaving_ = 0;     // of the draining, by a move
+  uint32_t unavailable_ = 0; // members in maintenance or draining for it,
+                             // down or cut off
   uint32_t incoming_ = 0;    // draining elsewhere to move here
   uint32_t maintained_ = 0;  // draining for or in maintenance
 
@@ -49,16 +50,18 @@
 
   const PoolCount& Of(PoolIndex aPool) const { return counts_[At(aPool)]; }
 
-  // Nothing if a serving member may be taken out of service now.
-  std::optional<Obstacle> ObstacleTo(InstanceIndex aInstance) const;
+  // Nothing if a serving member may be taken out of service now. Maintenance
+  // needs room for one more unavailable member. A move makes the pool smaller,
+  // and what stays must be within the smaller pool's budget, floor and spread.
+  std::optional<Obstacle> ObstacleTo(InstanceIndex aInstance,
+                                     Purpose aPurpose) const;
 
   // Counts the member as draining from now on.
   void CountDrain(InstanceIndex aInstance, Purpose aPurpose, PoolIndex aTarget);
 
-  // Serving members of the pool in the rack.
-  uint32_t InRack(PoolIndex aPool, RackIndex aRack) const;
-  // The most instances that one rack holds.
-  uint32_t LargestRack() const { return largestRack_; }
+  // The most instances that the pools would be short of if one rack were
+  // lost; `aNeeded` has the serving members that each pool needs.
+  uint32_t LargestLoss(std::span<const uint32_t> aNeeded) const;
 
 private:
   struct Place
@@ -78,7 +81,6 @@
   const FleetView& view_;
   Millis probation_;
   Millis now_;
-  uint32_t largestRack_ = 0;
   std::vector<PoolCount> counts_;
   std::vector<Place> places_;         // sorted by pool and rack
   std::vector<uint32_t> firstPlaces_; // of each pool, and the end
--- a/src/core/forecast.cpp
+++ b/src/core/forecast.cpp
@@ -7,16 +7,27 @@
 
 namespace {
 
-constexpr double kSmoothing = 0.3;
+// Weight of a new report that chance explains, and of one that it does not.
+constexpr double kSmoothing = 0.1;
+constexpr double kChangeSmoothing = 0.4;
+constexpr double kChangeDeviations = 2.5;
+
 constexpr double kSpanSmoothing = 0.25;
+constexpr double kFirstDeviation = 0.25; // share of the first span
 constexpr double kRunFading = 0.98;
 constexpr uint32_t kRegularTurns = 2;
 constexpr Millis kRecentSpan = Seconds(120);
 constexpr double kMillisPerSecond = 1000;
 
+// Reports that a level learned before counts for.
+constexpr uint32_t kKnownReports = 9;
+
 // Share of the learned peak below which a peak has ended.
 constexpr double kPeakEnd = 0.35;
 
+// Standard deviations by which a load must exceed the trough to be a peak.
+constexpr double kChanceDeviations = 6;
+
 // Without a report of another peak, turns are foretold for this many intervals.
 constexpr int64_t kForetoldTurns = 3;
 
@@ -27,11 +38,12 @@
 
 } // namespace
 
-void DemandForecast::LearnedSpan::Add(Millis aSpan)
+void LearnedSpan::Add(Millis aSpan)
 {
   const auto span = static_cast<double>(aSpan.Count());
   if (count_ == 0) {
     meanMs_ = span;
+    deviationMs_ = span * kFirstDeviation;
   } else {
     deviationMs_ =
       Smooth(deviationMs_, std::abs(span - meanMs_), kSpanSmoothing);
@@ -40,6 +52,11 @@
   ++count_;
 }
 
+bool LearnedSpan::IsRegular(double aShare) const
+{
+  return count_ >= kRegularTurns && deviationMs_ < aShare * meanMs_;
+}
+
 DemandForecast::DemandForecast(ForecastOptions aOptions)
   : options_(aOptions)
 {
@@ -50,6 +67,9 @@
   if (aReport.sampledAt_ <= lastSample_) {
     return;
   }
+  if (recent_.empty()) {
+    firstSample_ = aReport.sampledAt_;
+  }
   lastSample_ = aReport.sampledAt_;
   LearnRun(aReport);
   const auto runMs = static_cast<double>(MeanRun().Count());
@@ -92,31 +112,37 @@
   const bool first = trough_ < 0;
   if (first) {
     load_ = aLoad;
-    peak_ = aLoad;
     trough_ = aLoad;
     return;
   }
-  const bool isHigh = aLoad > std::max(1.0, trough_) * options_.peakRatio_;
-  if (!inPeak_ && isHigh) {
+  // Random arrivals must not pass for a peak.
+  const double chance = kChanceDeviations * std::sqrt(trough_);
+  const double high = std::max(trough_ * options_.peakRatio_, trough_ + chance);
+  if (!inPeak_ && aLoad > std::max(high, options_.leastPeak_)) {
     BeginPeak(aAt, aLoad);
     return;
   }
   if (inPeak_ && aLoad < peak_ * kPeakEnd) {
     EndPeak(aAt);
-    load_ = aLoad;
+    load_ = std::max(aLoad, trough_);
     return;
   }
-  load_ = Smooth(load_, aLoad, kSmoothing);
-  if (!inPeak_ && aLoad < trough_ / options_.peakRatio_) {
-    trough_ = aLoad; // The first reports came from a peak.
+  const bool isChange =
+    std::abs(aLoad - load_) > kChangeDeviations * std::sqrt(load_);
+  const double least = isChange ? kChangeSmoothing : kSmoothing;
+  // The first reports of an unknown peak count most.
+  load_ = Smooth(load_, aLoad, std::max(least, 1.0 / ++phaseReports_));
+  if (inPeak_) {
+    peak_ = load_;
+  } else {
+    trough_ = Smooth(trough_, load_, least);
   }
-  double& level = inPeak_ ? peak_ : trough_;
-  level = Smooth(level, load_, kSmoothing);
 }
 
 void DemandForecast::BeginPeak(Millis aAt, double aLoad)
 {
   inPeak_ = true;
+  phaseReports_ = onset_ ? kKnownReports : 0;
   if (onset_) {
     interval_.Add(aAt - *onset_);
   }
@@ -130,19 +156,19 @@
 void DemandForecast::EndPeak(Millis aAt)
 {
   inPeak_ = false;
+  phaseReports_ = kKnownReports;
   length_.Add(aAt - *onset_);
 }
 
 bool DemandForecast::IsRegular() const
 {
-  return interval_.count_ >= kRegularTurns && length_.count_ >= 1 &&
-         interval_.deviationMs_ < options_.regularity_ * interval_.meanMs_;
+  return length_.count_ > 0 && interval_.IsRegular(options_.regularity_);
 }
 
-double DemandForecast::ForetoldLevel(Millis aFrom, Millis aUntil) const
+bool DemandForecast::IsOwnTurnForetold(Millis aFrom, Millis aUntil) const
 {
   if (!IsRegular()) {
-    return 0;
+    return false;
   }
   const auto interval = static_cast<int64_t>(interval_.meanMs_);
   const Millis margin(static_cast<int64_t>(interval_.deviationMs_));
@@ -151,39 +177,48 @@
   // Walk the foretold turns from the last one seen.
   for (int64_t turn = 0; turn <= kForetoldTurns; ++turn) {
     const Millis start = *onset_ + Millis(interval) * turn;
-    if (start - margin > aUntil) {
-      break;
-    }
     const bool hasEnded = turn == 0 && !inPeak_;
-    if (!hasEnded && start + length + margin > aFrom) {
-      return peak_;
+    if (!hasEnded && start - margin <= aUntil &&
+        start + length + margin > aFrom) {
+      return true;
     }
   }
-  return 0;
+  return false;
+}
+
+double DemandForecast::ForetoldLevel(Millis aFrom,
+                                     Millis aUntil,
+                                     std::span<const TurnWindow> aTurns) const
+{
+  bool isForetold = aTurns.empty() && IsOwnTurnForetold(aFrom, aUntil);
+  for (const TurnWindow& turn : aTurns) {
+    isForetold |= turn.from_ <= aUntil && turn.until_ > aFrom;
+  }
+  return isForetold ? peak_ : 0;
 }
 
 DemandOutlook DemandForecast::Outlook(Millis aNow,
                                       Millis aHorizon,
-                                      Millis aWindow) const
+                                      Millis aWindow,
+                                      std::span<const TurnWindow> aTurns) const
 {
   DemandOutlook outlook;
-  const double seen = load_ + backlog_;
   const bool isFresh = aNow - lastSample_ <= options_.freshSpan_;
-  if (isFresh || !IsRegular()) {
-    outlook.now_ = seen;
+  const bool isSeen = isFresh || (aTurns.empty() && !IsRegular());
+  if (isSeen) {
+    outlook.now_ = load_ + backlog_;
     outlook.inPeak_ = inPeak_;
   } else {
-    const double foretold = ForetoldLevel(aNow, aNow);
-    outlook.now_ = std::max(foretold, trough_) + backlog_;
+    const double foretold = ForetoldLevel(aNow, aNow, aTurns);
+    outlook.now_ = std::max(foretold, trough_);
     outlook.inPeak_ = foretold > 0;
   }
-  outlook.ahead_ = std::max(outlook.now_, ForetoldLevel(aNow, aNow + aHorizon));
+  outlook.ahead_ =
+    std::max(outlook.now_, ForetoldLevel(aNow, aNow + aHorizon, aTurns));
   outlook.recent_ = outlook.ahead_;
-  if (isFresh || !IsRegular()) {
-    for (const Sample& sample : recent_) {
-      if (sample.at_ >= aNow - aWindow) {
-        outlook.recent_ = std::max(outlook.recent_, sample.level_);
-      }
+  for (const Sample& sample : recent_) {
+    if (isSeen && sample.at_ >= aNow - aWindow) {
+      outlook.recent_ = std::max(outlook.recent_, sample.level_);
     }
   }
   return outlook;
--- a/src/core/plan_draft.cpp
+++ b/src/core/plan_draft.cpp
@@ -24,10 +24,9 @@
       spare_ = static_cast<PoolIndex>(i);
     }
   }
-  // One rack may go at any moment, so one buffer of its size serves all pools.
-  plan_.sharedBuffer_ = census_.LargestRack();
   StudyVersions();
   StudyNeeds(aOutlooks);
+  SizeBuffer();
   PrepareSpares();
 }
 
@@ -65,18 +64,23 @@
   for (size_t i = 0; i < view_.instances_.size(); ++i) {
     const InstanceView& instance = view_.instances_[i];
     const Version wanted = view_.pools_[At(instance.pool_)].version_;
-    const bool fails = instance.state_ == InstanceState::kMaintenance &&
-                       instance.purpose_ == Purpose::kRollOut &&
-                       instance.failed_;
+    const bool isNewcomer = instance.state_ == InstanceState::kJoining;
+    const bool fails = instance.failed_ && instance.version_ == wanted &&
+                       instance.purpose_ != Purpose::kPeriodic;
     const bool hasFailed =
       wanted != Version{} && instance.failedVersion_ == wanted;
+    Need(instance.pool_).trials_ +=
+      isNewcomer && instance.version_ == wanted ? 1 : 0;
     failures[At(instance.pool_)] += fails || hasFailed ? 1 : 0;
+    const bool serves = instance.state_ == InstanceState::kServing;
+    Need(instance.pool_).isProven_ |= serves && instance.version_ == wanted;
     if (IsFree(instance)) {
       members_[At(instance.pool_)].push_back(static_cast<InstanceIndex>(i));
       Need(instance.pool_).isRollingOut_ |= NeedsRollOut(instance);
     }
   }
   for (size_t i = 0; i < failures.size(); ++i) {
+    needs_[i].trials_ += failures[i];
     if (failures[i] >= options_.rollOutFailureLimit_) {
       needs_[i].isRollOutStopped_ = true;
       needs_[i].isRollingOut_ = false;
@@ -116,6 +120,17 @@
   }
 }
 
+void PlanDraft::SizeBuffer()
+{
+  // Any one rack may go at any moment, so one buffer serves all pools. It is as
+  // large as the worst rack's loss, less what pools have to spare themselves.
+  std::vector<uint32_t> needed;
+  for (const PoolNeed& need : needs_) {
+    needed.push_back(std::max(need.now_, need.ahead_));
+  }
+  plan_.sharedBuffer_ = census_.LargestLoss(needed);
+}
+
 void PlanDraft::ContinueSteps()
 {
   for (size_t i = 0; i < view_.instances_.size(); ++i) {
@@ -127,6 +142,9 @@
       ContinueDrain(static_cast<InstanceIndex>(i));
     } else if (instance.state_ == InstanceState::kMaintenance) {
       ContinueMaintenance(static_cast<InstanceIndex>(i));
+    } else if (instance.state_ == InstanceState::kDown && instance.failed_ &&
+               instance.version_ == view_.pools_[At(instance.pool_)].version_) {
+      RollBack(static_cast<InstanceIndex>(i)); // A newcomer did not start.
     } else if (instance.state_ == InstanceState::kDown &&
                instance.purpose_ == Purpose::kMove) {
       // A pool in need is better served by another instance.
@@ -167,15 +185,43 @@
              isMove ? StepKind::kMoveInstance : StepKind::kStartMaintenance,
              StepReason::kDrained);
   const PoolIndex pool = isMove ? instance.target_ : instance.pool_;
-  const PoolView& runsIn = view_.pools_[At(pool)];
-  const bool isRestart = isMove || instance.purpose_ == Purpose::kRollOut;
-  if (isRestart) {
-    step.version_ =
-      Need(pool).isRollOutStopped_ ? runsIn.previousVersion_ : runsIn.version_;
+  if (isMove) {
+    step.version_ = VersionOfNewcomer(pool);
+  } else if (instance.purpose_ == Purpose::kRollOut) {
+    step.version_ = view_.pools_[At(pool)].version_;
   }
   plan_.steps_.push_back(step);
 }
 
+Version PlanDraft::VersionOfNewcomer(PoolIndex aPool)
+{
+  const PoolView& pool = view_.pools_[At(aPool)];
+  PoolNeed& need = Need(aPool);
+  if (need.isRollOutStopped_) {
+    return pool.previousVersion_;
+  }
+  if (need.isProven_) {
+    return pool.version_;
+  }
+  // A newcomer that the demand does not wait for may try a version first: its
+  // failure takes nothing from the pool.
+  const bool isWaitedFor = census_.Of(aPool).serving_ < need.now_;
+  if (isWaitedFor || need.trials_ >= options_.rollOutFailureLimit_) {
+    return pool.previousVersion_;
+  }
+  ++need.trials_;
+  return pool.version_;
+}
+
+void PlanDraft::RollBack(InstanceIndex aInstance)
+{
+  Step step = MakeStep(
+    aInstance, StepKind::kStartMaintenance, StepReason::kVersionFailed);
+  step.purpose_ = Purpose::kRollBack;
+  step.version_ = view_.pools_[At(View(aInstance).pool_)].previousVersion_;
+  plan_.steps_.push_back(step);
+}
+
 void PlanDraft::ContinueMaintenance(InstanceIndex aInstance)
 {
   const InstanceView& instance = View(aInstance);
@@ -191,11 +237,7 @@
     Hold(instance.pool_, instance.purpose_, StepReason::kRebootFailed);
     return;
   }
-  Step step = MakeStep(
-    aInstance, StepKind::kStartMaintenance, StepReason::kVersionFailed);
-  step.purpose_ = Purpose::kRollBack;
-  step.version_ = view_.pools_[At(instance.pool_)].previousVersion_;
-  plan_.steps_.push_back(step);
+  RollBack(aInstance);
 }
 
 Step PlanDraft::MakeStep(InstanceIndex aInstance,
--- a/src/core/plan_draft.h
+++ b/src/core/plan_draft.h
@@ -18,6 +18,8 @@
   bool inPeak_ = false;
   bool isRollingOut_ = false;
   bool isRollOutStopped_ = false;
+  bool isProven_ = false; // a member serves in the wanted version
+  uint32_t trials_ = 0;   // newcomers that try it first, and failures of it
 };
 
 class PlanDraft
@@ -32,7 +34,9 @@
   void ContinueSteps();
   void Grow();
   void Shrink();
+  // Of all pools but the spare one, and of that one.
   void RollOut();
+  void RollOutSpare();
   void MaintainDue();
   Plan Finish();
 
@@ -47,17 +51,23 @@
 
   bool IsFree(const InstanceView& aInstance) const;
   bool IsDue(const InstanceView& aInstance) const;
+  void RollOutPool(PoolIndex aPool);
   bool NeedsRollOut(const InstanceView& aInstance) const;
   void StudyVersions();
   void StudyNeeds(std::span<const DemandOutlook> aOutlooks);
 
+  void SizeBuffer();
+
   void ContinueDrain(InstanceIndex aInstance);
+  Version VersionOfNewcomer(PoolIndex aPool);
+  void RollBack(InstanceIndex aInstance);
   void ContinueMaintenance(InstanceIndex aInstance);
 
   std::vector<Want> Wants();
   void Lend(const Want& aWant);
   bool MayLend(bool aUrgent, PoolIndex aTo) const;
-  std::optional<InstanceIndex> PickSpare(PoolIndex aTo);
+  std::optional<InstanceIndex> PickSpare(std::span<const uint32_t> aOwn);
+  std::vector<uint32_t> CountByRack(PoolIndex aPool) const;
   void PrepareSpares();
   void GiveBack(PoolIndex aPool, uint32_t aSurplus);
 
@@ -81,7 +91,8 @@
   std::vector<PoolNeed> needs_;
   std::vector<std::vector<InstanceIndex>> members_; // serving, by pool
   std::vector<std::vector<InstanceIndex>> spares_;  // to lend, by rack
-  std::vector<bool> isTaken_;                       // by a step of this plan
+  std::vector<uint32_t> lent_; // of all pools but the spare one, by rack
+  std::vector<bool> isTaken_;  // by a step of this plan
   std::optional<PoolIndex> spare_;
   uint32_t drains_ = 0;
   bool hasUnmetDemand_ = false;
--- a/src/core/plan_maintenance.cpp
+++ b/src/core/plan_maintenance.cpp
@@ -34,7 +34,7 @@
 {
   const PoolIndex pool = View(aInstance).pool_;
   const PoolNeed& need = Need(pool);
-  std::optional<Obstacle> obstacle = census_.ObstacleTo(aInstance);
+  std::optional<Obstacle> obstacle = census_.ObstacleTo(aInstance, aPurpose);
   const bool isPatient =
     aPurpose == Purpose::kPeriodic || !objective_.IsRollOutFirst();
   if (need.inPeak_ && Contract(pool).yieldToPeak_) {
@@ -54,31 +54,42 @@
 void PlanDraft::RollOut()
 {
   for (size_t i = 0; i < needs_.size(); ++i) {
-    if (needs_[i].isRollOutStopped_) {
-      Hold(static_cast<PoolIndex>(i),
-           Purpose::kRollOut,
-           StepReason::kRollOutStopped);
+    if (spare_ != static_cast<PoolIndex>(i)) {
+      RollOutPool(static_cast<PoolIndex>(i));
     }
-    if (!needs_[i].isRollingOut_) {
+  }
+}
+
+void PlanDraft::RollOutSpare()
+{
+  if (spare_) {
+    RollOutPool(*spare_);
+  }
+}
+
+void PlanDraft::RollOutPool(PoolIndex aPool)
+{
+  if (Need(aPool).isRollOutStopped_) {
+    Hold(aPool, Purpose::kRollOut, StepReason::kRollOutStopped);
+  }
+  if (!Need(aPool).isRollingOut_) {
+    return;
+  }
+  std::vector<InstanceIndex> members = members_[At(aPool)];
+  // Members that share a rack go together, so that a wave touches few racks.
+  std::stable_sort(members.begin(), members.end(), [&](auto aL, auto aR) {
+    return View(aL).rack_ < View(aR).rack_;
+  });
+  for (const InstanceIndex member : members) {
+    if (isTaken_[At(member)] || !NeedsRollOut(View(member))) {
       continue;
     }
-    std::vector<InstanceIndex> members = members_[i];
-    // Members that share a rack go together, so that a wave touches few racks.
-    std::stable_sort(members.begin(), members.end(), [&](auto aL, auto aR) {
-      return View(aL).rack_ < View(aR).rack_;
-    });
-    for (const InstanceIndex member : members) {
-      if (isTaken_[At(member)] || !NeedsRollOut(View(member))) {
-        continue;
-      }
-      const PoolCount& count = census_.Of(static_cast<PoolIndex>(i));
-      const uint32_t allowed =
-        Contract(static_cast<PoolIndex>(i)).budget_.Allowed(count.members_);
-      const bool isFull = count.unavailable_ >= allowed;
-      if (!Maintain(member, Purpose::kRollOut, StepReason::kVersionChanged) &&
-          isFull) {
-        break;
-      }
+    const PoolCount& count = census_.Of(aPool);
+    const uint32_t allowed = Contract(aPool).budget_.Allowed(count.members_);
+    const bool isFull = count.unavailable_ >= allowed;
+    if (!Maintain(member, Purpose::kRollOut, StepReason::kVersionChanged) &&
+        isFull) {
+      return;
     }
   }
 }
--- a/src/core/plan_moves.cpp
+++ b/src/core/plan_moves.cpp
@@ -14,6 +14,14 @@
   for (const InstanceIndex index : members_[At(*spare_)]) {
     spares_[At(View(index).rack_)].push_back(index);
   }
+  const std::vector<uint32_t> kept = CountByRack(*spare_);
+  lent_.resize(view_.rackCount_);
+  for (const InstanceView& instance : view_.instances_) {
+    ++lent_[At(instance.rack_)];
+  }
+  for (size_t rack = 0; rack < lent_.size(); ++rack) {
+    lent_[rack] -= kept[rack];
+  }
 }
 
 std::vector<PlanDraft::Want> PlanDraft::Wants()
@@ -29,8 +37,7 @@
     }
     const uint32_t capacity = count.Capacity();
     const uint32_t target = std::max(need.now_, need.ahead_) + need.borrowed_;
-    const uint32_t future =
-      count.members_ - count.leaving_ + count.joining_ + count.incoming_;
+    const uint32_t future = count.members_ + count.joining_ + count.incoming_;
     const uint32_t ceiling = Contract(pool).ceiling_;
     const uint32_t room = future < ceiling ? ceiling - future : 0;
     const uint32_t urgent = need.now_ > capacity ? need.now_ - capacity : 0;
@@ -87,13 +94,17 @@
   } else if (!isUrgent && Need(aWant.pool_).borrowed_ == 0) {
     reason = StepReason::kDemand;
   }
+  if (wanted == 0) {
+    return;
+  }
+  std::vector<uint32_t> own = CountByRack(aWant.pool_);
   for (uint32_t i = 0; i < wanted; ++i) {
     if (drains_ >= options_.maxDrainsPerPlan_) {
       return;
     }
     std::optional<InstanceIndex> instance;
     if (spare_ && MayLend(isUrgent, aWant.pool_)) {
-      instance = PickSpare(aWant.pool_);
+      instance = PickSpare(own);
     }
     if (!instance) {
       hasUnmetDemand_ |= isUrgent;
@@ -101,29 +112,41 @@
       return;
     }
     Drain(*instance, Purpose::kMove, aWant.pool_, reason);
+    ++own[At(View(*instance).rack_)];
+    ++lent_[At(View(*instance).rack_)];
+  }
+}
+
+std::vector<uint32_t> PlanDraft::CountByRack(PoolIndex aPool) const
+{
+  std::vector<uint32_t> counts(view_.rackCount_);
+  for (const InstanceView& instance : view_.instances_) {
+    const bool isMove = instance.state_ == InstanceState::kDraining &&
+                        instance.purpose_ == Purpose::kMove;
+    const PoolIndex pool = isMove ? instance.target_ : instance.pool_;
+    counts[At(instance.rack_)] += pool == aPool ? 1 : 0;
   }
+  return counts;
 }
 
-std::optional<InstanceIndex> PlanDraft::PickSpare(PoolIndex aTo)
+std::optional<InstanceIndex> PlanDraft::PickSpare(
+  std::span<const uint32_t> aOwn)
 {
-  // The rack in which the borrower has fewest keeps it spread; among these
-  // the rack with most spare instances keeps the spare pool spread.
+  // The loss of a rack costs least where fewest instances are in use, and the
+  // borrower's own count twice, to keep it spread.
   std::vector<InstanceIndex>* best = nullptr;
-  uint32_t bestOwn = 0;
+  uint32_t bestUse = 0;
   for (size_t rack = 0; rack < spares_.size(); ++rack) {
     std::vector<InstanceIndex>& candidates = spares_[rack];
     while (!candidates.empty() && isTaken_[At(candidates.back())]) {
       candidates.pop_back();
     }
-    if (candidates.empty()) {
-      continue;
-    }
-    const uint32_t own = census_.InRack(aTo, static_cast<RackIndex>(rack));
-    const bool isBetter = best == nullptr || own < bestOwn ||
-                          (own == bestOwn && candidates.size() > best->size());
-    if (isBetter && !census_.ObstacleTo(candidates.back())) {
+    const uint32_t use = lent_[rack] + aOwn[rack];
+    const bool isBetter = best == nullptr || use < bestUse;
+    if (!candidates.empty() && isBetter &&
+        !census_.ObstacleTo(candidates.back(), Purpose::kMove)) {
       best = &candidates;
-      bestOwn = own;
+      bestUse = use;
     }
   }
   if (best == nullptr) {
@@ -159,21 +182,25 @@
 void PlanDraft::GiveBack(PoolIndex aPool, uint32_t aSurplus)
 {
   std::vector<InstanceIndex> members = members_[At(aPool)];
-  // From the fullest racks first, so that the rest stays spread.
-  std::sort(members.begin(), members.end(), [&](auto aL, auto aR) {
-    const uint32_t left = census_.InRack(aPool, View(aL).rack_);
-    const uint32_t right = census_.InRack(aPool, View(aR).rack_);
-    return left != right ? left > right : aL < aR;
+  // From the racks most in use first, so that the rest stays spread.
+  const std::vector<uint32_t> own = CountByRack(aPool);
+  const auto use = [&](InstanceIndex aMember) {
+    const size_t rack = At(View(aMember).rack_);
+    return own[rack] + lent_[rack];
+  };
+  std::stable_sort(members.begin(), members.end(), [&](auto aL, auto aR) {
+    return use(aL) > use(aR);
   });
   uint32_t given = 0;
   for (const InstanceIndex member : members) {
     if (given == aSurplus || drains_ >= options_.maxDrainsPerPlan_) {
       return;
     }
-    if (isTaken_[At(member)] || census_.ObstacleTo(member)) {
+    if (isTaken_[At(member)] || census_.ObstacleTo(member, Purpose::kMove)) {
       continue;
     }
     Drain(member, Purpose::kMove, *spare_, StepReason::kSurplus);
+    --lent_[At(View(member).rack_)];
     ++given;
   }
 }
--- a/src/core/planner.cpp
+++ b/src/core/planner.cpp
@@ -94,11 +94,15 @@
   draft.ContinueSteps();
   if (objective_.IsRollOutFirst()) {
     draft.RollOut();
-  }
-  draft.Grow();
-  draft.Shrink();
-  if (!objective_.IsRollOutFirst()) {
+    // Pools borrow for their roll-outs before the spare pool begins its own.
+    draft.Grow();
+    draft.RollOutSpare();
+    draft.Shrink();
+  } else {
+    draft.Grow();
+    draft.Shrink();
     draft.RollOut();
+    draft.RollOutSpare();
   }
   draft.MaintainDue();
   return draft.Finish();
--- a/src/core/pool_census.cpp
+++ b/src/core/pool_census.cpp
@@ -18,12 +18,12 @@
     const bool isTaken = instance.state_ == InstanceState::kDraining ||
                          instance.state_ == InstanceState::kMaintenance;
     count.joining_ += isJoining ? 1 : 0;
-    count.members_ += isJoining ? 0 : 1;
+    const bool isLeaving = isTaken && instance.purpose_ == Purpose::kMove;
+    count.members_ += isJoining || isLeaving ? 0 : 1;
     count.serving_ += isServing ? 1 : 0;
     count.unsettled_ += isServing && !IsSettled(instance) ? 1 : 0;
-    count.unavailable_ += IsUnavailable(instance.state_) ? 1 : 0;
-    if (isTaken && instance.purpose_ == Purpose::kMove) {
-      ++count.leaving_;
+    count.unavailable_ += IsUnavailable(instance.state_) && !isLeaving ? 1 : 0;
+    if (isLeaving) {
       ++counts_[At(instance.target_)].incoming_;
     } else if (isTaken) {
       ++count.maintained_;
@@ -34,11 +34,8 @@
 
 void PoolCensus::CountPlaces()
 {
-  std::vector<uint32_t> racks(view_.rackCount_);
   places_.reserve(view_.instances_.size());
   for (const InstanceView& instance : view_.instances_) {
-    uint32_t& rack = racks[At(instance.rack_)];
-    largestRack_ = std::max(largestRack_, ++rack);
     places_.push_back(
       { .pool_ = instance.pool_,
         .rack_ = instance.rack_,
@@ -74,7 +71,8 @@
   return now_ - aInstance.repairedAt_ >= probation_;
 }
 
-std::optional<Obstacle> PoolCensus::ObstacleTo(InstanceIndex aInstance) const
+std::optional<Obstacle> PoolCensus::ObstacleTo(InstanceIndex aInstance,
+                                               Purpose aPurpose) const
 {
   const InstanceView& instance = view_.instances_[At(aInstance)];
   const PoolCount& count = counts_[At(instance.pool_)];
@@ -83,8 +81,11 @@
     return Obstacle::kProbation;
   }
   // Members on probation may go again, so they count as unavailable.
-  const uint32_t unavailable = count.unavailable_ + count.unsettled_ + 1;
-  if (unavailable > contract.budget_.Allowed(count.members_)) {
+  const bool isMove = aPurpose == Purpose::kMove;
+  const uint32_t unavailable =
+    count.unavailable_ + count.unsettled_ + (isMove ? 0 : 1);
+  const uint32_t members = count.members_ - (isMove ? 1 : 0);
+  if (unavailable > contract.budget_.Allowed(members)) {
     return Obstacle::kBudget;
   }
   if (count.Settled() < contract.floor_ + 1) {
@@ -143,20 +144,29 @@
   const InstanceView& instance = view_.instances_[At(aInstance)];
   PoolCount& count = counts_[At(instance.pool_)];
   --count.serving_;
-  ++count.unavailable_;
   --FindPlace(instance)->serving_;
   if (aPurpose == Purpose::kMove) {
-    ++count.leaving_;
+    --count.members_;
     ++counts_[At(aTarget)].incoming_;
   } else {
+    ++count.unavailable_;
     ++count.maintained_;
   }
 }
 
-uint32_t PoolCensus::InRack(PoolIndex aPool, RackIndex aRack) const
+uint32_t PoolCensus::LargestLoss(std::span<const uint32_t> aNeeded) const
 {
-  const Place* place = FindPlace(aPool, aRack);
-  return place != nullptr ? place->serving_ : 0;
+  std::vector<uint32_t> lost(view_.rackCount_);
+  for (const Place& place : places_) {
+    const uint32_t serving = counts_[At(place.pool_)].serving_;
+    const uint32_t needed = aNeeded[At(place.pool_)];
+    const uint32_t surplus = serving > needed ? serving - needed : 0;
+    if (place.serving_ > surplus) {
+      lost[At(place.rack_)] += place.serving_ - surplus;
+    }
+  }
+  const auto worst = std::max_element(lost.begin(), lost.end());
+  return worst != lost.end() ? *worst : 0;
 }
 
 } // namespace vanillahatch
