Roll-outs replace members by borrowed ones that run the version already

The change: after the first newcomer serves in the new version, further ones replace old members, who go back to the spare pool; the spare pool's roll-out leaves room for what the others borrow; old-version spares are lent first.

--- a/src/core/plan_draft.h
+++ b/src/core/plan_draft.h
@@ -51,7 +51,7 @@
 
   bool IsFree(const InstanceView& aInstance) const;
   bool IsDue(const InstanceView& aInstance) const;
-  void RollOutPool(PoolIndex aPool);
+  void RollOutPool(PoolIndex aPool, uint32_t aReserve);
   bool NeedsRollOut(const InstanceView& aInstance) const;
   void StudyVersions();
   void StudyNeeds(std::span<const DemandOutlook> aOutlooks);
@@ -69,7 +69,7 @@
   std::optional<InstanceIndex> PickSpare(std::span<const uint32_t> aOwn);
   std::vector<uint32_t> CountByRack(PoolIndex aPool) const;
   void PrepareSpares();
-  void GiveBack(PoolIndex aPool, uint32_t aSurplus);
+  void GiveBack(PoolIndex aPool, uint32_t aSurplus, bool aOnlyOldVersion);
 
   bool Maintain(InstanceIndex aInstance, Purpose aPurpose, StepReason aReason);
   void Drain(InstanceIndex aInstance,
--- a/src/core/plan_maintenance.cpp
+++ b/src/core/plan_maintenance.cpp
@@ -55,19 +55,26 @@
 {
   for (size_t i = 0; i < needs_.size(); ++i) {
     if (spare_ != static_cast<PoolIndex>(i)) {
-      RollOutPool(static_cast<PoolIndex>(i));
+      RollOutPool(static_cast<PoolIndex>(i), 0);
     }
   }
 }
 
 void PlanDraft::RollOutSpare()
 {
-  if (spare_) {
-    RollOutPool(*spare_);
+  if (!spare_) {
+    return;
+  }
+  // Other pools still borrow for their own roll-outs, which must leave the
+  // rest within the budget.
+  uint32_t lent = 0;
+  for (const PoolNeed& need : needs_) {
+    lent += need.isRollingOut_ ? need.borrowed_ : 0;
   }
+  RollOutPool(*spare_, lent);
 }
 
-void PlanDraft::RollOutPool(PoolIndex aPool)
+void PlanDraft::RollOutPool(PoolIndex aPool, uint32_t aReserve)
 {
   if (Need(aPool).isRollOutStopped_) {
     Hold(aPool, Purpose::kRollOut, StepReason::kRollOutStopped);
@@ -85,12 +92,13 @@
       continue;
     }
     const PoolCount& count = census_.Of(aPool);
-    const uint32_t allowed = Contract(aPool).budget_.Allowed(count.members_);
-    const bool isFull = count.unavailable_ >= allowed;
-    if (!Maintain(member, Purpose::kRollOut, StepReason::kVersionChanged) &&
-        isFull) {
+    const uint32_t members =
+      count.members_ > aReserve ? count.members_ - aReserve : 0;
+    if (count.unavailable_ >= Contract(aPool).budget_.Allowed(members)) {
+      Hold(aPool, Purpose::kRollOut, StepReason::kBudget);
       return;
     }
+    Maintain(member, Purpose::kRollOut, StepReason::kVersionChanged);
   }
 }
 
--- a/src/core/plan_moves.cpp
+++ b/src/core/plan_moves.cpp
@@ -11,7 +11,13 @@
   if (!spare_) {
     return;
   }
-  for (const InstanceIndex index : members_[At(*spare_)]) {
+  std::vector<InstanceIndex> members = members_[At(*spare_)];
+  // Those that the spare pool would have to restart are lent first; they start
+  // in the borrower's version anyway.
+  std::stable_partition(members.begin(), members.end(), [&](auto aMember) {
+    return !NeedsRollOut(View(aMember));
+  });
+  for (const InstanceIndex index : members) {
     spares_[At(View(index).rack_)].push_back(index);
   }
   const std::vector<uint32_t> kept = CountByRack(*spare_);
@@ -141,10 +147,13 @@
     while (!candidates.empty() && isTaken_[At(candidates.back())]) {
       candidates.pop_back();
     }
-    const uint32_t use = lent_[rack] + aOwn[rack];
+    if (candidates.empty()) {
+      continue;
+    }
+    const uint32_t restart = NeedsRollOut(View(candidates.back())) ? 0 : 1;
+    const uint32_t use = 2 * (lent_[rack] + aOwn[rack]) + restart;
     const bool isBetter = best == nullptr || use < bestUse;
-    if (!candidates.empty() && isBetter &&
-        !census_.ObstacleTo(candidates.back(), Purpose::kMove)) {
+    if (isBetter && !census_.ObstacleTo(candidates.back(), Purpose::kMove)) {
       best = &candidates;
       bestUse = use;
     }
@@ -164,22 +173,31 @@
   }
   for (size_t i = 0; i < needs_.size(); ++i) {
     const PoolNeed& need = needs_[i];
-    const bool isKept = objective_.IsRollOutFirst() && need.isRollingOut_;
-    if (spare_ == static_cast<PoolIndex>(i) || (isKept && !hasUnmetDemand_)) {
+    if (spare_ == static_cast<PoolIndex>(i)) {
       continue;
     }
     // Others' unmet demand ends the dwell of a surplus.
     const uint32_t keep =
-      (hasUnmetDemand_ ? need.ahead_ : std::max(need.keep_, need.ahead_)) +
-      need.borrowed_;
+      hasUnmetDemand_ ? need.ahead_ : std::max(need.keep_, need.ahead_);
+    // While a version rolls out, members are replaced by borrowed ones that
+    // run it already; the others stay, so that the waves keep their width.
+    const bool isReplacing =
+      need.isRollingOut_ && need.isProven_ && objective_.IsRollOutFirst();
+    const uint32_t borrowed = isReplacing ? 0 : need.borrowed_;
     const uint32_t serving = census_.Of(static_cast<PoolIndex>(i)).serving_;
-    if (serving > keep) {
-      GiveBack(static_cast<PoolIndex>(i), serving - keep);
+    const bool isKept = need.isRollingOut_ && objective_.IsRollOutFirst() &&
+                        !isReplacing && !hasUnmetDemand_;
+    if (!isKept && serving > keep + borrowed) {
+      GiveBack(static_cast<PoolIndex>(i),
+               serving - keep - borrowed,
+               isReplacing && !hasUnmetDemand_);
     }
   }
 }
 
-void PlanDraft::GiveBack(PoolIndex aPool, uint32_t aSurplus)
+void PlanDraft::GiveBack(PoolIndex aPool,
+                         uint32_t aSurplus,
+                         bool aOnlyOldVersion)
 {
   std::vector<InstanceIndex> members = members_[At(aPool)];
   // From the racks most in use first, so that the rest stays spread.
@@ -196,7 +214,9 @@
     if (given == aSurplus || drains_ >= options_.maxDrainsPerPlan_) {
       return;
     }
-    if (isTaken_[At(member)] || census_.ObstacleTo(member, Purpose::kMove)) {
+    const bool isKept = aOnlyOldVersion && !NeedsRollOut(View(member));
+    if (isKept || isTaken_[At(member)] ||
+        census_.ObstacleTo(member, Purpose::kMove)) {
       continue;
     }
     Drain(member, Purpose::kMove, *spare_, StepReason::kSurplus);
