--- /dev/null
+++ b/src/core/placement.cpp
@@ -0,0 +1,323 @@
+#include "vanillahatch/core/placement.h"
+
+#include <algorithm>
+#include <array>
+#include <tuple>
+#include <utility>
+
+namespace vanillahatch {
+
+namespace {
+
+constexpr std::array<std::string_view, 6> kActionNames = {
+  "start", "checkpoint", "throttle", "stop", "refuse", "quarantine"
+};
+
+constexpr std::array<std::string_view, 9> kReasonNames = {
+  "placed",           "urgent",     "memory-pressure",
+  "cpu-pressure",     "never-fits", "over-quota",
+  "fails-everywhere", "duplicate",  "worker-fails-tasks"
+};
+
+} // namespace
+
+std::string_view NameOf(PlacementActionKind aKind)
+{
+  return kActionNames[static_cast<size_t>(aKind)];
+}
+
+std::string_view NameOf(PlacementReason aReason)
+{
+  return kReasonNames[static_cast<size_t>(aReason)];
+}
+
+Placement::WaitKey Placement::KeyOf(const Task& aTask)
+{
+  return { .isPatient_ = !aTask.spec_.urgent_, .order_ = aTask.order_ };
+}
+
+void Placement::AddWorker(const WorkerSpec& aWorker)
+{
+  const auto [it, isNew] = workers_.try_emplace(
+    aWorker.name_, Worker{ .spec_ = aWorker, .free_ = aWorker.capacity_ });
+  if (!isNew) {
+    return;
+  }
+  const Resources& capacity = aWorker.capacity_;
+  largest_.milliCpus_ = std::max(largest_.milliCpus_, capacity.milliCpus_);
+  largest_.memoryMb_ = std::max(largest_.memoryMb_, capacity.memoryMb_);
+  largest_.accelerators_ =
+    std::max(largest_.accelerators_, capacity.accelerators_);
+}
+
+void Placement::SetQuota(const TeamName& aTeam, const Resources& aQuota)
+{
+  quotas_[aTeam] = aQuota;
+}
+
+void Placement::Submit(const TaskSpec& aTask, Millis aNow)
+{
+  const auto [it, isNew] = tasks_.try_emplace(
+    aTask.name_,
+    Task{ .spec_ = aTask, .submittedAt_ = aNow, .order_ = order_++ });
+  if (!isNew) {
+    actions_.push_back({ .kind_ = PlacementActionKind::kRefuse,
+                         .reason_ = PlacementReason::kDuplicate,
+                         .task_ = aTask.name_ });
+    return;
+  }
+  if (!RefuseImpossible(it->second)) {
+    waiting_.emplace(KeyOf(it->second), aTask.name_);
+  }
+}
+
+bool Placement::RefuseImpossible(const Task& aTask)
+{
+  // Declared amounts are often wrong; what is learned decides once known.
+  const Resources size =
+    sizes_[aTask.spec_.kind_].Reserve(aTask.spec_.declared_);
+  const bool fitsSomewhere =
+    std::any_of(workers_.begin(), workers_.end(), [&](const auto& aItem) {
+      return size.FitsInto(aItem.second.spec_.capacity_);
+    });
+  const auto quota = quotas_.find(aTask.spec_.team_);
+  const bool fitsQuota = quota == quotas_.end() || size.FitsInto(quota->second);
+  if ((fitsSomewhere || workers_.empty()) && fitsQuota) {
+    return false;
+  }
+  Act(PlacementActionKind::kRefuse,
+      fitsQuota ? PlacementReason::kNeverFits : PlacementReason::kOverQuota,
+      aTask);
+  tasks_.erase(TaskName(aTask.spec_.name_));
+  return true;
+}
+
+void Placement::Act(PlacementActionKind aKind,
+                    PlacementReason aReason,
+                    const Task& aTask)
+{
+  actions_.push_back({ .kind_ = aKind,
+                       .reason_ = aReason,
+                       .task_ = aTask.spec_.name_,
+                       .worker_ = aTask.worker_,
+                       .attempt_ = aTask.attempt_,
+                       .reserved_ = aTask.reserved_,
+                       .leaseUntil_ = aTask.leaseUntil_ });
+}
+
+void Placement::Free(Task& aTask)
+{
+  Worker& worker = workers_.at(aTask.worker_);
+  worker.free_ = worker.free_ + aTask.reserved_;
+  worker.tasks_.erase(aTask.spec_.name_);
+  Resources& used = used_[aTask.spec_.team_];
+  used = used - aTask.reserved_;
+  --inRack_[{ aTask.spec_.kind_, worker.spec_.rack_ }];
+  --running_;
+  aTask.worker_ = WorkerName();
+  aTask.isStopping_ = false;
+}
+
+void Placement::Forget(const TaskName& aTask)
+{
+  const auto it = tasks_.find(aTask);
+  waiting_.erase(KeyOf(it->second));
+  tasks_.erase(it);
+}
+
+void Placement::End(const TaskName& aTask, uint64_t aAttempt, TaskEnd aEnd)
+{
+  const auto it = tasks_.find(aTask);
+  if (it == tasks_.end() || it->second.attempt_ != aAttempt ||
+      it->second.worker_.Empty()) {
+    return;
+  }
+  Task& task = it->second;
+  Worker& worker = workers_.at(task.worker_);
+  if (aEnd == TaskEnd::kSucceeded) {
+    worker.failures_ = 0;
+    worker.failedKinds_.clear();
+    if (task.peak_ != Resources{}) {
+      sizes_[task.spec_.kind_].Learn(task.peak_);
+    }
+  } else if (aEnd == TaskEnd::kFailed) {
+    NoteFailure(task);
+  }
+  const bool isGivenUp = task.failedOn_.size() >= options_.workersToGiveUp_;
+  Free(task);
+  if (isGivenUp && aEnd == TaskEnd::kFailed) {
+    Act(PlacementActionKind::kRefuse, PlacementReason::kFailsEverywhere, task);
+  }
+  if (aEnd == TaskEnd::kSucceeded || isGivenUp || task.isCancelled_) {
+    Forget(aTask);
+    return;
+  }
+  waiting_.emplace(KeyOf(task), aTask);
+}
+
+void Placement::NoteFailure(Task& aTask)
+{
+  Worker& worker = workers_.at(aTask.worker_);
+  aTask.failedOn_.insert(aTask.worker_);
+  ++worker.failures_;
+  worker.failedKinds_.insert(aTask.spec_.kind_);
+  // One kind alone may be at fault itself.
+  const bool isSuspect = worker.failures_ >= options_.failuresToQuarantine_ &&
+                         worker.failedKinds_.size() > 1 &&
+                         !worker.isQuarantined_;
+  const auto quarantined =
+    std::count_if(workers_.begin(), workers_.end(), [](const auto& aItem) {
+      return aItem.second.isQuarantined_;
+    });
+  const size_t allowed =
+    std::max<size_t>(1, workers_.size() * options_.quarantinePercent_ / 100);
+  if (!isSuspect || static_cast<size_t>(quarantined) >= allowed) {
+    return;
+  }
+  worker.isQuarantined_ = true;
+  actions_.push_back({ .kind_ = PlacementActionKind::kQuarantine,
+                       .reason_ = PlacementReason::kWorkerFailsTasks,
+                       .worker_ = worker.spec_.name_ });
+}
+
+void Placement::EndQuarantine(const WorkerName& aWorker)
+{
+  const auto it = workers_.find(aWorker);
+  if (it != workers_.end()) {
+    it->second.isQuarantined_ = false;
+    it->second.failures_ = 0;
+    it->second.failedKinds_.clear();
+  }
+}
+
+bool Placement::IsQuarantined(const WorkerName& aWorker) const
+{
+  const auto it = workers_.find(aWorker);
+  return it != workers_.end() && it->second.isQuarantined_;
+}
+
+void Placement::Cancel(const TaskName& aTask)
+{
+  const auto it = tasks_.find(aTask);
+  if (it == tasks_.end()) {
+    return;
+  }
+  if (it->second.worker_.Empty()) {
+    Forget(aTask);
+    return;
+  }
+  it->second.isCancelled_ = true;
+  Stop(it->second, PlacementReason::kPlaced);
+}
+
+void Placement::ExpireLeases(Millis aNow)
+{
+  std::vector<TaskName> expired;
+  for (const auto& [name, task] : tasks_) {
+    if (!task.worker_.Empty() && task.leaseUntil_ <= aNow) {
+      expired.push_back(name);
+    }
+  }
+  for (const TaskName& name : expired) {
+    // The worker has stopped it by now, whether it can be reached or not.
+    End(name, tasks_.at(name).attempt_, TaskEnd::kStopped);
+  }
+}
+
+bool Placement::FitsQuota(const Task& aTask, const Resources& aSize) const
+{
+  const auto quota = quotas_.find(aTask.spec_.team_);
+  if (quota == quotas_.end()) {
+    return true;
+  }
+  const auto used = used_.find(aTask.spec_.team_);
+  const Resources before = used != used_.end() ? used->second : Resources{};
+  return (before + aSize).FitsInto(quota->second);
+}
+
+Placement::Worker* Placement::ChooseWorker(const Task& aTask,
+                                           const Resources& aSize)
+{
+  Worker* best = nullptr;
+  std::tuple<bool, uint32_t, int64_t, int64_t> bestCost;
+  for (auto& [name, worker] : workers_) {
+    if (worker.isQuarantined_ || !aSize.FitsInto(worker.free_)) {
+      continue;
+    }
+    const auto rack = inRack_.find({ aTask.spec_.kind_, worker.spec_.rack_ });
+    const uint32_t alike = rack != inRack_.end() ? rack->second : 0;
+    const Resources left = worker.free_ - aSize;
+    // Not where it failed, spread over racks, accelerators kept for those
+    // that need them, and then the tightest fit.
+    const std::tuple cost(aTask.failedOn_.contains(name),
+                          alike,
+                          left.accelerators_,
+                          left.memoryMb_);
+    if (best == nullptr || cost < bestCost) {
+      best = &worker;
+      bestCost = cost;
+    }
+  }
+  return best;
+}
+
+void Placement::Start(Task& aTask,
+                      Worker& aWorker,
+                      const Resources& aSize,
+                      Millis aNow)
+{
+  waiting_.erase(KeyOf(aTask));
+  ++aTask.attempt_;
+  aTask.worker_ = aWorker.spec_.name_;
+  aTask.reserved_ = aSize;
+  aTask.use_ = aSize;
+  aTask.peak_ = {};
+  aTask.leaseUntil_ = aNow + options_.lease_;
+  aTask.isCheckpointed_ = false;
+  aWorker.free_ = aWorker.free_ - aSize;
+  aWorker.tasks_.insert(aTask.spec_.name_);
+  Resources& used = used_[aTask.spec_.team_];
+  used = used + aSize;
+  ++inRack_[{ aTask.spec_.kind_, aWorker.spec_.rack_ }];
+  ++running_;
+  Act(PlacementActionKind::kStart, PlacementReason::kPlaced, aTask);
+}
+
+void Placement::PlaceWaiting(Millis aNow)
+{
+  std::vector<TaskName> names;
+  for (const auto& [key, name] : waiting_) {
+    names.push_back(name);
+  }
+  std::vector<Resources> tooLarge; // found no worker in this call
+  for (const TaskName& name : names) {
+    Task& task = tasks_.at(name);
+    const Resources size =
+      sizes_[task.spec_.kind_].Reserve(task.spec_.declared_);
+    const bool isHopeless =
+      std::any_of(tooLarge.begin(), tooLarge.end(), [&](const auto& aOther) {
+        return aOther.FitsInto(size);
+      });
+    if (!FitsQuota(task, size) || (isHopeless && !task.spec_.urgent_)) {
+      continue;
+    }
+    Worker* worker = isHopeless ? nullptr : ChooseWorker(task, size);
+    if (worker == nullptr && !isHopeless) {
+      tooLarge.push_back(size);
+    }
+    if (worker != nullptr) {
+      Start(task, *worker, size, aNow);
+    } else if (task.spec_.urgent_) {
+      MakeRoom(task, size, aNow);
+    }
+  }
+}
+
+std::vector<PlacementAction> Placement::Decide(Millis aNow)
+{
+  ExpireLeases(aNow);
+  PlaceWaiting(aNow);
+  return std::exchange(actions_, {});
+}
+
+} // namespace vanillahatch
