--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -23,6 +23,8 @@
 constexpr size_t kEventRingSize = 16384;
 constexpr Millis kTick = Millis(20);
 constexpr Millis kStopPoll = Millis(20);
+// By how much a caller's clock may be ahead of an entry's.
+constexpr Millis kMaxClockSkew = Seconds(300);
 
 asio::awaitable<void> Sleep(Millis aSpan)
 {
@@ -50,10 +52,11 @@
       { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
       [this](HttpRequest aRequest) { return HandleHttp(std::move(aRequest)); })
   , events_(kEventRingSize)
-  , core_({ .dataCentre_ = aSelf.dataCentre_ }, MakeLeastInFlight())
+  , core_({ .dataCentre_ = aSelf.dataCentre_, .requireGrants_ = true },
+          MakeLeastInFlight())
   , ledger_(aSettings.ledgers_)
-  , peers_(aSelf.name_, aSettings.entries_)
-  , peerService_([this](const UpstreamFact& aFact) {
+  , peers_(aSelf.name_, aSettings.entries_, sharedFacts_, clock_)
+  , peerService_(sharedFacts_, clock_, [this](const UpstreamFact& aFact) {
     events_.Push(FactArrived{ .fact_ = aFact, .fromPeer_ = true });
   })
 {
@@ -67,9 +70,15 @@
   if (!rpcServer_) {
     return 1;
   }
-  server_.Start();
   control_ = std::make_unique<ControlLink>(
-    self_, settings_.controls_, [](const FleetConfig&) {});
+    self_, settings_.controls_, [this](const v1::FleetState& aState) {
+      ApplyState(aState);
+    });
+  grants_ = std::make_unique<GrantLink>(
+    settings_, self_, startId_, [this](const std::vector<Grant>& aGrants) {
+      return events_.TryPush(GrantsArrived{ .grants_ = aGrants });
+    });
+  server_.Start();
   decisions_ = std::thread([this] { DecisionLoop(); });
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
@@ -85,6 +94,7 @@
   events_.Close();
   decisions_.join();
   control_.reset();
+  grants_.reset();
   rpcServer_->Shutdown();
   LogInfo(Event::kProcessStopped, { { "node", self_.name_.View() } });
   return 0;
@@ -105,6 +115,9 @@
   while (server_.OpenConnections() > 0 && clock_.Now() < deadline) {
     co_await Sleep(kStopPoll);
   }
+  while (ledger_.OpenOperations() > 0 && clock_.Now() < deadline) {
+    co_await Sleep(kStopPoll);
+  }
   io_.stop();
 }
 
@@ -124,6 +137,8 @@
     co_return HandleAnnouncement(aRequest);
   }
   if (target == "/metrics") {
+    control_->Report(metrics_);
+    grants_->Report(metrics_);
     HttpResponse response = MakeJson(200, metrics_.Render());
     response.set(http::field::content_type, "text/plain; version=0.0.4");
     co_return response;
@@ -140,14 +155,20 @@
 EntryProcess::Awaited EntryProcess::HandleJob(HttpRequest aRequest)
 {
   metrics_.Count("vh_jobs_arrived_total");
+  // An earlier request with the same key may have run through another entry.
+  const bool isRepeatable = aRequest["Vh-Repeatable"] != "no";
   Result<JobRequest, MalformedJob> parsed =
     ParseJob(aRequest, settings_.limits_, clock_.Now());
+  if (parsed && parsed.value().issuedAt_ > clock_.UnixNow() + kMaxClockSkew) {
+    parsed = failure(MalformedJob{ .field_ = "Vh-Issued-At",
+                                   .detail_ = "lies in the future" });
+  }
   if (!parsed) {
     LogWarning(Event::kRequestMalformed,
                { { "field", parsed.error().field_ } });
     co_return MakeProblem(400,
                           "malformed-request",
-                          "no",
+                          isRepeatable ? "no" : "unknown",
                           parsed.error().field_ + " " + parsed.error().detail_);
   }
   auto job = std::make_shared<PendingJob>();
@@ -160,10 +181,11 @@
   EntryEvent arrived = JobArrived{ .request_ = job->request_ };
   if (!events_.TryPush(std::move(arrived))) {
     LogWarning(Event::kOverloaded, { { "ring", "entry-events" } });
-    co_return MakeRefusal({ .code_ = RefusalCode::kQueueFull,
-                            .ran_ = RanVerdict::kNo,
-                            .retryAfter_ = Seconds(1),
-                            .detail_ = "this entry is overloaded" });
+    co_return MakeRefusal(
+      { .code_ = RefusalCode::kQueueFull,
+        .ran_ = isRepeatable ? RanVerdict::kNo : RanVerdict::kUnknown,
+        .retryAfter_ = Seconds(1),
+        .detail_ = "this entry is overloaded" });
   }
   pending_.Add(job);
   boost::system::error_code cancelled;
@@ -216,9 +238,11 @@
   if (stopping_) {
     return MakeProblem(503, "stopping", "no", "planned stop");
   }
-  return MakeJson(200,
-                  "{\"ready\":true,\"revision\":" +
-                    std::to_string(control_->Revision()) + "}");
+  if (!control_->Ready()) {
+    return MakeProblem(
+      503, "starting", "no", "the latest configuration is not known yet");
+  }
+  return MakeJson(200, "{\"ready\":true," + control_->StatusJson() + "}");
 }
 
 asio::awaitable<void> EntryProcess::Attempt(Dispatch aDispatch)
@@ -263,9 +287,11 @@
       for (EntryAction& action : core_.Handle(*event, now)) {
         Perform(std::move(action));
       }
+      TellGrants(*event, now);
     }
     if (now >= nextTick) {
       nextTick = now + kTick;
+      peers_.Flush();
       for (EntryAction& action : core_.Handle(TimerTick{}, now)) {
         Perform(std::move(action));
       }
@@ -273,6 +299,51 @@
   }
 }
 
+void EntryProcess::ApplyState(const v1::FleetState& aState)
+{
+  std::set<std::string> draining;
+  for (const v1::Membership& held : aState.memberships()) {
+    if (held.draining()) {
+      draining.insert(held.instance());
+    }
+  }
+  const auto tell = [&](const std::set<std::string>& aNew,
+                        const std::set<std::string>& aOld,
+                        bool aDraining) {
+    for (const std::string& instance : aNew) {
+      if (!aOld.contains(instance)) {
+        events_.Push(DrainChanged{ .instance_ = InstanceName(instance),
+                                   .draining_ = aDraining });
+      }
+    }
+  };
+  tell(draining, draining_, true);
+  tell(draining_, draining, false);
+  draining_ = std::move(draining);
+}
+
+// Keeps the grants' side informed of upstreams and of work in flight.
+void EntryProcess::TellGrants(const EntryEvent& aEvent, Millis aNow)
+{
+  if (const auto* const fact = std::get_if<FactArrived>(&aEvent)) {
+    const InstanceName& instance = fact->fact_.instance_;
+    const UpstreamFact* known = core_.Directory().Find(instance, aNow);
+    if (known != nullptr) {
+      grants_->PutUpstream(*known);
+    } else {
+      grants_->RemoveUpstream(instance);
+    }
+  } else if (const auto* const ended = std::get_if<AttemptEnded>(&aEvent)) {
+    const auto it = attempts_.find(ended->attempt_);
+    if (it != attempts_.end()) {
+      grants_->Ended(it->second);
+      attempts_.erase(it);
+    }
+  } else if (std::holds_alternative<GrantsArrived>(aEvent)) {
+    grants_->OnHandled();
+  }
+}
+
 void EntryProcess::Perform(EntryAction aAction)
 {
   std::visit([this](auto& aTyped) { Do(std::move(aTyped)); }, aAction);
@@ -280,12 +351,11 @@
 
 void EntryProcess::Do(const StartClaim& aAction)
 {
-  v1::ClaimRequest request;
-  request.set_key(aAction.key_.Str());
-  request.set_claimant(Claimant(aAction.job_));
-  request.set_issued_at_unix_ms(clock_.UnixNow().Count());
   ledger_.Claim(
-    request,
+    { .key_ = aAction.key_.Str(),
+      .claimant_ = Claimant(aAction.job_),
+      .issuedAt_ = aAction.issuedAt_,
+      .deadline_ = aAction.deadline_ },
     [this, job = aAction.job_](ClaimVerdict aVerdict,
                                const v1::RecordedOutcome& aOutcome) {
       LogInfo(Event::kClaimDecided,
@@ -305,12 +375,15 @@
 
 void EntryProcess::Do(Dispatch aAction)
 {
+  attempts_[aAction.attempt_] = aAction.instance_;
+  grants_->Begun(aAction.instance_);
   LogInfo(Event::kRouteChosen,
           { { "job", PublicId(aAction.job_) },
             { "attempt", static_cast<uint64_t>(aAction.attempt_) },
             { "candidates", aAction.candidates_ },
             { "choice", aAction.instance_.View() },
             { "reason", aAction.reason_ } });
+  ledger_.MarkDispatched(Claimant(aAction.job_));
   asio::co_spawn(io_, Attempt(std::move(aAction)), asio::detached);
 }
 
@@ -355,6 +428,8 @@
       { "code", ToText(aAction.refusal_.code_) },
       { "ran", aAction.refusal_.ran_ == RanVerdict::kNo ? "no" : "unknown" },
       { "reason", aAction.refusal_.detail_ } });
+  ledger_.Release(Claimant(aAction.job_),
+                  aAction.refusal_.ran_ == RanVerdict::kNo);
   asio::post(io_, [this, aAction] {
     pending_.Complete(aAction.job_, MakeRefusal(aAction.refusal_));
   });
@@ -368,14 +443,11 @@
       return;
     }
     const HttpResponse& answer = job->answers_[aAction.attempt_];
-    v1::OutcomeRequest request;
-    request.set_key(aAction.key_.Str());
-    request.set_claimant(Claimant(aAction.job_));
-    request.mutable_outcome()->set_http_status(answer.result_int());
-    request.mutable_outcome()->set_content_type(
-      std::string(answer[http::field::content_type]));
-    request.mutable_outcome()->set_body(answer.body());
-    ledger_.Record(request);
+    v1::RecordedOutcome outcome;
+    outcome.set_http_status(answer.result_int());
+    outcome.set_content_type(std::string(answer[http::field::content_type]));
+    outcome.set_body(answer.body());
+    ledger_.Record(Claimant(aAction.job_), std::move(outcome));
   });
 }
 
@@ -389,11 +461,12 @@
             { { "instance", aAction.fact_.instance_.View() },
               { "service", aAction.fact_.service_.View() } });
   }
-  peers_.Share(aAction.fact_);
+  sharedFacts_.Hear(aAction.fact_, clock_.Now());
 }
 
 void EntryProcess::Do(const UpstreamGone& aAction)
 {
+  grants_->RemoveUpstream(aAction.instance_);
   LogWarning(Event::kUpstreamExpired,
              { { "instance", aAction.instance_.View() } });
 }
