--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -38,6 +38,12 @@
   kRevisionApplied = 401,
   kControlUnreachable = 402,
   kGrantorProposed = 403,
+  kLogRoleChanged = 420,
+  kLogMembersChanged = 421,
+  kLogDiskLost = 422,
+  kLogDiskFailed = 423,
+  kLogCompacted = 424,
+  kLogRestored = 425,
   kOverloaded = 500,
 };
 
--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -2,8 +2,11 @@
 
 namespace vanillahatch {
 
-ControlService::ControlService(ControlState& aState, GrantorHost& aGrantors)
+ControlService::ControlService(ControlState& aState,
+                               ChangeProposer& aProposer,
+                               GrantorHost& aGrantors)
   : state_(aState)
+  , proposer_(aProposer)
   , grantors_(aGrantors)
   , waiters_(aState)
 {
@@ -24,9 +27,12 @@
   const v1::Change* aRequest,
   v1::ChangeReply* aReply)
 {
-  *aReply = state_.Propose(*aRequest);
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
-  reactor->Finish(grpc::Status::OK);
+  proposer_.Propose(*aRequest,
+                    [reactor, aReply](const v1::ChangeReply& aDecided) {
+                      *aReply = aDecided;
+                      reactor->Finish(grpc::Status::OK);
+                    });
   return reactor;
 }
 
--- a/src/control/control_service.h
+++ b/src/control/control_service.h
@@ -2,6 +2,7 @@
 // entries as soon as they are applied, and takes proposals.
 #pragma once
 
+#include "control/control_replica.h"
 #include "control/control_state.h"
 #include "control/grantor_host.h"
 #include "control/sync_waiters.h"
@@ -13,7 +14,9 @@
 class ControlService : public v1::ControlService::CallbackService
 {
 public:
-  ControlService(ControlState& aState, GrantorHost& aGrantors);
+  ControlService(ControlState& aState,
+                 ChangeProposer& aProposer,
+                 GrantorHost& aGrantors);
 
   grpc::ServerUnaryReactor* Sync(grpc::CallbackServerContext* aContext,
                                  const v1::SyncRequest* aRequest,
@@ -27,6 +30,7 @@
 
 private:
   ControlState& state_;
+  ChangeProposer& proposer_;
   GrantorHost& grantors_;
   SyncWaiters waiters_;
 };
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -53,7 +53,10 @@
       [this](HttpRequest aRequest) { return HandleHttp(std::move(aRequest)); })
   , events_(kEventRingSize)
   , core_({ .dataCentre_ = aSelf.dataCentre_, .requireGrants_ = true },
-          MakeLeastInFlight())
+          MakeLeastInFlight(),
+          [&](SlotTable& aTable) {
+            return MakeOwnView(aTable, aSettings.entries_.size());
+          })
   , ledger_(aSettings.ledgers_)
   , peers_(aSelf.name_, aSettings.entries_, sharedFacts_, clock_)
   , peerService_(sharedFacts_, clock_, [this](const UpstreamFact& aFact) {
@@ -482,6 +485,10 @@
              { { "instance", aAction.instance_.View() } });
 }
 
+void EntryProcess::Do(const HealthChanged& /*aAction*/) {}
+
+void EntryProcess::Do(const SendToPeer& /*aAction*/) {}
+
 std::string EntryProcess::PublicId(JobNumber aNumber) const
 {
   return self_.name_.Str() + "." + startId_ + "." +
