Slots are shared between real entries, and abandoned attempts are closed

Cause: AbandonAttempt did nothing in the process, so a late answer kept its connection; a failed write could be called not sent; entries had no word with each other on slots; a stop closed connections that callers were using. HttpClient closes an abandoned exchange's connection, says not-sent only before the first write, refuses answers without a stated length and connections with extra bytes, and bounds silent connections (3 s for unacknowledged data, 9 s keepalive, 15 s idle age). GET /v1/jobs/{id}; GET and DELETE are forwarded to the entry that the id names. A stopping entry serves on for 1.5 s and asks callers to close. Health changes are logged (205).

--- a/include/vanillahatch/core/health_tracker.h
+++ b/include/vanillahatch/core/health_tracker.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -39,6 +40,8 @@
   kEjected,
 };
 
+std::string_view ToText(HealthState aState);
+
 class HealthTracker
 {
 public:
--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -19,6 +19,7 @@
   kJobAnswered = 202,
   kAttemptFailed = 203,
   kLateAnswerDiscarded = 204,
+  kHealthChanged = 205,
   kClaimDecided = 210,
   kClaimAbandoned = 211,
   kClaimLeftOpen = 212,
--- a/include/vanillahatch/shell/http_client.h
+++ b/include/vanillahatch/shell/http_client.h
@@ -1,5 +1,10 @@
 // Sends HTTP requests to upstreams over kept connections and says exactly how
-// far each got: a request whose first byte was never written did not run.
+// far each got: a request of which no byte can have been written did not run.
+//
+// Silent connections are found within stated bounds: data that is not
+// acknowledged breaks a connection after `kUnacknowledged`, an idle peer is
+// probed by TCP and given up after about `kKeepalive`, and no connection is
+// reused after `kIdleAge` without use.
 #pragma once
 
 #include "vanillahatch/core/clock.h"
@@ -8,6 +13,7 @@
 
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
+#include <chrono>
 #include <map>
 #include <memory>
 #include <optional>
@@ -18,7 +24,7 @@
 enum class ExchangeVerdict
 {
   kAnswered,
-  kNotSent, // no connection, or broken before the first byte was written
+  kNotSent, // ended before the first byte was given to a connection
   kUnknown, // broken later, or no whole answer in time
 };
 
@@ -29,20 +35,58 @@
   std::string detail_;
 };
 
+// Ends one exchange early. Its connection is closed, so that a late answer is
+// discarded with it. Used on the thread of the exchange.
+class ExchangeAbort
+{
+public:
+  void Abort();
+  bool Aborted() const { return aborted_; }
+
+private:
+  friend class HttpClient;
+
+  std::weak_ptr<boost::beast::tcp_stream> stream_;
+  bool aborted_ = false;
+};
+
 class HttpClient
 {
 public:
   HttpClient() = default;
 
-  // Closing the returned connection's stream abandons the exchange.
-  boost::asio::awaitable<ExchangeResult> Exchange(Endpoint aEndpoint,
-                                                  HttpRequest aRequest,
-                                                  Millis aTimeout);
+  boost::asio::awaitable<ExchangeResult> Exchange(
+    Endpoint aEndpoint,
+    HttpRequest aRequest,
+    Millis aTimeout,
+    std::shared_ptr<ExchangeAbort> aAbort = nullptr);
+
+  // Closes kept connections that are too old, or no longer usable.
+  void CloseStale();
+  size_t IdleConnections() const;
+
+  static constexpr Millis kIdleAge = Seconds(15);
+  static constexpr Millis kUnacknowledged = Seconds(3);
+  static constexpr Millis kKeepalive = Seconds(9);
 
 private:
-  using Stream = std::unique_ptr<boost::beast::tcp_stream>;
+  using Stream = std::shared_ptr<boost::beast::tcp_stream>;
+
+  struct Idle
+  {
+    Stream stream_;
+    std::chrono::steady_clock::time_point since_;
+  };
+
+  Stream TakeIdle(const Endpoint& aEndpoint);
+  boost::asio::awaitable<Stream> Connect(Endpoint aEndpoint,
+                                         Millis aTimeout,
+                                         ExchangeAbort& aAbort,
+                                         boost::system::error_code& aError);
+  boost::asio::awaitable<ExchangeResult> ReadAnswer(Endpoint aEndpoint,
+                                                    Stream aStream);
 
-  std::map<Endpoint, std::vector<Stream>> idle_;
+  std::map<Endpoint, std::vector<Idle>> idle_;
 };
 
 } // namespace vanillahatch
--- a/include/vanillahatch/shell/http_server.h
+++ b/include/vanillahatch/shell/http_server.h
@@ -44,6 +44,8 @@
 
   // Throws boost::system::system_error if the endpoint cannot be bound.
   void Start();
+  // Goes on serving, and asks callers to close after each answer.
+  void BeginDrain();
   // Takes no new connection; those open end after their current request.
   void StopAccepting();
   size_t OpenConnections() const;
--- a/src/core/health_tracker.cpp
+++ b/src/core/health_tracker.cpp
@@ -1,9 +1,21 @@
 #include "vanillahatch/core/health_tracker.h"
 
 #include <algorithm>
+#include <array>
 
 namespace vanillahatch {
 
+std::string_view ToText(HealthState aState)
+{
+  static constexpr std::array<std::string_view, 4> kTexts = {
+    "healthy",
+    "probation",
+    "last-resort",
+    "ejected",
+  };
+  return kTexts.at(static_cast<size_t>(aState));
+}
+
 void HealthTracker::Add(const InstanceName& aInstance,
                         const ServiceName& aService)
 {
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -5,6 +5,8 @@
 #include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/rpc.h"
 
+#include <algorithm>
+#include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/post.hpp>
@@ -23,6 +25,11 @@
 constexpr size_t kEventRingSize = 16384;
 constexpr Millis kTick = Millis(20);
 constexpr Millis kStopPoll = Millis(20);
+// The balancer's time to see that this entry is not ready.
+constexpr Millis kNotReadySpan = Millis(1500);
+constexpr std::string_view kJobsPath = "/v1/jobs/";
+constexpr Millis kForwardTimeout = Seconds(1);
+constexpr Millis kStaleSweep = Seconds(1);
 // By how much a caller's clock may be ahead of an entry's.
 constexpr Millis kMaxClockSkew = Seconds(300);
 
@@ -33,6 +40,23 @@
   co_await timer.async_wait(asio::use_awaitable);
 }
 
+std::vector<PeerEntry> PeersOf(const Settings& aSettings)
+{
+  std::vector<PeerEntry> peers;
+  for (const EntrySettings& entry : aSettings.entries_) {
+    peers.push_back({ .name_ = entry.name_, .dataCentre_ = entry.dataCentre_ });
+  }
+  return peers;
+}
+
+std::string_view ToText(PublicState aState)
+{
+  static constexpr std::array<std::string_view, 5> kTexts = {
+    "waiting", "running", "answered", "refused", "unknown",
+  };
+  return kTexts.at(static_cast<size_t>(aState));
+}
+
 uint64_t Number(JobNumber aNumber)
 {
   return static_cast<uint64_t>(aNumber);
@@ -55,13 +79,34 @@
   , core_({ .dataCentre_ = aSelf.dataCentre_ },
           MakeLeastInFlight(),
           [&](SlotTable& aTable) {
-            return MakeOwnView(aTable, aSettings.entries_.size());
+            return MakeBrokered(aTable,
+                                { .self_ = aSelf.name_,
+                                  .entries_ = PeersOf(aSettings),
+                                  .startNumber_ = static_cast<uint64_t>(
+                                    clock_.UnixNow().Count()) });
           })
   , ledger_(aSettings.ledgers_)
   , peers_(aSelf.name_, aSettings.entries_, sharedFacts_, clock_)
-  , peerService_(sharedFacts_, clock_, [this](const UpstreamFact& aFact) {
-    events_.Push(FactArrived{ .fact_ = aFact, .fromPeer_ = true });
-  })
+  , slotLink_(aSelf.name_,
+              aSettings.entries_,
+              clock_,
+              [this](const DataCentreName& aDataCentre, Millis aRoundTrip) {
+                events_.TryPush(LatencyMeasured{ .dataCentre_ = aDataCentre,
+                                                 .roundTrip_ = aRoundTrip });
+              })
+  , peerService_(
+      sharedFacts_,
+      clock_,
+      [this](const UpstreamFact& aFact) {
+        events_.Push(FactArrived{ .fact_ = aFact, .fromPeer_ = true });
+      },
+      [this](const v1::SlotBatch& aBatch) {
+        // A lost message is made good by the next, so a full ring drops it.
+        for (PeerMessage& message : FromWire(aBatch)) {
+          events_.TryPush(PeerMessageArrived{ .from_ = NodeName(aBatch.entry()),
+                                              .message_ = std::move(message) });
+        }
+      })
 {
 }
 
@@ -77,6 +122,7 @@
   control_ = std::make_unique<ControlLink>(
     self_, settings_.controls_, [](const v1::FleetState&) {});
   decisions_ = std::thread([this] { DecisionLoop(); });
+  asio::co_spawn(io_, CloseStaleConnections(), asio::detached);
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
   signals_.async_wait([this](boost::system::error_code aError, int) {
@@ -100,9 +146,11 @@
 {
   LogInfo(Event::kProcessStopping, { { "pending", pending_.Size() } });
   stopping_ = true;
-  // The balancer needs a moment to see that this entry is not ready.
+  // Requests are served on while the balancer has not seen that this entry is
+  // not ready; callers are asked to close after each.
   const Millis deadline = clock_.Now() + settings_.limits_.stopGrace_;
-  co_await Sleep(Millis(500));
+  server_.BeginDrain();
+  co_await Sleep(kNotReadySpan);
   server_.StopAccepting();
   events_.Push(StopRequested{});
   while (pending_.Size() > 0 && clock_.Now() < deadline) {
@@ -117,6 +165,14 @@
   io_.stop();
 }
 
+asio::awaitable<void> EntryProcess::CloseStaleConnections()
+{
+  for (;;) {
+    co_await Sleep(kStaleSweep);
+    client_.CloseStale();
+  }
+}
+
 EntryProcess::Awaited EntryProcess::HandleHttp(HttpRequest aRequest)
 {
   const std::string target(aRequest.target());
@@ -124,27 +180,35 @@
       aRequest.method() == http::verb::post) {
     co_return co_await HandleJob(std::move(aRequest));
   }
-  constexpr std::string_view jobs = "/v1/jobs/";
-  if (target.starts_with(jobs) && aRequest.method() == http::verb::delete_) {
-    co_return co_await HandleCancel(
-      std::string_view(target).substr(jobs.size()));
+  const bool ofOneJob = aRequest.method() == http::verb::delete_ ||
+                        aRequest.method() == http::verb::get;
+  if (target.starts_with(kJobsPath) && ofOneJob) {
+    std::string publicId = target.substr(kJobsPath.size());
+    co_return co_await HandleJobId(std::move(aRequest), std::move(publicId));
   }
-  if (target == "/v1/announce" && aRequest.method() == http::verb::post) {
-    co_return HandleAnnouncement(aRequest);
+  co_return HandlePlain(aRequest, target);
+}
+
+// What is answered without waiting for anything.
+HttpResponse EntryProcess::HandlePlain(const HttpRequest& aRequest,
+                                       const std::string& aTarget)
+{
+  if (aTarget == "/v1/announce" && aRequest.method() == http::verb::post) {
+    return HandleAnnouncement(aRequest);
   }
-  if (target == "/metrics") {
+  if (aTarget == "/metrics") {
     control_->Report(metrics_);
     HttpResponse response = MakeJson(200, metrics_.Render());
     response.set(http::field::content_type, "text/plain; version=0.0.4");
-    co_return response;
+    return response;
   }
-  if (target == "/healthz") {
-    co_return MakeJson(200, "{\"ok\":true}");
+  if (aTarget == "/healthz") {
+    return MakeJson(200, "{\"ok\":true}");
   }
-  if (target == "/readyz") {
-    co_return HandleReady();
+  if (aTarget == "/readyz") {
+    return HandleReady();
   }
-  co_return MakeProblem(404, "no-such-path", "no", target);
+  return MakeProblem(404, "no-such-path", "no", aTarget);
 }
 
 EntryProcess::Awaited EntryProcess::HandleJob(HttpRequest aRequest)
@@ -194,19 +258,71 @@
   co_return response;
 }
 
-EntryProcess::Awaited EntryProcess::HandleCancel(std::string_view aPublicId)
+EntryProcess::Awaited EntryProcess::HandleJobId(HttpRequest aRequest,
+                                                std::string aPublicId)
 {
-  const size_t dot = aPublicId.rfind('.');
+  // "{entry}.{start}.{number}"; names of entries may hold dots.
+  const size_t last = aPublicId.rfind('.');
+  const size_t first = last != std::string::npos && last > 0
+                         ? aPublicId.rfind('.', last - 1)
+                         : std::string::npos;
+  if (first == std::string::npos) {
+    co_return MakeProblem(404, "no-such-job", "unknown", "not a job's id");
+  }
+  const NodeName owner(std::string_view(aPublicId).substr(0, first));
+  if (owner != self_.name_) {
+    const auto entry = std::find_if(
+      settings_.entries_.begin(),
+      settings_.entries_.end(),
+      [&](const EntrySettings& aEntry) { return aEntry.name_ == owner; });
+    if (entry == settings_.entries_.end() ||
+        !aRequest["Vh-Forwarded"].empty()) {
+      co_return MakeProblem(404, "no-such-job", "unknown", "no such entry");
+    }
+    co_return co_await Forward(std::move(aRequest), *entry);
+  }
   uint64_t number = 0;
-  if (dot != std::string_view::npos) {
-    const std::string_view digits = aPublicId.substr(dot + 1);
-    std::from_chars(digits.data(), digits.data() + digits.size(), number);
+  std::from_chars(
+    aPublicId.data() + last + 1, aPublicId.data() + aPublicId.size(), number);
+  if (aPublicId != PublicId(JobNumber(number)) || number >= nextJob_) {
+    co_return MakeProblem(
+      404, "no-such-job", "unknown", "not of this start of the entry");
   }
-  if (aPublicId != PublicId(JobNumber(number))) {
-    co_return MakeProblem(404, "no-such-job", "unknown", "not of this entry");
+  co_return aRequest.method() == http::verb::get ? ShowJob(JobNumber(number))
+                                                 : CancelJob(JobNumber(number));
+}
+
+EntryProcess::Awaited EntryProcess::Forward(HttpRequest aRequest,
+                                            const EntrySettings& aEntry)
+{
+  aRequest.set("Vh-Forwarded", self_.name_.View());
+  aRequest.keep_alive(true);
+  aRequest.prepare_payload();
+  ExchangeResult result = co_await client_.Exchange(
+    aEntry.http_, std::move(aRequest), kForwardTimeout);
+  if (result.verdict_ != ExchangeVerdict::kAnswered) {
+    co_return MakeProblem(
+      503, "entry-unreachable", "unknown", "the job's entry does not answer");
   }
-  events_.Push(JobCancelled{ .job_ = JobNumber(number) });
-  co_return MakeJson(202, "{\"cancel\":\"accepted\"}");
+  co_return std::move(*result.response_);
+}
+
+// The same answer each time; a job that has ended stays as it is.
+HttpResponse EntryProcess::CancelJob(JobNumber aNumber)
+{
+  EntryEvent cancelled = JobCancelled{ .job_ = aNumber };
+  if (!events_.TryPush(std::move(cancelled))) {
+    LogWarning(Event::kOverloaded, { { "ring", "entry-events" } });
+    return MakeProblem(
+      503, "overloaded", "unknown", "the cancellation was not taken");
+  }
+  return MakeJson(202, "{\"cancel\":\"accepted\"}");
+}
+
+HttpResponse EntryProcess::ShowJob(JobNumber aNumber) const
+{
+  const std::string_view state = ToText(pending_.StateOf(aNumber));
+  return MakeJson(200, "{\"state\":\"" + std::string(state) + "\"}");
 }
 
 HttpResponse EntryProcess::HandleAnnouncement(const HttpRequest& aRequest)
@@ -250,13 +366,19 @@
     events_.Push(std::move(ended));
     co_return;
   }
+  job->state_ = PublicState::kRunning;
   HttpRequest request = MakeUpstreamRequest(job->body_, job->publicId_);
+  auto abort = std::make_shared<ExchangeAbort>();
+  exchanges_[aDispatch.attempt_] = abort;
   ExchangeResult result = co_await client_.Exchange(
-    aDispatch.endpoint_, std::move(request), aDispatch.timeLeft_);
+    aDispatch.endpoint_, std::move(request), aDispatch.timeLeft_, abort);
+  exchanges_.erase(aDispatch.attempt_);
   if (result.verdict_ == ExchangeVerdict::kAnswered) {
     ended.verdict_ = AttemptVerdict::kAnswered;
     ended.httpStatus_ = result.response_->result_int();
-    job->answers_[aDispatch.attempt_] = std::move(*result.response_);
+    if (!abort->Aborted()) {
+      job->answers_[aDispatch.attempt_] = std::move(*result.response_);
+    }
   } else {
     ended.verdict_ = result.verdict_ == ExchangeVerdict::kNotSent
                        ? AttemptVerdict::kNotSent
@@ -271,28 +393,35 @@
 
 void EntryProcess::DecisionLoop()
 {
-  Millis nextTick = clock_.Now() + kTick;
+  Millis nextFlush = clock_.Now() + kTick;
   for (;;) {
-    std::optional<EntryEvent> event = events_.PopFor(kTick);
+    const Millis wake = std::min(core_.NextWake(), nextFlush);
+    const Millis wait = std::max(wake - clock_.Now(), Millis(0));
+    std::optional<EntryEvent> event = events_.PopFor(wait);
     if (!event && events_.Closed()) {
       return;
     }
     const Millis now = clock_.Now();
     if (event) {
-      for (EntryAction& action : core_.Handle(*event, now)) {
-        Perform(std::move(action));
-      }
+      Decide(*event, now);
+    }
+    if (now >= core_.NextWake()) {
+      Decide(TimerTick{}, now);
     }
-    if (now >= nextTick) {
-      nextTick = now + kTick;
+    if (now >= nextFlush) {
+      nextFlush = now + kTick;
       peers_.Flush();
-      for (EntryAction& action : core_.Handle(TimerTick{}, now)) {
-        Perform(std::move(action));
-      }
     }
   }
 }
 
+void EntryProcess::Decide(const EntryEvent& aEvent, Millis aNow)
+{
+  for (EntryAction& action : core_.Handle(aEvent, aNow)) {
+    Perform(std::move(action));
+  }
+}
+
 void EntryProcess::Perform(EntryAction aAction)
 {
   std::visit([this](auto& aTyped) { Do(std::move(aTyped)); }, aAction);
@@ -339,6 +468,12 @@
   LogInfo(Event::kLateAnswerDiscarded,
           { { "job", PublicId(aAction.job_) },
             { "attempt", static_cast<uint64_t>(aAction.attempt_) } });
+  asio::post(io_, [this, attempt = aAction.attempt_] {
+    const auto exchange = exchanges_.find(attempt);
+    if (exchange != exchanges_.end()) {
+      exchange->second->Abort();
+    }
+  });
 }
 
 void EntryProcess::Do(const Answer& aAction)
@@ -378,7 +513,8 @@
   ledger_.Release(Claimant(aAction.job_),
                   aAction.refusal_.ran_ == RanVerdict::kNo);
   asio::post(io_, [this, aAction] {
-    pending_.Complete(aAction.job_, MakeRefusal(aAction.refusal_));
+    pending_.Complete(
+      aAction.job_, MakeRefusal(aAction.refusal_), PublicState::kRefused);
   });
 }
 
@@ -417,9 +553,18 @@
              { { "instance", aAction.instance_.View() } });
 }
 
-void EntryProcess::Do(const HealthChanged& /*aAction*/) {}
+void EntryProcess::Do(const HealthChanged& aAction)
+{
+  metrics_.Count("vh_health_changes_total");
+  LogWarning(Event::kHealthChanged,
+             { { "instance", aAction.instance_.View() },
+               { "state", ToText(aAction.state_) } });
+}
 
-void EntryProcess::Do(const SendToPeer& /*aAction*/) {}
+void EntryProcess::Do(const SendToPeer& aAction)
+{
+  slotLink_.Send(aAction.to_, aAction.message_);
+}
 
 std::string EntryProcess::PublicId(JobNumber aNumber) const
 {
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -6,6 +6,7 @@
 #include "entry/ledger_link.h"
 #include "entry/peer_link.h"
 #include "entry/pending_jobs.h"
+#include "entry/slot_link.h"
 #include "vanillahatch/core/bounded_ring.h"
 #include "vanillahatch/core/entry_core.h"
 #include "vanillahatch/shell/http_client.h"
@@ -36,14 +37,22 @@
   using Awaited = boost::asio::awaitable<HttpResponse>;
 
   Awaited HandleHttp(HttpRequest aRequest);
+  HttpResponse HandlePlain(const HttpRequest& aRequest,
+                           const std::string& aTarget);
   Awaited HandleJob(HttpRequest aRequest);
-  Awaited HandleCancel(std::string_view aPublicId);
+  // `GET` and `DELETE` of /v1/jobs/{id}, forwarded to the entry in the id.
+  Awaited HandleJobId(HttpRequest aRequest, std::string aPublicId);
+  Awaited Forward(HttpRequest aRequest, const EntrySettings& aEntry);
+  HttpResponse CancelJob(JobNumber aNumber);
+  HttpResponse ShowJob(JobNumber aNumber) const;
   HttpResponse HandleAnnouncement(const HttpRequest& aRequest);
   HttpResponse HandleReady() const;
   boost::asio::awaitable<void> Attempt(Dispatch aDispatch);
   boost::asio::awaitable<void> Stop();
+  boost::asio::awaitable<void> CloseStaleConnections();
 
   void DecisionLoop();
+  void Decide(const EntryEvent& aEvent, Millis aNow);
   void Perform(EntryAction aAction);
   void Do(const StartClaim& aAction);
   void Do(Dispatch aAction);
@@ -71,6 +80,8 @@
   HttpServer server_;
   HttpClient client_;
   PendingJobs pending_;
+  // Exchanges under way, by attempt; used on the network thread.
+  std::map<AttemptNumber, std::shared_ptr<ExchangeAbort>> exchanges_;
   std::map<JobNumber, v1::RecordedOutcome> recorded_; // network thread
   uint64_t nextJob_ = 1;
   std::atomic<bool> stopping_ = false;
@@ -82,6 +93,7 @@
   LedgerLink ledger_;
   SharedFacts sharedFacts_;
   PeerLink peers_;
+  SlotLink slotLink_;
   PeerService peerService_;
   std::unique_ptr<grpc::Server> rpcServer_;
   std::unique_ptr<ControlLink> control_;
--- a/src/entry/peer_link.cpp
+++ b/src/entry/peer_link.cpp
@@ -158,13 +158,28 @@
   }
 }
 
-PeerService::PeerService(SharedFacts& aFacts, const Clock& aClock, Sink aSink)
+PeerService::PeerService(SharedFacts& aFacts,
+                         const Clock& aClock,
+                         Sink aSink,
+                         SlotSink aSlotSink)
   : facts_(aFacts)
   , clock_(aClock)
   , sink_(std::move(aSink))
+  , slotSink_(std::move(aSlotSink))
 {
 }
 
+grpc::ServerUnaryReactor* PeerService::Slots(
+  grpc::CallbackServerContext* aContext,
+  const v1::SlotBatch* aRequest,
+  v1::SlotAck* /*aReply*/)
+{
+  slotSink_(*aRequest);
+  grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
+  reactor->Finish(grpc::Status::OK);
+  return reactor;
+}
+
 grpc::ServerUnaryReactor* PeerService::Share(
   grpc::CallbackServerContext* aContext,
   const v1::FactBatch* aRequest,
--- a/src/entry/peer_link.h
+++ b/src/entry/peer_link.h
@@ -59,16 +59,25 @@
 public:
   using Sink = std::function<void(const UpstreamFact&)>;
 
-  PeerService(SharedFacts& aFacts, const Clock& aClock, Sink aSink);
+  using SlotSink = std::function<void(const v1::SlotBatch&)>;
+
+  PeerService(SharedFacts& aFacts,
+              const Clock& aClock,
+              Sink aSink,
+              SlotSink aSlotSink);
 
   grpc::ServerUnaryReactor* Share(grpc::CallbackServerContext* aContext,
                                   const v1::FactBatch* aRequest,
                                   v1::FactAck* aReply) override;
+  grpc::ServerUnaryReactor* Slots(grpc::CallbackServerContext* aContext,
+                                  const v1::SlotBatch* aRequest,
+                                  v1::SlotAck* aReply) override;
 
 private:
   SharedFacts& facts_;
   const Clock& clock_;
   Sink sink_;
+  SlotSink slotSink_;
 };
 
 } // namespace vanillahatch
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -17,6 +17,7 @@
   EventEntry{ Event::kJobAnswered, "job-answered" },
   EventEntry{ Event::kAttemptFailed, "attempt-failed" },
   EventEntry{ Event::kLateAnswerDiscarded, "late-answer-discarded" },
+  EventEntry{ Event::kHealthChanged, "health-changed" },
   EventEntry{ Event::kClaimDecided, "claim-decided" },
   EventEntry{ Event::kClaimAbandoned, "claim-abandoned" },
   EventEntry{ Event::kClaimLeftOpen, "claim-left-open" },
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -1,11 +1,13 @@
 #include "vanillahatch/shell/http_client.h"
 
+#include "vanillahatch/shell/silent_connection.h"
+
+#include <algorithm>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
-#include <chrono>
 
 namespace vanillahatch {
 
@@ -18,12 +20,11 @@
 
 constexpr uint64_t kMaxAnswerBytes = 64ULL << 20U;
 
-ExchangeResult Failed(ExchangeVerdict aVerdict,
-                      const boost::system::error_code& aError)
+ExchangeResult Failed(ExchangeVerdict aVerdict, std::string aDetail)
 {
   ExchangeResult result;
   result.verdict_ = aVerdict;
-  result.detail_ = aError.message();
+  result.detail_ = std::move(aDetail);
   return result;
 }
 
@@ -39,54 +40,135 @@
   return error == asio::error::would_block;
 }
 
+// An answer that ends with the connection cannot be told from a truncated one.
+bool IsDelimited(const http::response_parser<http::string_body>& aParser)
+{
+  const unsigned status = aParser.get().result_int();
+  const bool bodiless = status == 204 || status == 304;
+  return bodiless || aParser.content_length() || aParser.chunked();
+}
+
 } // namespace
 
-asio::awaitable<ExchangeResult> HttpClient::Exchange(Endpoint aEndpoint,
-                                                     HttpRequest aRequest,
-                                                     Millis aTimeout)
+void ExchangeAbort::Abort()
+{
+  aborted_ = true;
+  if (const auto stream = stream_.lock()) {
+    stream->close();
+  }
+}
+
+HttpClient::Stream HttpClient::TakeIdle(const Endpoint& aEndpoint)
 {
-  auto& idle = idle_[aEndpoint];
-  Stream stream;
-  while (!idle.empty() && !stream) {
-    stream = std::move(idle.back());
+  const auto it = idle_.find(aEndpoint);
+  if (it == idle_.end()) {
+    return nullptr;
+  }
+  const auto oldest = std::chrono::steady_clock::now() -
+                      std::chrono::milliseconds(kIdleAge.Count());
+  std::vector<Idle>& idle = it->second;
+  while (!idle.empty()) {
+    const Idle candidate = std::move(idle.back());
     idle.pop_back();
-    if (!IsUsable(*stream)) {
-      stream.reset();
+    if (candidate.since_ >= oldest && IsUsable(*candidate.stream_)) {
+      return candidate.stream_;
     }
   }
+  return nullptr;
+}
+
+void HttpClient::CloseStale()
+{
+  const auto oldest = std::chrono::steady_clock::now() -
+                      std::chrono::milliseconds(kIdleAge.Count());
+  for (auto it = idle_.begin(); it != idle_.end();) {
+    std::erase_if(it->second, [&](const Idle& aIdle) {
+      return aIdle.since_ < oldest || !IsUsable(*aIdle.stream_);
+    });
+    it = it->second.empty() ? idle_.erase(it) : std::next(it);
+  }
+}
+
+size_t HttpClient::IdleConnections() const
+{
+  size_t count = 0;
+  for (const auto& [endpoint, idle] : idle_) {
+    count += idle.size();
+  }
+  return count;
+}
+
+asio::awaitable<HttpClient::Stream> HttpClient::Connect(
+  Endpoint aEndpoint,
+  Millis aTimeout,
+  ExchangeAbort& aAbort,
+  boost::system::error_code& aError)
+{
+  auto stream =
+    std::make_shared<beast::tcp_stream>(co_await asio::this_coro::executor);
+  aAbort.stream_ = stream;
+  stream->expires_after(std::chrono::milliseconds(aTimeout.Count()));
+  const tcp::endpoint endpoint(asio::ip::make_address(aEndpoint.address_),
+                               aEndpoint.port_);
+  co_await stream->async_connect(
+    endpoint, asio::redirect_error(asio::use_awaitable, aError));
+  if (!aError) {
+    boost::system::error_code ignored;
+    stream->socket().set_option(tcp::no_delay(true), ignored);
+    FindSilence(stream->socket(), kUnacknowledged, kKeepalive);
+  }
+  co_return stream;
+}
+
+asio::awaitable<ExchangeResult> HttpClient::Exchange(
+  Endpoint aEndpoint,
+  HttpRequest aRequest,
+  Millis aTimeout,
+  std::shared_ptr<ExchangeAbort> aAbort)
+{
+  if (!aAbort) {
+    aAbort = std::make_shared<ExchangeAbort>();
+  }
   boost::system::error_code error;
-  const auto timeout = std::chrono::milliseconds(aTimeout.Count());
+  Stream stream = TakeIdle(aEndpoint);
   if (!stream) {
-    stream =
-      std::make_unique<beast::tcp_stream>(co_await asio::this_coro::executor);
-    stream->expires_after(timeout);
-    co_await stream->async_connect(
-      tcp::endpoint(asio::ip::make_address(aEndpoint.address_),
-                    aEndpoint.port_),
-      asio::redirect_error(asio::use_awaitable, error));
-    if (error) {
-      co_return Failed(ExchangeVerdict::kNotSent, error);
-    }
-    stream->socket().set_option(tcp::no_delay(true), error);
+    stream = co_await Connect(aEndpoint, aTimeout, *aAbort, error);
   }
-  stream->expires_after(timeout);
-  const size_t written = co_await http::async_write(
+  if (error || aAbort->aborted_) {
+    co_return Failed(ExchangeVerdict::kNotSent, error.message());
+  }
+  aAbort->stream_ = stream;
+  stream->expires_after(std::chrono::milliseconds(aTimeout.Count()));
+  co_await http::async_write(
     *stream, aRequest, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    co_return Failed(written == 0 ? ExchangeVerdict::kNotSent
-                                  : ExchangeVerdict::kUnknown,
-                     error);
+    // Part of the request may be on its way.
+    co_return Failed(ExchangeVerdict::kUnknown, error.message());
   }
+  co_return co_await ReadAnswer(std::move(aEndpoint), std::move(stream));
+}
+
+asio::awaitable<ExchangeResult> HttpClient::ReadAnswer(Endpoint aEndpoint,
+                                                       Stream aStream)
+{
+  boost::system::error_code error;
   beast::flat_buffer buffer;
   http::response_parser<http::string_body> parser;
   parser.body_limit(kMaxAnswerBytes);
   co_await http::async_read(
-    *stream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+    *aStream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
   if (error) {
-    co_return Failed(ExchangeVerdict::kUnknown, error);
+    co_return Failed(ExchangeVerdict::kUnknown, error.message());
+  }
+  if (!IsDelimited(parser)) {
+    co_return Failed(ExchangeVerdict::kUnknown,
+                     "the answer does not say how long it is");
   }
+  // Bytes after the answer belong to no request of ours.
   if (parser.get().keep_alive() && buffer.size() == 0) {
-    idle_[aEndpoint].push_back(std::move(stream));
+    aStream->expires_never();
+    idle_[aEndpoint].push_back({ .stream_ = std::move(aStream),
+                                 .since_ = std::chrono::steady_clock::now() });
   }
   ExchangeResult result;
   result.verdict_ = ExchangeVerdict::kAnswered;
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,6 +1,8 @@
 #include "vanillahatch/shell/http_server.h"
 
+#include "vanillahatch/shell/silent_connection.h"
 #include <array>
+
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -25,6 +27,14 @@
 
 } // namespace
 
+namespace {
+
+// Bounds on a caller's connection that has gone silent.
+constexpr Millis kUnacknowledged = Seconds(10);
+constexpr Millis kKeepalive = Seconds(30);
+
+} // namespace
+
 class HttpServer::Impl : public std::enable_shared_from_this<Impl>
 {
 public:
@@ -51,6 +61,8 @@
       asio::detached);
   }
 
+  void BeginDrain() { draining_ = true; }
+
   void StopAccepting()
   {
     stopping_ = true;
@@ -91,6 +103,7 @@
     ++open_;
     boost::system::error_code ignored;
     aStream->socket().set_option(tcp::no_delay(true), ignored);
+    FindSilence(aStream->socket(), kUnacknowledged, kKeepalive);
     beast::flat_buffer buffer;
     bool keep = true;
     while (keep && !stopping_) {
@@ -121,17 +134,17 @@
       co_return false;
     }
     aStream.expires_never();
-    const bool keep = parser.get().keep_alive();
+    const bool keep = parser.get().keep_alive() && !draining_;
     const unsigned version = parser.get().version();
     HttpResponse response = co_await handler_(parser.release());
     response.version(version);
-    response.keep_alive(keep && !stopping_);
+    response.keep_alive(keep && !draining_ && !stopping_);
     response.prepare_payload();
     aStream.expires_after(
       std::chrono::milliseconds(options_.idleTimeout_.Count()));
     co_await http::async_write(
       aStream, response, asio::redirect_error(asio::use_awaitable, error));
-    co_return keep && !error;
+    co_return keep && !draining_ && !error;
   }
 
   asio::awaitable<void> AnswerReadError(beast::tcp_stream& aStream,
@@ -184,6 +197,7 @@
   tcp::acceptor acceptor_;
   std::set<beast::tcp_stream*> idle_;
   size_t open_ = 0;
+  bool draining_ = false;
   bool stopping_ = false;
 };
 
@@ -201,6 +215,11 @@
   impl_->Start();
 }
 
+void HttpServer::BeginDrain()
+{
+  impl_->BeginDrain();
+}
+
 void HttpServer::StopAccepting()
 {
   impl_->StopAccepting();
--- /dev/null
+++ b/test/http_client_test.cpp
@@ -0,0 +1,211 @@
+#define BOOST_TEST_MODULE http_client
+#include "vanillahatch/shell/http_client.h"
+
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <functional>
+
+using namespace vanillahatch;
+namespace asio = boost::asio;
+namespace http = boost::beast::http;
+using tcp = boost::asio::ip::tcp;
+
+namespace {
+
+constexpr Millis kTimeout = Seconds(5);
+
+HttpRequest MakeRequest()
+{
+  HttpRequest request(http::verb::post, "/jobs", 11);
+  request.set(http::field::host, "upstream");
+  request.body() = "body";
+  request.prepare_payload();
+  return request;
+}
+
+// Reads one request from each connection and answers with fixed bytes.
+class ScriptedUpstream
+{
+public:
+  ScriptedUpstream(asio::io_context& aIo, std::string aAnswer, bool aClose)
+    : acceptor_(aIo, tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0))
+    , answer_(std::move(aAnswer))
+    , close_(aClose)
+  {
+    asio::co_spawn(aIo, Accept(), asio::detached);
+  }
+
+  Endpoint At() const
+  {
+    return { .address_ = "127.0.0.1",
+             .port_ = acceptor_.local_endpoint().port() };
+  }
+
+  int connections_ = 0;
+  int requests_ = 0;
+
+private:
+  asio::awaitable<void> Accept()
+  {
+    for (;;) {
+      auto socket = std::make_shared<tcp::socket>(
+        co_await acceptor_.async_accept(asio::use_awaitable));
+      ++connections_;
+      asio::co_spawn(acceptor_.get_executor(), Serve(socket), asio::detached);
+    }
+  }
+
+  asio::awaitable<void> Serve(std::shared_ptr<tcp::socket> aSocket)
+  {
+    boost::system::error_code error;
+    for (;;) {
+      char bytes[4096];
+      const size_t count = co_await aSocket->async_read_some(
+        asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, error));
+      if (error || count == 0) {
+        co_return;
+      }
+      ++requests_;
+      co_await asio::async_write(
+        *aSocket,
+        asio::buffer(answer_),
+        asio::redirect_error(asio::use_awaitable, error));
+      if (close_) {
+        co_return;
+      }
+    }
+  }
+
+  tcp::acceptor acceptor_;
+  std::string answer_;
+  bool close_;
+};
+
+struct ClientHarness
+{
+  explicit ClientHarness(std::string aAnswer, bool aClose = false)
+    : upstream_(io_, std::move(aAnswer), aClose)
+  {
+  }
+
+  ExchangeResult Call(Millis aTimeout = kTimeout)
+  {
+    return CallAt(upstream_.At(), aTimeout);
+  }
+
+  ExchangeResult CallAt(Endpoint aEndpoint,
+                        Millis aTimeout,
+                        std::shared_ptr<ExchangeAbort> aAbort = nullptr)
+  {
+    std::optional<ExchangeResult> result;
+    HttpRequest request = MakeRequest();
+    asio::co_spawn(
+      io_,
+      client_.Exchange(
+        std::move(aEndpoint), std::move(request), aTimeout, std::move(aAbort)),
+      [&](const std::exception_ptr& aFault, ExchangeResult aResult) {
+        BOOST_TEST(!aFault);
+        result = std::move(aResult);
+      });
+    while (!result) {
+      io_.run_one();
+    }
+    return std::move(*result);
+  }
+
+  asio::io_context io_{ 1 };
+  ScriptedUpstream upstream_;
+  HttpClient client_;
+};
+
+const std::string kWhole = "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ndone";
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(WholeAnswerKeepsItsConnection)
+{
+  ClientHarness harness(kWhole);
+  for (int i = 0; i < 3; ++i) {
+    const ExchangeResult result = harness.Call();
+    BOOST_TEST((result.verdict_ == ExchangeVerdict::kAnswered));
+    BOOST_TEST(result.response_->body() == "done");
+  }
+  BOOST_TEST(harness.upstream_.connections_ == 1);
+}
+
+BOOST_AUTO_TEST_CASE(RefusedConnectionIsProvablyNotSent)
+{
+  ClientHarness harness(kWhole);
+  asio::io_context other;
+  tcp::acceptor closed(other,
+                       tcp::endpoint(asio::ip::make_address("127.0.0.1"), 0));
+  Endpoint endpoint{ .address_ = "127.0.0.1",
+                     .port_ = closed.local_endpoint().port() };
+  closed.close();
+  const ExchangeResult result = harness.CallAt(endpoint, kTimeout);
+  BOOST_TEST((result.verdict_ == ExchangeVerdict::kNotSent));
+}
+
+BOOST_AUTO_TEST_CASE(TruncatedBodyIsNotPassedOn)
+{
+  ClientHarness harness("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone",
+                        true);
+  const ExchangeResult result = harness.Call();
+  BOOST_TEST((result.verdict_ == ExchangeVerdict::kUnknown));
+  BOOST_TEST(!result.response_.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(TruncatedChunkIsNotPassedOn)
+{
+  ClientHarness harness(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ndone\r\n", true);
+  BOOST_TEST((harness.Call().verdict_ == ExchangeVerdict::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(AnswerThatEndsWithTheConnectionIsNotPassedOn)
+{
+  ClientHarness harness("HTTP/1.1 200 OK\r\nConnection: close\r\n\r\nhalf",
+                        true);
+  BOOST_TEST((harness.Call().verdict_ == ExchangeVerdict::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(ConnectionOnWhichTheUpstreamAnswersTwiceIsNotReused)
+{
+  ClientHarness harness(kWhole + kWhole);
+  for (int i = 1; i <= 3; ++i) {
+    const ExchangeResult result = harness.Call();
+    BOOST_TEST((result.verdict_ == ExchangeVerdict::kAnswered));
+    BOOST_TEST(result.response_->body() == "done");
+    BOOST_TEST(harness.upstream_.connections_ == i);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(SilentUpstreamIsUnknownAtTheTimeout)
+{
+  ClientHarness harness("");
+  BOOST_TEST((harness.Call(Millis(100)).verdict_ == ExchangeVerdict::kUnknown));
+  BOOST_TEST(harness.client_.IdleConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(AbortClosesTheConnectionAndDiscardsALateAnswer)
+{
+  ClientHarness harness("");
+  auto abort = std::make_shared<ExchangeAbort>();
+  asio::steady_timer timer(harness.io_, std::chrono::milliseconds(100));
+  timer.async_wait([&](boost::system::error_code) { abort->Abort(); });
+  const ExchangeResult result =
+    harness.CallAt(harness.upstream_.At(), kTimeout, abort);
+  BOOST_TEST((result.verdict_ == ExchangeVerdict::kUnknown));
+  BOOST_TEST(harness.client_.IdleConnections() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(KeptConnectionThatTheUpstreamClosedIsSwept)
+{
+  ClientHarness harness(kWhole, true);
+  harness.Call();
+  for (int i = 0; i < 100 && harness.client_.IdleConnections() > 0; ++i) {
+    harness.io_.run_for(std::chrono::milliseconds(10));
+    harness.client_.CloseStale();
+  }
+  BOOST_TEST(harness.client_.IdleConnections() == 0U);
+}
