--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -2,8 +2,12 @@
 
 namespace vanillahatch {
 
-ControlService::ControlService(ControlState& aState)
+ControlService::ControlService(ControlState& aState,
+                               ChangeProposer& aProposer,
+                               GrantorHost& aGrantors)
   : state_(aState)
+  , proposer_(aProposer)
+  , grantors_(aGrantors)
   , waiters_(aState)
 {
 }
@@ -23,9 +27,28 @@
   const v1::Change* aRequest,
   v1::ChangeReply* aReply)
 {
-  *aReply = state_.Propose(*aRequest);
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
-  reactor->Finish(grpc::Status::OK);
+  proposer_.Propose(*aRequest,
+                    [reactor, aReply](const v1::ChangeReply& aDecided) {
+                      *aReply = aDecided;
+                      reactor->Finish(grpc::Status::OK);
+                    });
+  return reactor;
+}
+
+grpc::ServerUnaryReactor* ControlService::Renew(
+  grpc::CallbackServerContext* aContext,
+  const v1::GrantRequest* aRequest,
+  v1::GrantReply* aReply)
+{
+  grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
+  if (grantors_.Renew(*aRequest, *aReply)) {
+    reactor->Finish(grpc::Status::OK);
+  } else {
+    reactor->Finish(
+      grpc::Status(grpc::StatusCode::FAILED_PRECONDITION,
+                   "this replica is not the grantor of that data centre"));
+  }
   return reactor;
 }
 
--- a/src/entry/slot_link.cpp
+++ b/src/entry/slot_link.cpp
@@ -211,7 +211,7 @@
 SlotLink::SlotLink(const NodeName& aSelf,
                    std::span<const EntrySettings> aEntries,
                    const Clock& aClock,
-                   Measured aMeasured)
+                   const Measured& aMeasured)
 {
   for (const EntrySettings& entry : aEntries) {
     if (entry.name_ != aSelf) {
--- a/src/entry/slot_link.h
+++ b/src/entry/slot_link.h
@@ -32,7 +32,7 @@
   SlotLink(const NodeName& aSelf,
            std::span<const EntrySettings> aEntries,
            const Clock& aClock,
-           Measured aMeasured);
+           const Measured& aMeasured);
 
   // Safe from any thread.
   void Send(const NodeName& aTo, const PeerMessage& aMessage);
