--- a/include/vanillahatch/core/health_tracker.h
+++ b/include/vanillahatch/core/health_tracker.h
@@ -60,6 +60,8 @@
   std::vector<InstanceName> EndEjections(Millis aNow);
 
   HealthState State(const InstanceName& aInstance) const;
+  // Whether it is on probation or failed the last attempt that ended.
+  bool IsSuspect(const InstanceName& aInstance) const;
   // How many attempts this entry may have on it: 0 if ejected.
   uint32_t Limit(const InstanceName& aInstance) const;
   // When the next ejection ends, or Millis::Max().
--- a/src/core/entry_attempts.cpp
+++ b/src/core/entry_attempts.cpp
@@ -9,7 +9,10 @@
 
 constexpr uint32_t kFirstServerError = 500; // HTTP status
 constexpr Millis kLeastStall = Millis(300);
-constexpr int64_t kStallFactor = 3; // times the slowest hundredth's run time
+// An attempt stalls after this many halves of the slowest hundredth's run time:
+// sooner on an upstream that has just failed than on a healthy one.
+constexpr int64_t kStallHalves = 3;
+constexpr int64_t kSuspectStallHalves = 1;
 constexpr Millis kFirstBackoff = Millis(10);
 
 } // namespace
@@ -252,7 +255,9 @@
     return (aJob.request_.deadline_ - aNow) / 2;
   }
   const Millis high = aService.runTimes_.Quantile(RunTimeQuantile::kHigh);
-  return std::max(high * kStallFactor, kLeastStall);
+  const int64_t halves =
+    health_.IsSuspect(aJob.instance_) ? kSuspectStallHalves : kStallHalves;
+  return std::max(high * halves / 2, kLeastStall);
 }
 
 } // namespace vanillahatch
--- a/src/core/health_tracker.cpp
+++ b/src/core/health_tracker.cpp
@@ -126,6 +126,14 @@
   return it != records_.end() ? it->second.state_ : HealthState::kHealthy;
 }
 
+bool HealthTracker::IsSuspect(const InstanceName& aInstance) const
+{
+  const auto it = records_.find(aInstance);
+  return it != records_.end() &&
+         (it->second.state_ == HealthState::kProbation ||
+          it->second.failures_ > 0);
+}
+
 uint32_t HealthTracker::Limit(const InstanceName& aInstance) const
 {
   const auto it = records_.find(aInstance);
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -28,6 +28,8 @@
 // The balancer's time to see that this entry is not ready.
 constexpr Millis kNotReadySpan = Millis(1500);
 constexpr std::string_view kJobsPath = "/v1/jobs/";
+// Within this span a new entry has heard of every upstream that others know.
+constexpr Millis kLearnSpan = Seconds(2);
 constexpr Millis kForwardTimeout = Seconds(1);
 constexpr Millis kStaleSweep = Seconds(1);
 // By how much a caller's clock may be ahead of an entry's.
@@ -126,6 +128,7 @@
     settings_, self_, startId_, [this](const std::vector<Grant>& aGrants) {
       return events_.TryPush(GrantsArrived{ .grants_ = aGrants });
     });
+  startedAt_ = clock_.Now();
   server_.Start();
   decisions_ = std::thread([this] { DecisionLoop(); });
   asio::co_spawn(io_, CloseStaleConnections(), asio::detached);
@@ -361,6 +364,10 @@
     return MakeProblem(
       503, "starting", "no", "the latest configuration is not known yet");
   }
+  if (clock_.Now() < startedAt_ + kLearnSpan) {
+    return MakeProblem(
+      503, "starting", "no", "not all upstreams may be known yet");
+  }
   return MakeJson(200, "{\"ready\":true," + control_->StatusJson() + "}");
 }
 
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -77,6 +77,7 @@
   Token upstreamToken_;
   SystemClock clock_;
   Metrics metrics_;
+  Millis startedAt_;
   std::string startId_; // tells this run of the process from earlier ones
 
   boost::asio::io_context io_{ 1 };
