--- a/include/vanillahatch/core/fleet_view.h
+++ b/include/vanillahatch/core/fleet_view.h
@@ -89,7 +89,8 @@
   bool healthy_ = false; // after maintenance: serves in `version_`
   bool failed_ = false;  // after maintenance: did not get healthy in time
   GuardAnswer guard_ = GuardAnswer::kNone;
-  bool isPending_ = false; // a proposed step has not been decided yet
+  bool isPending_ = false;   // a proposed step has not been decided yet
+  bool isRequested_ = false; // operators asked for its maintenance now
   Millis repairedAt_ = Millis(INT64_MIN / 2); // back after it was down
 };
 
@@ -98,6 +99,7 @@
   PoolContract contract_;
   Version version_{};         // that its members shall run
   Version previousVersion_{}; // that they go back to if it fails
+  Millis maintenancePeriod_;  // 0: the planner's
 };
 
 struct FleetView
--- a/src/core/fleet_forecast.cpp
+++ b/src/core/fleet_forecast.cpp
@@ -62,7 +62,7 @@
       static_cast<int64_t>(deviation * std::sqrt(std::max(1U, turn))));
     const bool hasEnded = turn == 0 && !services_[service].InPeak();
     if (service == aService && !hasEnded) {
-      windows.push_back({ start - margin, start + mean + margin });
+      windows.push_back({ start - margin, start + mean });
     }
     if (start - margin > aUntil || successors_[service].confirmed_ == 0) {
       break;
--- a/src/core/plan_draft.cpp
+++ b/src/core/plan_draft.cpp
@@ -48,8 +48,11 @@
 
 bool PlanDraft::IsDue(const InstanceView& aInstance) const
 {
-  const Millis lead = options_.maintenancePeriod_ * options_.duePercent_ / 100;
-  return now_ - aInstance.lastMaintained_ >= options_.maintenancePeriod_ - lead;
+  const Millis own = view_.pools_[At(aInstance.pool_)].maintenancePeriod_;
+  const Millis period = own > Millis(0) ? own : options_.maintenancePeriod_;
+  const Millis lead = period * options_.duePercent_ / 100;
+  return aInstance.isRequested_ ||
+         now_ - aInstance.lastMaintained_ >= period - lead;
 }
 
 bool PlanDraft::NeedsRollOut(const InstanceView& aInstance) const
@@ -158,6 +161,9 @@
 void PlanDraft::ContinueDrain(InstanceIndex aInstance)
 {
   const InstanceView& instance = View(aInstance);
+  if (instance.purpose_ == Purpose::kNone) {
+    return; // An operator drained it and will end that.
+  }
   if (instance.guard_ == GuardAnswer::kRefuses) {
     Step step = MakeStep(
       aInstance, StepKind::kReturnToService, StepReason::kGuardRefused);
