Footprint bench announces pools as large as the target's, 29 instances each

Cause: with five services the pools grew with the fleet, and messages between the slot brokers and entries that list a pool's instances looked quadratic.

--- a/bench/fake_runner.cpp
+++ b/bench/fake_runner.cpp
@@ -36,6 +36,7 @@
   std::string logFile_;
   int64_t runMs_ = 5;
   uint32_t instances_ = 1; // announced under numbered names, all on one port
+  uint32_t services_ = 1;  // that the instances are spread over
   int64_t announcePeriodMs_ = 500;
 };
 
@@ -104,12 +105,20 @@
              : options_.instance_ + "-" + std::to_string(aInstance);
   }
 
+  std::string ServiceName(uint32_t aInstance) const
+  {
+    return options_.services_ == 1
+             ? options_.service_
+             : options_.service_ + "-" +
+                 std::to_string(aInstance % options_.services_);
+  }
+
   std::string MakeAnnouncement(uint32_t aInstance, uint64_t aSequence) const
   {
     const std::string name = InstanceName(aInstance);
     return boost::json::serialize(boost::json::object{
       { "instance", name },
-      { "service", options_.service_ },
+      { "service", ServiceName(aInstance) },
       { "address", "127.0.0.1" },
       { "port", options_.port_ },
       { "slots", 8 },
@@ -194,6 +203,9 @@
     ("instances",
      po::value(&options.instances_),
      "how many to announce, as name-0, name-1 and so on") //
+    ("services",
+     po::value(&options.services_),
+     "services to spread them over, as service-0, service-1 and so on") //
     ("announce-period-ms",
      po::value(&options.announcePeriodMs_),
      "time between renewals; the lease is four of them");
--- a/bench/footprint_bench.py
+++ b/bench/footprint_bench.py
@@ -26,6 +26,7 @@
 
 TICKS_PER_SECOND = os.sysconf("SC_CLK_TCK")
 SETTLE_SECONDS = 6
+INSTANCES_PER_POOL = 29  # 3,700 in 129 pools
 
 
 class Footprint:
@@ -88,17 +89,18 @@
 
 
 def announcers(deployment, size, period_ms, ports):
-    """Stand-ins that announce `size` upstreams between them."""
+    """Stand-ins that announce `size` upstreams between them, one for each
+    data centre, in pools as large as the target's."""
     nodes = []
-    services = 5
-    for number in range(services):
-        name = f"bulk{number}"
+    for centre, port in zip(DATA_CENTRES, ports):
+        name = "bulk-" + centre
         nodes.append(Node(name, [
             os.path.join(deployment.build, "fake_runner"), "--instance", name,
-            "--service", name, "--data-centre", DATA_CENTRES[number % 3],
-            "--port", str(ports[number]), "--token", UPSTREAM_TOKEN,
+            "--service", "bulk", "--data-centre", centre,
+            "--port", str(port), "--token", UPSTREAM_TOKEN,
             "--log", os.path.join(deployment.folder, name + ".ran"),
-            "--instances", str(size // services),
+            "--instances", str(size // len(DATA_CENTRES)),
+            "--services", str(max(1, size // INSTANCES_PER_POOL)),
             "--announce-period-ms", str(period_ms), "--entry-port"]
             + [str(entry.http_port) for entry in deployment.entries],
             deployment.folder))
@@ -142,7 +144,7 @@
         else ("loops", "billing"), runners_per_service=6)
     if by_upstreams:
         deployment.runners = announcers(deployment, size,
-                                        arguments.period_ms, free_ports(5))
+                                        arguments.period_ms, free_ports(len(DATA_CENTRES)))
     stop = threading.Event()
     drivers = {"changes": change_defaults, "jobs": call_jobs}
     thread = None
