--- a/src/core/plan_maintenance.cpp
+++ b/src/core/plan_maintenance.cpp
@@ -71,7 +71,10 @@
   for (const PoolNeed& need : needs_) {
     lent += need.isRollingOut_ ? need.borrowed_ : 0;
   }
-  RollOutPool(*spare_, lent);
+  const uint32_t serving = census_.Of(*spare_).serving_;
+  const uint32_t held = Need(*spare_).keep_ + plan_.sharedBuffer_;
+  const uint32_t lendable = serving > held ? serving - held : 0;
+  RollOutPool(*spare_, std::min(lent, lendable));
 }
 
 void PlanDraft::RollOutPool(PoolIndex aPool, uint32_t aReserve)
