--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -19,6 +19,7 @@
   kJobAnswered = 202,
   kAttemptFailed = 203,
   kLateAnswerDiscarded = 204,
+  kHealthChanged = 205,
   kClaimDecided = 210,
   kClaimAbandoned = 211,
   kClaimLeftOpen = 212,
@@ -38,6 +39,12 @@
   kRevisionApplied = 401,
   kControlUnreachable = 402,
   kGrantorProposed = 403,
+  kLogRoleChanged = 420,
+  kLogMembersChanged = 421,
+  kLogDiskLost = 422,
+  kLogDiskFailed = 423,
+  kLogCompacted = 424,
+  kLogRestored = 425,
   kOverloaded = 500,
 };
 
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -17,6 +17,7 @@
   EventEntry{ Event::kJobAnswered, "job-answered" },
   EventEntry{ Event::kAttemptFailed, "attempt-failed" },
   EventEntry{ Event::kLateAnswerDiscarded, "late-answer-discarded" },
+  EventEntry{ Event::kHealthChanged, "health-changed" },
   EventEntry{ Event::kClaimDecided, "claim-decided" },
   EventEntry{ Event::kClaimAbandoned, "claim-abandoned" },
   EventEntry{ Event::kClaimLeftOpen, "claim-left-open" },
@@ -36,6 +37,12 @@
   EventEntry{ Event::kRevisionApplied, "revision-applied" },
   EventEntry{ Event::kControlUnreachable, "control-unreachable" },
   EventEntry{ Event::kGrantorProposed, "grantor-proposed" },
+  EventEntry{ Event::kLogRoleChanged, "log-role-changed" },
+  EventEntry{ Event::kLogMembersChanged, "log-members-changed" },
+  EventEntry{ Event::kLogDiskLost, "log-disk-lost" },
+  EventEntry{ Event::kLogDiskFailed, "log-disk-failed" },
+  EventEntry{ Event::kLogCompacted, "log-compacted" },
+  EventEntry{ Event::kLogRestored, "log-restored" },
   EventEntry{ Event::kOverloaded, "overloaded" },
 };
 
