--- a/src/control/control_service.cpp
+++ b/src/control/control_service.cpp
@@ -2,9 +2,12 @@
 
 namespace vanillahatch {
 
-ControlService::ControlService(ControlState& aState, ChangeProposer& aProposer)
+ControlService::ControlService(ControlState& aState,
+                               ChangeProposer& aProposer,
+                               GrantorHost& aGrantors)
   : state_(aState)
   , proposer_(aProposer)
+  , grantors_(aGrantors)
   , waiters_(aState)
 {
 }
@@ -33,4 +36,20 @@
   return reactor;
 }
 
+grpc::ServerUnaryReactor* ControlService::Renew(
+  grpc::CallbackServerContext* aContext,
+  const v1::GrantRequest* aRequest,
+  v1::GrantReply* aReply)
+{
+  grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
+  if (grantors_.Renew(*aRequest, *aReply)) {
+    reactor->Finish(grpc::Status::OK);
+  } else {
+    reactor->Finish(
+      grpc::Status(grpc::StatusCode::FAILED_PRECONDITION,
+                   "this replica is not the grantor of that data centre"));
+  }
+  return reactor;
+}
+
 } // namespace vanillahatch
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -10,12 +10,24 @@
 #include <atomic>
 #include <boost/asio/signal_set.hpp>
 #include <csignal>
+#include <future>
 #include <iostream>
 
 using namespace vanillahatch;
 
 namespace {
 
+// The answer comes in any case: a proposer that stops refuses what waits.
+v1::ChangeReply ProposeAndWait(ChangeProposer& aProposer,
+                               const v1::Change& aChange)
+{
+  auto answer = std::make_shared<std::promise<v1::ChangeReply>>();
+  aProposer.ProposeAnywhere(aChange, [answer](const v1::ChangeReply& aReply) {
+    answer->set_value(aReply);
+  });
+  return answer->get_future().get();
+}
+
 int Run(const Settings& aSettings, const ControlSettings& aSelf)
 {
   std::optional<Token> token = LoadTokenOrReport(aSettings.operatorTokenFile_);
@@ -36,11 +48,14 @@
                              } },
                          state,
                          clock);
-  ControlService service(state, replica);
   if (!replica.Start()) {
     std::cerr << "vh-control: cannot use " << aSelf.dataFolder_ << "\n";
     return kExitRuntime;
   }
+  GrantorHost grantors(aSettings, aSelf, state, [&](const v1::Change& aChange) {
+    return ProposeAndWait(replica, aChange);
+  });
+  ControlService service(state, replica, grantors);
   const std::array<grpc::Service*, 2> services = { &service,
                                                    &replica.Service() };
   const std::unique_ptr<grpc::Server> rpc = StartServer(aSelf.rpc_, services);
