--- /dev/null
+++ b/src/ctl/command_line.cpp
@@ -0,0 +1,117 @@
+#include "ctl/command_line.h"
+
+#include "ctl/exit_codes.h"
+
+#include <boost/program_options.hpp>
+#include <iostream>
+
+namespace vanillahatch::ctl {
+
+namespace po = boost::program_options;
+
+namespace {
+
+constexpr const char* kCommands =
+  "usage: vhctl --config FILE COMMAND [options]\n"
+  "  pool create NAME --service S --ceiling N [--floor N]\n"
+  "       [--max-unavailable N] [--rack-spread N] [--priority N] [--spare]\n"
+  "  pool list | pool show NAME\n"
+  "  default set SETTING VALUE | default show [SETTING]\n"
+  "  exception add NAME --reason TEXT --until TIME --scope SCOPE\n"
+  "       --setting SETTING --value VALUE\n"
+  "  exception remove NAME | exception list\n"
+  "  explain SETTING [SCOPE]\n"
+  "  maintenance start NAME --scope SCOPE --reason TEXT --until TIME\n"
+  "       [--starts TIME]\n"
+  "  maintenance end NAME | maintenance status\n"
+  "  status | watch [--seconds N]\n"
+  "TIME is 2026-12-24T18:00:00Z, or from now on +90s, +30m, +8h, +14d.\n";
+
+po::options_description Describe(CommandLine& aLine, int64_t& aTimeoutMs)
+{
+  po::options_description options("options");
+  auto add = options.add_options();
+  add("config", po::value(&aLine.config_), "the deployment's TOML file");
+  add("json", po::bool_switch(&aLine.json_), "print JSON for programs");
+  add("change-id",
+      po::value(&aLine.changeId_),
+      "id of the change; the same id makes a repeated command harmless");
+  add("author", po::value(&aLine.author_), "who makes the change");
+  add("expect",
+      po::value<uint64_t>(),
+      "refuse the change if operators changed anything after this revision");
+  add("timeout-ms", po::value(&aTimeoutMs), "of one call, 10000");
+  add("seconds", po::value(&aLine.watchSeconds_), "how long to watch");
+  add("service", po::value(&aLine.service_), "service of the pool");
+  add("floor", po::value(&aLine.floor_), "fewest instances");
+  add("ceiling", po::value(&aLine.ceiling_), "most instances");
+  add("max-unavailable",
+      po::value(&aLine.maxUnavailable_),
+      "instances unavailable at once");
+  add("priority", po::value(&aLine.priority_), "higher is served first");
+  add("rack-spread", po::value(&aLine.rackSpread_), "fewest racks");
+  add("spare", po::bool_switch(&aLine.spare_), "lends its instances");
+  add("reason", po::value(&aLine.reason_), "the written reason");
+  add("until", po::value(&aLine.until_), "end time");
+  add("starts", po::value(&aLine.starts_), "start time, now");
+  add("scope", po::value(&aLine.scope_), "such as pool:billing, member:m1");
+  add("setting", po::value(&aLine.setting_), "name of the setting");
+  add("value", po::value(&aLine.value_), "its value");
+  add("version", "print the version and end");
+  add("help", "print this and end");
+  return options;
+}
+
+} // namespace
+
+std::string UsageText()
+{
+  return kCommands;
+}
+
+std::optional<CommandLine> ParseCommandLine(int aArgc,
+                                            char** aArgv,
+                                            int& aExitCode)
+{
+  CommandLine line;
+  int64_t timeoutMs = line.timeout_.Count();
+  const po::options_description shown = Describe(line, timeoutMs);
+  po::options_description all;
+  all.add(shown).add_options()(
+    "word", po::value(&line.words_)->multitoken(), "command");
+  po::positional_options_description positional;
+  positional.add("word", -1);
+  po::variables_map values;
+  aExitCode = kUsage;
+  try {
+    po::store(po::command_line_parser(aArgc, aArgv)
+                .options(all)
+                .positional(positional)
+                .run(),
+              values);
+    po::notify(values);
+  } catch (const po::error& fault) {
+    std::cerr << "vhctl: " << fault.what() << "\n" << kCommands;
+    return std::nullopt;
+  }
+  if (values.contains("help") || values.contains("version")) {
+    aExitCode = kOk;
+    if (values.contains("help")) {
+      std::cout << kCommands << shown;
+    } else {
+      std::cout << "vhctl " << VH_VERSION << "\n";
+    }
+    return std::nullopt;
+  }
+  if (line.config_.empty() || line.words_.empty() || timeoutMs <= 0) {
+    std::cerr << kCommands;
+    return std::nullopt;
+  }
+  if (values.contains("expect")) {
+    line.expectedRevision_ = values["expect"].as<uint64_t>();
+  }
+  line.timeout_ = Millis(timeoutMs);
+  return line;
+}
+
+} // namespace vanillahatch::ctl
--- /dev/null
+++ b/test/process/vhctl_test.py
@@ -0,0 +1,62 @@
+"""vhctl against a whole deployment: exit codes, resends, conflicts, and the
+first membership of announced upstreams once a pool names their service."""
+
+import json
+import os
+import subprocess
+import sys
+import tempfile
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../scripts"))
+from deployment import Deployment, wait_until  # noqa: E402
+
+OK, REFUSED, USAGE, CONFLICT = 0, 1, 2, 5
+SETTING = "member.max_in_flight"
+
+
+def main():
+    build = os.path.abspath(sys.argv[1])
+    with tempfile.TemporaryDirectory(prefix="vh-ctl-") as folder:
+        deployment = Deployment(build, folder)
+
+        def run(*words):
+            return subprocess.run(
+                [os.path.join(build, "vhctl"), "--config", deployment.config,
+                 *words], capture_output=True, text=True, timeout=120,
+                check=False)
+
+        def expect(code, *words):
+            done = run(*words)
+            assert done.returncode == code, (
+                f"{words}: expected exit {code}, got {done.returncode}: "
+                f"{done.stdout}{done.stderr}")
+            return done.stdout
+
+        try:
+            deployment.start()
+            # The replicas need a moment to elect their first leader.
+            wait_until(lambda: run("default", "set", SETTING, "12",
+                                   "--change-id", "a1").returncode == OK,
+                       60, "a change is accepted")
+            first = expect(OK, "default", "set", SETTING, "12",
+                           "--change-id", "a1")
+            assert first == "accepted as revision 1\n", first
+            expect(REFUSED, "default", "set", SETTING, "0")
+            expect(CONFLICT, "default", "set", SETTING, "13", "--expect", "0")
+            season = ["--until", "+2h", "--scope", "member:m1", "--setting",
+                      SETTING, "--value", "99"]
+            expect(REFUSED, "exception", "add", "x", *season)
+            expect(OK, "exception", "add", "x", "--reason", "harvest",
+                   *season)
+            expect(USAGE, "exception", "remove")
+            expect(OK, "pool", "create", "p", "--service", "loops",
+                   "--ceiling", "12")
+            wait_until(lambda: json.loads(expect(
+                OK, "pool", "list", "--json"))[0]["instances"] == "3",
+                60, "every instance of the service is in the pool")
+        finally:
+            deployment.stop()
+
+
+if __name__ == "__main__":
+    main()
