--- a/include/vanillahatch/core/health_tracker.h
+++ b/include/vanillahatch/core/health_tracker.h
@@ -19,6 +19,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <string_view>
 #include <unordered_map>
 #include <vector>
 
@@ -39,6 +40,8 @@
   kEjected,
 };
 
+std::string_view ToText(HealthState aState);
+
 class HealthTracker
 {
 public:
@@ -57,6 +60,8 @@
   std::vector<InstanceName> EndEjections(Millis aNow);
 
   HealthState State(const InstanceName& aInstance) const;
+  // Whether it is on probation or failed the last attempt that ended.
+  bool IsSuspect(const InstanceName& aInstance) const;
   // How many attempts this entry may have on it: 0 if ejected.
   uint32_t Limit(const InstanceName& aInstance) const;
   // When the next ejection ends, or Millis::Max().
--- a/src/core/health_tracker.cpp
+++ b/src/core/health_tracker.cpp
@@ -1,9 +1,21 @@
 #include "vanillahatch/core/health_tracker.h"
 
 #include <algorithm>
+#include <array>
 
 namespace vanillahatch {
 
+std::string_view ToText(HealthState aState)
+{
+  static constexpr std::array<std::string_view, 4> kTexts = {
+    "healthy",
+    "probation",
+    "last-resort",
+    "ejected",
+  };
+  return kTexts.at(static_cast<size_t>(aState));
+}
+
 void HealthTracker::Add(const InstanceName& aInstance,
                         const ServiceName& aService)
 {
@@ -114,6 +126,14 @@
   return it != records_.end() ? it->second.state_ : HealthState::kHealthy;
 }
 
+bool HealthTracker::IsSuspect(const InstanceName& aInstance) const
+{
+  const auto it = records_.find(aInstance);
+  return it != records_.end() &&
+         (it->second.state_ == HealthState::kProbation ||
+          it->second.failures_ > 0);
+}
+
 uint32_t HealthTracker::Limit(const InstanceName& aInstance) const
 {
   const auto it = records_.find(aInstance);
