--- a/bench/footprint_bench.py
+++ b/bench/footprint_bench.py
@@ -114,9 +114,9 @@
         number += 1
         subprocess.run(
             [os.path.join(deployment.build, "vhctl"), "--config",
-             deployment.config, "default", "set", "job.max-attempts",
+             deployment.config, "default", "set", "service.max_attempts",
              str(2 + number % 2)], stdout=subprocess.DEVNULL,
-            stderr=subprocess.DEVNULL, check=False)
+            check=True)
 
 
 def call_jobs(deployment, per_second, stop):
--- a/include/vanillahatch/core/admission_queue.h
+++ b/include/vanillahatch/core/admission_queue.h
@@ -25,9 +25,11 @@
 // What the configuration allows one member on this entry.
 struct MemberLimit
 {
-  MemberName member_;
+  MemberName member_;       // empty: every member without a limit of its own
   uint32_t weight_ = 1;     // share of dispatches while others wait too
   uint32_t maxWaiting_ = 0; // zero: only the queue's own bound
+
+  friend bool operator==(const MemberLimit&, const MemberLimit&) = default;
 };
 
 enum class AdmissionVerdict : uint8_t
@@ -119,13 +121,16 @@
   {
     double finishTag_ = 0;
     uint32_t waiting_ = 0;
-    uint32_t weight_ = 1;
-    uint32_t maxWaiting_ = 0;
-    bool limited_ = false; // set by the configuration; never forgotten
+    // Set by the configuration; such a member is never forgotten.
+    std::optional<MemberLimit> limit_;
   };
 
   using Order = std::set<Entry>;
 
+  const MemberLimit& LimitOf(const Member& aMember) const
+  {
+    return aMember.limit_ ? *aMember.limit_ : others_;
+  }
   void Insert(const WaitingJob& aJob, double aTag, uint64_t aSequence);
   void Erase(Order::iterator aIt);
   void Leave(Order::iterator aIt, FrontVerdict aVerdict, Millis aNow);
@@ -146,6 +151,7 @@
   static constexpr size_t kMembersKept = 256; // without jobs, before a sweep
 
   AdmissionOptions options_;
+  MemberLimit others_; // for members without a limit of their own
   Order order_;
   std::unordered_map<JobNumber, Order::iterator> byNumber_;
   std::set<std::pair<Millis, JobNumber>> byArrival_;
--- a/src/control/main.cpp
+++ b/src/control/main.cpp
@@ -63,7 +63,7 @@
     std::cerr << "vh-control: cannot listen on " << ToText(aSelf.rpc_) << "\n";
     return kExitRuntime;
   }
-  OperatorApi api(state, replica, std::move(*token));
+  OperatorApi api(state, replica, grantors, std::move(*token));
   HttpServer http(
     io,
     { .endpoint_ = aSelf.http_, .limits_ = aSettings.limits_ },
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -1,6 +1,7 @@
 #include "control/operator_api.h"
 
 #include "vanillahatch/shell/log.h"
+#include "vanillahatch/shell/metrics.h"
 
 #include <boost/asio/post.hpp>
 #include <boost/asio/use_awaitable.hpp>
@@ -77,9 +78,11 @@
 
 OperatorApi::OperatorApi(ControlState& aState,
                          ChangeProposer& aProposer,
+                         const GrantorHost& aGrantors,
                          Token aToken)
   : state_(aState)
   , proposer_(aProposer)
+  , grantors_(aGrantors)
   , token_(std::move(aToken))
 {
 }
@@ -87,9 +90,15 @@
 boost::asio::awaitable<HttpResponse> OperatorApi::Handle(HttpRequest aRequest)
 {
   const std::string_view target = aRequest.target();
-  if (target == "/healthz" || target == "/readyz") {
+  if (target == "/healthz") {
     co_return MakeJson(200, "{\"ok\":true}");
   }
+  if (target == "/readyz") {
+    co_return HandleReady();
+  }
+  if (target == "/metrics") {
+    co_return HandleMetrics();
+  }
   if (!token_.Accepts(aRequest[http::field::authorization])) {
     LogWarning(Event::kTokenRefused, { { "path", target } });
     co_return MakeProblem(401, "unauthorized", "no", "wrong or missing token");
@@ -106,6 +115,34 @@
   co_return MakeProblem(404, "no-such-path", "no", target);
 }
 
+// A replica serves operators once it knows of a leader that takes changes.
+HttpResponse OperatorApi::HandleReady() const
+{
+  const ControlReplicaStatus status = proposer_.Status();
+  if (status.leader_.empty()) {
+    return MakeProblem(503, "no-leader", "no", "role " + status.role_);
+  }
+  return MakeJson(200, "{\"ok\":true}");
+}
+
+HttpResponse OperatorApi::HandleMetrics() const
+{
+  const ControlReplicaStatus status = proposer_.Status();
+  Metrics metrics;
+  metrics.Set("vh_control_is_leader", proposer_.IsLeader() ? 1 : 0);
+  metrics.Set("vh_control_term", static_cast<double>(status.term_));
+  metrics.Set("vh_control_commit_index",
+              static_cast<double>(status.commitIndex_));
+  metrics.Set("vh_control_snapshot_index",
+              static_cast<double>(status.snapshotIndex_));
+  metrics.Set("vh_control_revision",
+              static_cast<double>(state_.State().revision()));
+  grantors_.Report(metrics);
+  HttpResponse response = MakeJson(200, metrics.Render());
+  response.set(http::field::content_type, "text/plain; version=0.0.4");
+  return response;
+}
+
 boost::asio::awaitable<HttpResponse> OperatorApi::HandleChange(
   HttpRequest aRequest)
 {
--- a/src/control/operator_api.h
+++ b/src/control/operator_api.h
@@ -3,6 +3,8 @@
 //   GET  /v1/state            the whole configuration with its revision
 //   POST /v1/changes          one change; the answer carries its status
 //   GET  /v1/replica          this replica's part in the control log
+//
+// Without a token: /healthz, /readyz and /metrics.
 #pragma once
 
 #include "control/control_service.h"
@@ -14,15 +16,21 @@
 class OperatorApi
 {
 public:
-  OperatorApi(ControlState& aState, ChangeProposer& aProposer, Token aToken);
+  OperatorApi(ControlState& aState,
+              ChangeProposer& aProposer,
+              const GrantorHost& aGrantors,
+              Token aToken);
 
   boost::asio::awaitable<HttpResponse> Handle(HttpRequest aRequest);
 
 private:
   boost::asio::awaitable<HttpResponse> HandleChange(HttpRequest aRequest);
+  HttpResponse HandleMetrics() const;
+  HttpResponse HandleReady() const;
 
   ControlState& state_;
   ChangeProposer& proposer_;
+  const GrantorHost& grantors_;
   Token token_;
 };
 
--- a/src/core/admission_queue.cpp
+++ b/src/core/admission_queue.cpp
@@ -7,16 +7,16 @@
 
 void AdmissionQueue::SetLimits(std::span<const MemberLimit> aLimits)
 {
+  others_ = {};
   for (auto& [name, member] : members_) {
-    member.weight_ = 1;
-    member.maxWaiting_ = 0;
-    member.limited_ = false;
+    member.limit_.reset();
   }
   for (const MemberLimit& limit : aLimits) {
-    Member& member = members_[limit.member_];
-    member.weight_ = std::max<uint32_t>(limit.weight_, 1);
-    member.maxWaiting_ = limit.maxWaiting_;
-    member.limited_ = true;
+    if (limit.member_.Empty()) {
+      others_ = limit;
+    } else {
+      members_[limit.member_].limit_ = limit;
+    }
   }
 }
 
@@ -25,9 +25,11 @@
                                        Millis aNow) const
 {
   const auto member = members_.find(aJob.member_);
-  if (member != members_.end() && member->second.maxWaiting_ > 0 &&
-      member->second.waiting_ >= member->second.maxWaiting_) {
-    return AdmissionVerdict::kMemberLimit;
+  if (member != members_.end()) {
+    const uint32_t most = LimitOf(member->second).maxWaiting_;
+    if (most > 0 && member->second.waiting_ >= most) {
+      return AdmissionVerdict::kMemberLimit;
+    }
   }
   if (Size() >= options_.maxWaiting_) {
     return AdmissionVerdict::kQueueFull;
@@ -64,7 +66,7 @@
 {
   Member& member = members_[aJob.member_];
   const double start = std::max(virtualTime_, member.finishTag_);
-  member.finishTag_ = start + 1.0 / member.weight_;
+  member.finishTag_ = start + 1.0 / std::max(LimitOf(member).weight_, 1U);
   Insert(aJob, start, ++sequence_);
 }
 
@@ -107,7 +109,7 @@
 void AdmissionQueue::ForgetIdleMembers()
 {
   std::erase_if(members_, [](const auto& aMember) {
-    return aMember.second.waiting_ == 0 && !aMember.second.limited_;
+    return aMember.second.waiting_ == 0 && !aMember.second.limit_;
   });
 }
 
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -2,6 +2,7 @@
 
 #include "entry/announce_api.h"
 #include "entry/job_api.h"
+#include "vanillahatch/core/member_limits.h"
 #include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/rpc.h"
 
@@ -24,6 +25,7 @@
 
 constexpr size_t kEventRingSize = 16384;
 constexpr Millis kTick = Millis(20);
+constexpr Millis kLimitsPeriod = Millis(500);
 constexpr Millis kStopPoll = Millis(20);
 // The balancer's time to see that this entry is not ready.
 constexpr Millis kNotReadySpan = Millis(1500);
@@ -132,6 +134,7 @@
   server_.Start();
   decisions_ = std::thread([this] { DecisionLoop(); });
   asio::co_spawn(io_, CloseStaleConnections(), asio::detached);
+  asio::co_spawn(io_, WatchLimits(), asio::detached);
   signals_.add(SIGTERM);
   signals_.add(SIGINT);
   signals_.async_wait([this](boost::system::error_code aError, int) {
@@ -459,6 +462,25 @@
   tell(draining, draining_, true);
   tell(draining_, draining, false);
   draining_ = std::move(draining);
+  std::lock_guard lock(stateMutex_);
+  state_ = aState;
+}
+
+asio::awaitable<void> EntryProcess::WatchLimits()
+{
+  std::vector<MemberLimit> inForce;
+  for (;;) {
+    std::vector<MemberLimit> limits;
+    {
+      std::lock_guard lock(stateMutex_);
+      limits = MemberLimitsOf(state_, clock_.UnixNow());
+    }
+    if (limits != inForce) {
+      inForce = limits;
+      events_.Push(MemberLimitsChanged{ .limits_ = std::move(limits) });
+    }
+    co_await Sleep(kLimitsPeriod);
+  }
 }
 
 // Keeps the grants' side informed of upstreams and of work in flight.
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -19,6 +19,7 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
+#include <mutex>
 #include <set>
 #include <thread>
 
@@ -56,6 +57,9 @@
   void DecisionLoop();
   void Decide(const EntryEvent& aEvent, Millis aNow);
   void ApplyState(const v1::FleetState& aState);
+  // Passes the members' limits on whenever they change, as exceptions begin
+  // and end.
+  boost::asio::awaitable<void> WatchLimits();
   void TellGrants(const EntryEvent& aEvent, Millis aNow);
   void Perform(EntryAction aAction);
   void Do(const StartClaim& aAction);
@@ -106,6 +110,8 @@
   // Instances of the attempts under way; decision thread.
   std::map<AttemptNumber, InstanceName> attempts_;
   std::set<std::string> draining_; // as last applied; control link's thread
+  std::mutex stateMutex_;          // guards the one below
+  v1::FleetState state_;           // as last applied
 };
 
 } // namespace vanillahatch
--- a/test/process/programs_test.py
+++ b/test/process/programs_test.py
@@ -130,6 +130,12 @@
         check_token_file_mode(build, deployment)
         deployment.start()
         check_bad_input(deployment.entries[0])
+        for node in (deployment.entries + deployment.controls
+                     + deployment.ledgers):
+            for path in ("/healthz", "/metrics"):
+                expect(http_get(node, path), 200, node.name + path)
+            wait_until(lambda node=node: http_get(node, "/readyz") == 200, 30,
+                       node.name + " is ready")
         for node in deployment.nodes():
             expect(node.terminate(), 0, f"planned stop of {node.name}")
     finally:
