Distribution bench with nine entries and a killed leader

Change: Deployment takes the number of entries per data centre; the bench gives both rows, from the caller's first try and from the answer.

--- a/bench/distribution_bench.py
+++ b/bench/distribution_bench.py
@@ -1,20 +1,142 @@
-"""Time from the answer to a change until every entry reports its revision."""
-import os, sys, time, tempfile, json, urllib.request
-sys.path.insert(0, os.path.join(os.path.dirname(__file__), '../scripts'))
-from deployment import Deployment, OPERATOR_TOKEN
-d=Deployment(os.path.abspath(sys.argv[1]), tempfile.mkdtemp(prefix='vh-dist-'))
-def post(i):
-    b=json.dumps({"change_id":f"d{i}","author":"b","proposed_at_unix_ms":str(int(time.time()*1000)),"set_default":{"setting":"member.max_in_flight","value":str(i%90+1)}}).encode()
-    r=urllib.request.Request(f"http://127.0.0.1:{d.controls[0].http_port}/v1/changes",b,{"Authorization":"Bearer "+OPERATOR_TOKEN})
-    return int(json.load(urllib.request.urlopen(r,timeout=10))["revision"])
-def rev(e):
-    return json.load(urllib.request.urlopen(f"http://127.0.0.1:{e.http_port}/readyz",timeout=5))["revision"]
-try:
-    d.start(); time.sleep(2); lat=[]
-    for i in range(100):
-        r=post(i); t=time.monotonic(); left=list(d.entries)
-        while left:
-            left=[e for e in left if rev(e)<r]
-        lat.append((time.monotonic()-t)*1000); time.sleep(0.05)
-    lat.sort(); print(f"{len(lat)} changes, {len(d.entries)} entries: p50 {lat[50]:.1f} ms p99 {lat[98]:.1f} ms max {lat[-1]:.1f} ms")
-finally: d.stop()
+"""Time until a change of configuration is in force on every entry: in quiet,
+and when the leader of the control log is killed just before.
+
+    python3 bench/distribution_bench.py BUILD_DIR [--entries 9] [--changes 100]
+        [--kills 5]
+
+A change is in force on an entry once its /readyz reports the revision. Two
+times are given: from the control replica's answer, and from the caller's first
+try, which is what a killed leader costs."""
+
+import argparse
+import http.client
+import json
+import os
+import shutil
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../scripts"))
+from deployment import (DATA_CENTRES, OPERATOR_TOKEN, Deployment, http_get,
+                        wait_until)
+
+QUIET_P99_BOUND_MS = 1000
+LEADER_KILLED_BOUND_MS = 3000
+TRY_TIMEOUT_S = 5
+AUTHORIZATION = {"Authorization": "Bearer " + OPERATOR_TOKEN}
+
+
+def ask(node, method, path, body=None, headers=None, timeout=TRY_TIMEOUT_S):
+    """(status, JSON) of one request."""
+    connection = http.client.HTTPConnection("127.0.0.1", node.http_port,
+                                            timeout=timeout)
+    try:
+        connection.request(method, path, body, headers or {})
+        answer = connection.getresponse()
+        return answer.status, json.load(answer)
+    finally:
+        connection.close()
+
+
+def change(controls, number):
+    """Makes one change at whichever replica takes it; its revision."""
+    body = json.dumps({
+        "change_id": f"distribution-{number}", "author": "bench",
+        "proposed_at_unix_ms": str(int(time.time() * 1000)),
+        "set_default": {"setting": "member.max_queued",
+                        "value": str(number % 90 + 1)}})
+    deadline = time.monotonic() + 30
+    while time.monotonic() < deadline:
+        for control in controls:
+            if not control.running():
+                continue
+            try:
+                status, reply = ask(control, "POST", "/v1/changes", body,
+                                    AUTHORIZATION)
+            except OSError:
+                continue
+            if status == 200:
+                return int(reply["revision"])
+        time.sleep(0.02)
+    raise TimeoutError("no control replica took the change within 30 s")
+
+
+def wait_in_force(entries, revision):
+    waiting = list(entries)
+    while waiting:
+        waiting = [entry for entry in waiting
+                   if ask(entry, "GET", "/readyz")[1]["revision"] < revision]
+
+
+def leader_of(controls):
+    for control in controls:
+        status, replica = ask(control, "GET", "/v1/replica", None,
+                              AUTHORIZATION)
+        if status == 200 and replica.get("role") == "leader":
+            return control
+    return None
+
+
+def time_change(deployment, number):
+    """(ms from the first try, ms from the answer) until in force."""
+    start = time.monotonic()
+    revision = change(deployment.controls, number)
+    answered = time.monotonic()
+    wait_in_force(deployment.entries, revision)
+    end = time.monotonic()
+    return (end - start) * 1000, (end - answered) * 1000
+
+
+def time_kill(deployment, number):
+    leader = leader_of(deployment.controls)
+    leader.kill()
+    times = time_change(deployment, number)
+    leader.start()
+    wait_until(lambda: all(
+        http_get(control, "/readyz") == 200
+        for control in deployment.controls), 30, "all replicas are ready")
+    time.sleep(3)
+    return times
+
+
+def report(what, times, bound_ms):
+    for label, column in (("first try", 0), ("answer", 1)):
+        ordered = sorted(row[column] for row in times)
+        quantiles = [ordered[int(share * (len(ordered) - 1))]
+                     for share in (0.5, 0.99)]
+        print(f"{what:15}{label:11}{len(ordered):6}{quantiles[0]:10.0f}"
+              f"{quantiles[1]:10.0f}{ordered[-1]:10.0f}{bound_ms:10}")
+
+
+def main():
+    parser = argparse.ArgumentParser()
+    parser.add_argument("build", type=os.path.abspath)
+    parser.add_argument("--entries", type=int, default=9)
+    parser.add_argument("--changes", type=int, default=100)
+    parser.add_argument("--kills", type=int, default=5)
+    arguments = parser.parse_args()
+    folder = tempfile.mkdtemp(prefix="vanillahatch-distribution-")
+    deployment = Deployment(
+        arguments.build, folder,
+        entries_per_centre=arguments.entries // len(DATA_CENTRES))
+    try:
+        deployment.start()
+        wait_until(lambda: leader_of(deployment.controls) is not None, 30,
+                   "a leader")
+        quiet = [time_change(deployment, number)
+                 for number in range(arguments.changes)]
+        killed = [time_kill(deployment, 1_000_000 + number)
+                  for number in range(arguments.kills)]
+    finally:
+        deployment.stop()
+        shutil.rmtree(folder, ignore_errors=True)
+    print(f"{len(deployment.entries)} entries, times in ms")
+    print(f"{'row':15}{'from':11}{'count':>6}{'p50':>10}{'p99':>10}{'most':>10}"
+          f"{'bound':>10}")
+    report("quiet", quiet, QUIET_P99_BOUND_MS)
+    report("leader killed", killed, LEADER_KILLED_BOUND_MS)
+
+
+if __name__ == "__main__":
+    main()
--- a/scripts/deployment.py
+++ b/scripts/deployment.py
@@ -56,17 +56,19 @@
 
 
 class Deployment:
-    """Three data centres of two entries each, with a control and a ledger
+    """Three data centres of a few entries each, with a control and a ledger
     replica in each, and stand-in runners."""
 
     def __init__(self, build, folder, services=("loops", "billing"),
-                 runners_per_service=3, run_ms=5, objective="idle-capacity"):
+                 runners_per_service=3, run_ms=5, objective="idle-capacity",
+                 entries_per_centre=2):
         self.build = build
+        self.entries_per_centre = entries_per_centre
         self.folder = folder
         self.services = services
         os.makedirs(folder, exist_ok=True)
-        ports = free_ports(6 * 2 + 3 * 2 + 3 * 2
-                           + len(services) * runners_per_service)
+        nodes = len(DATA_CENTRES) * (entries_per_centre + 2)
+        ports = free_ports(nodes * 2 + len(services) * runners_per_service)
         self._ports = iter(ports)
         self.config = os.path.join(folder, "deployment.toml")
         self.entries, self.controls, self.ledgers = [], [], []
@@ -94,9 +96,10 @@
             "stop_grace_ms = 20000",
         ]
         for centre in DATA_CENTRES:
-            for number in (1, 2):
-                self._add_node(lines, "entry", f"{centre}-entry-{number}",
-                               centre, self.entries)
+            for number in range(self.entries_per_centre):
+                self._add_node(lines, "entry",
+                               f"{centre}-entry-{number + 1}", centre,
+                               self.entries)
             self._add_node(lines, "control", f"{centre}-control", centre,
                            self.controls)
             self._add_node(lines, "ledger", f"{centre}-ledger", centre,
