Every follower learns of a commit at once

The leader commits on the first follower's answer and tells the followers that have nothing under way; the slower one still had its message under way, and its answer then moved no commit, so it was told only with the next heartbeat. Entries that follow it waited as long.

Ruled out: the entries' long poll (from the answer to in force is 2 ms now) and the sync.

Change: each follower's progress remembers the commit it was told last; an answer that leaves nothing under way is followed by the newer one.

Test: EveryFollowerLearnsOfACommitBeforeTheNextHeartbeat failed first (b expected 4, actual 3).

--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -138,7 +138,8 @@
     v1::LogMember member_;
     uint64_t next_ = 1;
     uint64_t match_ = 0;
-    uint64_t sentUpTo_ = 0; // 0: nothing under way
+    uint64_t sentUpTo_ = 0;   // 0: nothing under way
+    uint64_t toldCommit_ = 0; // the commit index that it was sent last
     Millis sentAt_;
     Millis heardAt_;
   };
@@ -203,6 +204,7 @@
   void SendPending();
   void OnAppendReply(const v1::PeerMessage& aMessage);
   void CommitAcknowledged();
+  void TellCommit(const v1::LogMember& aMember);
   uint64_t AgreedIndex(const v1::LogConfig& aConfig);
   void MaybeReplace();
 
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -148,6 +148,7 @@
     bytes += entry.ByteSizeLong();
   }
   aProgress.sentUpTo_ = index > previous ? index : 0;
+  aProgress.toldCommit_ = commit_;
   aProgress.sentAt_ = now_;
   Send(std::move(message), aProgress.member_);
 }
@@ -190,6 +191,19 @@
   CommitAcknowledged();
   MaybeReplace();
   SendPending();
+  TellCommit(aMessage.from());
+}
+
+// A follower whose message was under way when the commit moved on, and that
+// has nothing more to get, would learn of it only with the next heartbeat.
+void ControlLog::TellCommit(const v1::LogMember& aMember)
+{
+  Progress* progress = FindProgress(aMember);
+  const bool isBehind = progress != nullptr && progress->sentUpTo_ == 0 &&
+                        progress->toldCommit_ < commit_;
+  if (isBehind) {
+    SendAppend(*progress);
+  }
 }
 
 // The highest index that a majority of `aConfig` holds on disk.
--- a/test/control_log_test.cpp
+++ b/test/control_log_test.cpp
@@ -46,6 +46,23 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(EveryFollowerLearnsOfACommitBeforeTheNextHeartbeat)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  BOOST_REQUIRE(Commit(cluster, "first"));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  const std::string leader = cluster.Leader();
+  BOOST_REQUIRE(cluster.Propose(leader, "second"));
+  cluster.DeliverAll(); // no time passes
+  const uint64_t committed = cluster.Log(leader).CommitIndex();
+  for (const std::string& name : cluster.Names()) {
+    BOOST_TEST(cluster.Log(name).CommitIndex() == committed,
+               name << " expected " << committed << ", actual "
+                    << cluster.Log(name).CommitIndex());
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NoClusterIsFoundedWhileOneReplicaIsSilent)
 {
   LogCluster cluster(3);
