Limits read the configuration that the control link already holds

Cause: read again, the limits' watch kept a second copy of the whole state with a mutex of its own beside ControlLink::State(), and ControlLink::OnPeerRevision had lost its only caller with the unfilled protocol field.

Change: WatchLimits reads ControlLink::State(); the copy, its mutex and the dead call are gone. Behaviour stays.

--- a/src/entry/control_link.cpp
+++ b/src/entry/control_link.cpp
@@ -74,12 +74,6 @@
   return state_;
 }
 
-void ControlLink::OnPeerRevision(uint64_t aRevision)
-{
-  std::lock_guard lock(mutex_);
-  view_.OnPeerRevision(aRevision);
-}
-
 std::string ControlLink::StatusJson() const
 {
   std::lock_guard lock(mutex_);
--- a/src/entry/control_link.h
+++ b/src/entry/control_link.h
@@ -39,8 +39,6 @@
   bool Ready() const;
   // The configuration in force, for readers on other threads.
   std::shared_ptr<const v1::FleetState> State() const;
-  // Another entry acts on this revision.
-  void OnPeerRevision(uint64_t aRevision);
 
   // JSON members for /readyz: revision, highest seen, stale, seconds held and
   // seconds since a control replica answered.
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -462,19 +462,15 @@
   tell(draining, draining_, true);
   tell(draining_, draining, false);
   draining_ = std::move(draining);
-  std::lock_guard lock(stateMutex_);
-  state_ = aState;
 }
 
 asio::awaitable<void> EntryProcess::WatchLimits()
 {
   std::vector<MemberLimit> inForce;
   for (;;) {
-    std::vector<MemberLimit> limits;
-    {
-      std::lock_guard lock(stateMutex_);
-      limits = MemberLimitsOf(state_, clock_.UnixNow());
-    }
+    const auto state = control_->State();
+    std::vector<MemberLimit> limits =
+      MemberLimitsOf(state ? *state : v1::FleetState(), clock_.UnixNow());
     if (limits != inForce) {
       inForce = limits;
       events_.Push(MemberLimitsChanged{ .limits_ = std::move(limits) });
--- a/src/entry/entry_process.h
+++ b/src/entry/entry_process.h
@@ -19,7 +19,6 @@
 #include <atomic>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
-#include <mutex>
 #include <set>
 #include <thread>
 
@@ -110,8 +109,6 @@
   // Instances of the attempts under way; decision thread.
   std::map<AttemptNumber, InstanceName> attempts_;
   std::set<std::string> draining_; // as last applied; control link's thread
-  std::mutex stateMutex_;          // guards the one below
-  v1::FleetState state_;           // as last applied
 };
 
 } // namespace vanillahatch
