--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -46,6 +46,10 @@
 {
   std::string self_;
   std::vector<std::string> replicas_; // all of the settings, in their order
+  // False for a replica that lost its disk, where that is known.
+  bool mayFound_ = true;
+  // True if replicas of other names may join too.
+  bool openMembership_ = false;
   uint64_t seed_ = 0;                 // must differ from start to start
   Millis heartbeat_ = Millis(400);
   Millis minElectionTimeout_ = Millis(1200);
--- /dev/null
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -0,0 +1,147 @@
+// Decides which task runs on which instance, while this replica leads.
+//
+// A deterministic state machine: events and time in, actions out. It reads the
+// replicated `JobStore` and changes it only through proposals; every start is
+// in the log before its order leaves, so that a later leader knows where each
+// run may be. It is made anew at each change of leader, and takes over the
+// runs that the log names by listing every instance under its own fencing
+// token.
+//
+//   FleetScheduler scheduler(store, { .fencingToken_ = term }, now);
+//   scheduler.Tick(now);
+//   for (SchedulerAction& action : scheduler.Take()) { ... }
+//   scheduler.OnCommitted(now, number);          // of a Proposal
+//   scheduler.OnListing(now, key, sentAt, result, listing);
+#pragma once
+
+#include "vanillahatch/core/jobs/instance_view.h"
+#include "vanillahatch/core/jobs/run_times.h"
+
+#include <functional>
+
+namespace vanillahatch {
+
+struct FleetSchedulerOptions
+{
+  uint64_t fencingToken_ = 0; // higher than any earlier leader's
+  // Of everything that runs on an instance. Bridges a change of leader; work
+  // on an instance that cannot be reached is started again only after it.
+  Millis lease_ = Seconds(5);
+  // How long a start may be under way; a later one is refused by its
+  // instance.
+  Millis startWithin_ = Millis(1500);
+};
+
+// For logs and metrics.
+struct SchedulerTrace
+{
+  std::function<void(const StartOrder&)> onStart_;
+  std::function<void(const TaskRef&, const EndedTask&, const InstanceKey&)>
+    onEnd_;
+  std::function<void(const InstanceKey&, std::string_view)> onInstance_;
+  std::function<void(const TaskRef&, uint32_t, std::string_view)> onDoubt_;
+};
+
+class FleetScheduler
+{
+public:
+  FleetScheduler(JobStore& aStore,
+                 FleetSchedulerOptions aOptions,
+                 SchedulerTrace aTrace,
+                 Millis aNow);
+
+  void Tick(Millis aNow);
+  std::vector<SchedulerAction> Take();
+
+  // The proposal of that number is in the log and applied.
+  void OnCommitted(Millis aNow, uint64_t aNumber);
+  // An instance's own report, after its record was put into the store.
+  void OnReport(Millis aNow, const InstanceKey& aKey, Millis aClock);
+  void OnStart(Millis aNow, const StartOrder& aOrder, const OrderResult& aResult);
+  void OnStop(Millis aNow, const StopOrder& aOrder, const OrderResult& aResult);
+  void OnListing(Millis aNow,
+                 const HoldOrder& aOrder,
+                 Millis aSentAt,
+                 const OrderResult& aResult,
+                 const InstanceListing& aListing);
+
+  const std::map<InstanceKey, InstanceView>& Views() const { return views_; }
+  const RunTimes& Times() const { return times_; }
+  // True once an instance has seen a higher fencing token than ours: another
+  // replica leads.
+  bool IsDeposed() const { return deposed_; }
+
+private:
+  struct Pending
+  {
+    std::vector<std::pair<InstanceKey, TaskRef>> starts_;
+    bool hasEnds_ = false;
+  };
+  // A ready task that waits for room.
+  struct Candidate
+  {
+    TaskRef first_; // of the pending ones of its step
+    Millis dueAt_;
+    bool isLate_ = false;
+  };
+
+  // fleet_scheduler.cpp
+  void SyncViews(Millis aNow);
+  void RenewLeases(Millis aNow);
+  void WatchLapses(Millis aNow);
+  void StopUnwanted(Millis aNow);
+  uint64_t Propose(v1::JobChanges aChanges, Pending aPending);
+  OrderTarget TargetOf(const InstanceView& aView) const;
+  InstanceView* FindView(const InstanceKey& aKey);
+  void ProposeGone(InstanceView& aView, std::string_view aReason);
+
+  // fleet_scheduler_runs.cpp
+  void TakeEnds(Millis aNow,
+                InstanceView& aView,
+                const InstanceListing& aListing);
+  void TakeRunning(Millis aNow,
+                   InstanceView& aView,
+                   const InstanceListing& aListing);
+  void FindLost(Millis aNow,
+                InstanceView& aView,
+                Millis aSentAt,
+                const InstanceListing& aListing);
+  void EndWithoutRun(InstanceView& aView, const TaskRef& aTask, uint32_t aRun);
+  void SendStop(Millis aNow,
+                InstanceView& aView,
+                const TaskRef& aTask,
+                const v1::TaskName& aName,
+                uint32_t aRun);
+  void Doubt(Millis aNow,
+             const TaskRef& aTask,
+             RunView& aRun,
+             std::string_view aReason);
+
+  // fleet_scheduler_placing.cpp
+  void PlaceTasks(Millis aNow);
+  std::vector<Candidate> Candidates(Millis aNow);
+  void CollectFrom(Millis aNow,
+                   Job& aJob,
+                   uint32_t aOccurrence,
+                   std::vector<Candidate>& aOut);
+  Millis DueAt(Millis aNow, Job& aJob);
+  InstanceView* Choose(Millis aNow,
+                       const std::string& aService,
+                       const TaskRef& aTask);
+
+  JobStore& store_;
+  FleetSchedulerOptions options_;
+  SchedulerTrace trace_;
+  std::map<InstanceKey, InstanceView> views_;
+  std::map<uint64_t, Pending> pending_;
+  std::set<TaskRef> proposed_; // starts on their way into the log
+  uint64_t nextNumber_ = 1;
+  RunTimes times_;
+  std::map<const Job*, Millis> seenAt_; // when open jobs were first seen
+  std::vector<SchedulerAction> actions_;
+  v1::JobChanges round_; // changes of the present event
+  Pending roundPending_;
+  bool deposed_ = false;
+};
+
+} // namespace vanillahatch
--- a/include/vanillahatch/shell/log.h
+++ b/include/vanillahatch/shell/log.h
@@ -2,7 +2,9 @@
 //
 //   LogInfo(Event::kRouteChosen, { { "job", "12" }, { "choice", "loops-3" } });
 //
-// Lines go through a bounded queue to a writer thread of their own.
+// Lines go through a bounded queue to a writer thread of their own. Logging
+// never waits: when the queue is full, lines are dropped, counted, and the
+// count is logged once there is room.
 #pragma once
 
 #include "vanillahatch/shell/events.h"
@@ -40,15 +42,26 @@
 
 using LogFields = std::initializer_list<LogField>;
 
+enum class LogConsole
+{
+  kStandardError,
+  kStandardOutput,
+};
+
 // Owns the logging system of a process; make one first thing in main().
 class LogSystem
 {
 public:
-  // Writes to `aFolder`/`aNode`.log, or to standard error without a folder.
-  LogSystem(std::string_view aNode, const std::filesystem::path& aFolder);
+  // Writes to `aFolder`/`aNode`.log, or to the console without a folder.
+  LogSystem(std::string_view aNode,
+            const std::filesystem::path& aFolder,
+            LogConsole aConsole = LogConsole::kStandardError);
   ~LogSystem();
   LogSystem(const LogSystem&) = delete;
   LogSystem& operator=(const LogSystem&) = delete;
+
+  // Lines lost to a full queue since the start.
+  static uint64_t DroppedLines();
 };
 
 void LogInfo(Event aEvent, LogFields aFields);
--- a/src/control/operator_api.cpp
+++ b/src/control/operator_api.cpp
@@ -25,7 +25,7 @@
   return status.ok() ? text : "{}";
 }
 
-std::string ToJson(const ControlReplicaStatus& aStatus)
+std::string ToJson(const LogReplicaStatus& aStatus)
 {
   boost::json::array members(aStatus.members_.begin(), aStatus.members_.end());
   const boost::json::object object = {
@@ -118,7 +118,7 @@
 // A replica serves operators once it knows of a leader that takes changes.
 HttpResponse OperatorApi::HandleReady() const
 {
-  const ControlReplicaStatus status = proposer_.Status();
+  const LogReplicaStatus status = proposer_.Status();
   if (status.leader_.empty()) {
     return MakeProblem(503, "no-leader", "no", "role " + status.role_);
   }
@@ -127,7 +127,7 @@
 
 HttpResponse OperatorApi::HandleMetrics() const
 {
-  const ControlReplicaStatus status = proposer_.Status();
+  const LogReplicaStatus status = proposer_.Status();
   Metrics metrics;
   metrics.Set("vh_control_is_leader", proposer_.IsLeader() ? 1 : 0);
   metrics.Set("vh_control_term", static_cast<double>(status.term_));
--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -8,7 +8,7 @@
 void ControlLog::SayHello()
 {
   helloAt_ = now_ + options_.heartbeat_;
-  if (cluster_ == 0 && options_.replicas_.size() == 1) {
+  if (cluster_ == 0 && options_.mayFound_ && options_.replicas_.size() == 1) {
     Found();
     return;
   }
@@ -50,7 +50,7 @@
     return;
   }
   blanks_[aMessage.from().name()] = { aMessage.from().incarnation(), now_ };
-  if (options_.replicas_.front() != self_.name()) {
+  if (!options_.mayFound_ || options_.replicas_.front() != self_.name()) {
     return;
   }
   const bool allBlank = std::all_of(options_.replicas_.begin(),
@@ -135,7 +135,7 @@
     }
     return;
   }
-  const bool isKnownName = std::find(options_.replicas_.begin(),
+  const bool isKnownName = options_.openMembership_ || std::find(options_.replicas_.begin(),
                                      options_.replicas_.end(),
                                      from.name()) != options_.replicas_.end();
   if (!IsLeader() || !isKnownName || from.name() == self_.name()) {
--- /dev/null
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -0,0 +1,248 @@
+#include "vanillahatch/core/jobs/fleet_scheduler.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+namespace {
+
+// Longest wait of a listing; the platform's bound is 2,000 ms.
+constexpr Millis kLongPoll = Millis(1500);
+// Between listings of one instance, so that ends are taken in batches.
+constexpr Millis kListingGap = Millis(30);
+// After a stop that was not answered.
+constexpr Millis kStopRetry = Millis(300);
+
+} // namespace
+
+FleetScheduler::FleetScheduler(JobStore& aStore,
+                               FleetSchedulerOptions aOptions,
+                               SchedulerTrace aTrace,
+                               Millis aNow)
+  : store_(aStore)
+  , options_(aOptions)
+  , trace_(std::move(aTrace))
+{
+  SyncViews(aNow);
+}
+
+InstanceView* FleetScheduler::FindView(const InstanceKey& aKey)
+{
+  const auto it = views_.find(aKey);
+  return it != views_.end() ? &it->second : nullptr;
+}
+
+OrderTarget FleetScheduler::TargetOf(const InstanceView& aView) const
+{
+  return { .instance_ = aView.Record().key_,
+           .endpoint_ = { .address_ = aView.Facts().address(),
+                          .port_ = static_cast<uint16_t>(aView.Facts().port()) },
+           .fencingToken_ = options_.fencingToken_ };
+}
+
+// One view for each instance of the store. What the log says to be assigned
+// there and no view knows was begun by an earlier leader.
+void FleetScheduler::SyncViews(Millis aNow)
+{
+  std::erase_if(views_, [&](const auto& aItem) {
+    // The same key may name a new record by now.
+    return store_.FindInstance(aItem.first) != &aItem.second.Record();
+  });
+  for (const auto& [key, instance] : store_.Instances()) {
+    if (views_.contains(key)) {
+      continue;
+    }
+    InstanceView& view =
+      views_.try_emplace(key, *instance, options_.lease_, aNow).first->second;
+    for (const TaskRef& task : instance->assigned_) {
+      view.AddRun(task,
+                  { .run_ = JobStore::At(task).run_,
+                    .need_ = OccupiedBy(JobStore::SpecOf(task)),
+                    .phase_ = RunPhase::kInDoubt,
+                    .since_ = aNow,
+                    .orderedAt_ = aNow });
+    }
+  }
+}
+
+uint64_t FleetScheduler::Propose(v1::JobChanges aChanges, Pending aPending)
+{
+  const uint64_t number = nextNumber_++;
+  pending_.emplace(number, std::move(aPending));
+  actions_.push_back(
+    Proposal{ .number_ = number, .changes_ = std::move(aChanges) });
+  return number;
+}
+
+std::vector<SchedulerAction> FleetScheduler::Take()
+{
+  if (round_.changes_size() > 0) {
+    Propose(std::exchange(round_, {}), std::exchange(roundPending_, {}));
+  }
+  return std::exchange(actions_, {});
+}
+
+void FleetScheduler::Tick(Millis aNow)
+{
+  SyncViews(aNow);
+  WatchLapses(aNow);
+  StopUnwanted(aNow);
+  PlaceTasks(aNow);
+  RenewLeases(aNow);
+}
+
+void FleetScheduler::ProposeGone(InstanceView& aView, std::string_view aReason)
+{
+  if (aView.goneProposed_) {
+    return;
+  }
+  aView.goneProposed_ = true;
+  *round_.add_changes()->mutable_instance_gone()->mutable_key() =
+    ToMessage(aView.Record().key_);
+  trace_.onInstance_(aView.Record().key_, aReason);
+}
+
+// An instance that cannot be reached is given up once nothing can run there.
+void FleetScheduler::WatchLapses(Millis aNow)
+{
+  for (auto& [key, view] : views_) {
+    const bool isSilent = aNow - view.lastAnswerAt_ > options_.lease_;
+    if (isSilent && !view.Runs().empty() && view.Lease().HasLapsed(aNow)) {
+      ProposeGone(view, "lease lapsed");
+    }
+  }
+}
+
+void FleetScheduler::RenewLeases(Millis aNow)
+{
+  for (auto& [key, view] : views_) {
+    const uint64_t cursor = view.Facts().end_cursor();
+    const bool hasRuns = !view.Runs().empty();
+    const bool hasNews = cursor > view.confirmedCursor_;
+    const bool waitsForLog = view.proposedCursor_ > cursor;
+    const bool isWanted = hasRuns || hasNews || !view.contacted_;
+    if (view.holdUnderWay_ || waitsForLog || !isWanted ||
+        aNow < view.nextHoldAt_) {
+      continue;
+    }
+    HoldOrder order{ .target_ = TargetOf(view),
+                     .endCursor_ = cursor,
+                     .wait_ = hasRuns && view.contacted_ ? kLongPoll
+                                                         : Millis() };
+    if (view.Lease().IsClockKnown() && hasRuns) {
+      const Millis deadline = view.Lease().ClockAt(aNow) + options_.lease_;
+      view.Lease().Extend(deadline);
+      order.deadline_ = deadline;
+    }
+    view.holdUnderWay_ = true;
+    view.confirmedCursor_ = cursor;
+    actions_.push_back(std::move(order));
+  }
+}
+
+void FleetScheduler::SendStop(Millis aNow,
+                              InstanceView& aView,
+                              const TaskRef& aTask,
+                              const v1::TaskName& aName,
+                              uint32_t aRun)
+{
+  if (RunView* run = aView.FindRun(aTask, aRun)) {
+    run->stopUnderWay_ = true;
+    run->nextStopAt_ = aNow + kStopRetry;
+  }
+  actions_.push_back(StopOrder{ .target_ = TargetOf(aView),
+                                .ref_ = aTask,
+                                .task_ = aName,
+                                .run_ = aRun });
+}
+
+// Runs of jobs that have ended otherwise, and runs in doubt.
+void FleetScheduler::StopUnwanted(Millis aNow)
+{
+  for (auto& [key, view] : views_) {
+    if (!view.contacted_) {
+      continue;
+    }
+    for (auto& [task, run] : view.Runs()) {
+      const bool isOrdered = run.phase_ != RunPhase::kProposed;
+      if (isOrdered && !run.stopWanted_ && !task.job_->IsOpen()) {
+        run.stopWanted_ = true;
+      }
+      const bool isDue = run.stopWanted_ && isOrdered && !run.stopUnderWay_ &&
+                         !run.stoppedAt_ && !run.endProposed_ &&
+                         aNow >= run.nextStopAt_;
+      if (isDue) {
+        SendStop(aNow, view, task, JobStore::NameOf(task), run.run_);
+      }
+    }
+  }
+}
+
+void FleetScheduler::OnReport(Millis aNow,
+                              const InstanceKey& aKey,
+                              Millis aClock)
+{
+  SyncViews(aNow);
+  if (InstanceView* view = FindView(aKey)) {
+    view->Lease().Observe(aClock, aNow);
+  }
+}
+
+void FleetScheduler::OnCommitted(Millis aNow, uint64_t aNumber)
+{
+  const auto it = pending_.find(aNumber);
+  if (it == pending_.end()) {
+    return;
+  }
+  const Pending pending = std::move(it->second);
+  pending_.erase(it);
+  for (auto& [key, view] : views_) {
+    std::vector<TaskRef> ended;
+    const Instance* instance = store_.FindInstance(key);
+    for (const auto& [task, run] : view.Runs()) {
+      const bool isHeld = instance != nullptr &&
+                          instance->assigned_.contains(task) &&
+                          JobStore::At(task).run_ == run.run_;
+      if (run.phase_ != RunPhase::kProposed && !isHeld) {
+        ended.push_back(task);
+      }
+    }
+    for (const TaskRef& task : ended) {
+      view.RemoveRun(task);
+    }
+  }
+  SyncViews(aNow);
+  for (const auto& [key, task] : pending.starts_) {
+    proposed_.erase(task);
+    InstanceView* view = FindView(key);
+    const auto run = view != nullptr ? view->Runs().find(task)
+                                     : std::map<TaskRef, RunView>::iterator();
+    if (view == nullptr || run == view->Runs().end()) {
+      continue;
+    }
+    const Instance* instance = store_.FindInstance(key);
+    const bool isTaken = instance != nullptr &&
+                         instance->assigned_.contains(task) &&
+                         JobStore::At(task).run_ == run->second.run_;
+    if (!isTaken) {
+      view->RemoveRun(task);
+      continue;
+    }
+    const Millis clock = view->Lease().ClockAt(aNow);
+    StartOrder order{ .target_ = TargetOf(*view),
+                      .ref_ = task,
+                      .task_ = JobStore::NameOf(task),
+                      .run_ = run->second.run_,
+                      .text_ = task.job_->spec_.text(),
+                      .checkpoint_ = JobStore::At(task).checkpoint_,
+                      .deadline_ = clock + options_.startWithin_ };
+    view->Lease().Extend(order.deadline_);
+    run->second.phase_ = RunPhase::kOrdered;
+    run->second.since_ = aNow;
+    run->second.orderedAt_ = aNow;
+    trace_.onStart_(order);
+    actions_.push_back(std::move(order));
+  }
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -0,0 +1,158 @@
+// Which waiting task comes next, and where it goes.
+#include "vanillahatch/core/jobs/fleet_scheduler.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace vanillahatch {
+
+namespace {
+
+// Starts of one round; more would delay the answers to callers.
+constexpr size_t kMaxStartsARound = 200;
+
+} // namespace
+
+// When the job has to be done to count as in time.
+Millis FleetScheduler::DueAt(Millis aNow, Job& aJob)
+{
+  const Millis seenAt = seenAt_.try_emplace(&aJob, aNow).first->second;
+  const v1::QueueSpec* queue = store_.FindQueue(aJob.queue_);
+  const double stretch = queue != nullptr ? queue->stretch() : 1.0;
+  const Millis target(queue != nullptr ? queue->target_latency_ms() : 0);
+  const std::vector<bool> nothingDone(
+    static_cast<size_t>(aJob.spec_.steps_size()), false);
+  const Millis chain =
+    times_.RemainingChain(aJob.queue_, aJob.spec_, nothingDone);
+  return seenAt + target +
+         Millis(static_cast<int64_t>(stretch *
+                                     static_cast<double>(chain.Count())));
+}
+
+void FleetScheduler::CollectFrom(Millis aNow,
+                                 Job& aJob,
+                                 uint32_t aOccurrence,
+                                 std::vector<Candidate>& aOut)
+{
+  const Occurrence* occurrence = JobStore::FindOccurrence(aJob, aOccurrence);
+  if (occurrence != nullptr && occurrence->IsDone()) {
+    return;
+  }
+  for (int i = 0; i < aJob.spec_.steps_size(); ++i) {
+    const auto step = static_cast<uint32_t>(i);
+    const bool hasPending =
+      occurrence == nullptr || occurrence->steps_[step].pending_ > 0;
+    if (!hasPending || !JobStore::IsStepReady(aJob, occurrence, step)) {
+      continue;
+    }
+    const Millis dueAt = DueAt(aNow, aJob);
+    aOut.push_back({ .first_ = { .job_ = &aJob,
+                                 .occurrence_ = aOccurrence,
+                                 .step_ = step },
+                     .dueAt_ = dueAt,
+                     .isLate_ = dueAt < aNow });
+  }
+}
+
+std::vector<FleetScheduler::Candidate> FleetScheduler::Candidates(Millis aNow)
+{
+  std::vector<Candidate> candidates;
+  for (const auto& [order, job] : store_.OpenJobs()) {
+    CollectFrom(aNow, *job, 0, candidates);
+  }
+  const auto rank = [](const Candidate& aCandidate) {
+    const bool lasts = JobStore::SpecOf(aCandidate.first_).lasting();
+    return std::tuple(!lasts,
+                      aCandidate.isLate_,
+                      aCandidate.dueAt_,
+                      aCandidate.first_.job_->order_,
+                      aCandidate.first_.step_);
+  };
+  std::sort(candidates.begin(),
+            candidates.end(),
+            [&](const Candidate& aLeft, const Candidate& aRight) {
+              return rank(aLeft) < rank(aRight);
+            });
+  return candidates;
+}
+
+// Best fit: the instance that keeps the least room, so that wide tasks still
+// find some.
+InstanceView* FleetScheduler::Choose(Millis aNow,
+                                     const std::string& aService,
+                                     const TaskRef& aTask)
+{
+  const v1::StepSpec& step = JobStore::SpecOf(aTask);
+  const v1::Resources need = OccupiedBy(step);
+  InstanceView* best = nullptr;
+  uint32_t bestLeft = 0;
+  for (auto& [key, view] : views_) {
+    const v1::InstanceRecord& facts = view.Facts();
+    if (facts.service() != aService || !view.IsUsable(aNow) ||
+        !view.HasRoomFor(need)) {
+      continue;
+    }
+    const auto& labels = facts.labels();
+    const bool isLabelled =
+      step.required_label().empty() ||
+      std::find(labels.begin(), labels.end(), step.required_label()) !=
+        labels.end();
+    const bool isApart = step.max_per_instance() == 0 ||
+                         view.CountOf(aTask) < step.max_per_instance();
+    if (!isLabelled || !isApart) {
+      continue;
+    }
+    const uint32_t left = facts.capacity().cpu_millis() -
+                          view.Used().cpu_millis() - need.cpu_millis();
+    if (best == nullptr || left < bestLeft) {
+      best = &view;
+      bestLeft = left;
+    }
+  }
+  return best;
+}
+
+void FleetScheduler::PlaceTasks(Millis aNow)
+{
+  size_t starts = 0;
+  for (const Candidate& candidate : Candidates(aNow)) {
+    Job& job = *candidate.first_.job_;
+    const std::string& service = store_.ServiceOf(job);
+    const Occurrence* occurrence =
+      JobStore::FindOccurrence(job, candidate.first_.occurrence_);
+    const v1::StepSpec& spec = JobStore::SpecOf(candidate.first_);
+    for (uint32_t i = 0; i < spec.task_count(); ++i) {
+      TaskRef task = candidate.first_;
+      task.index_ = i;
+      const Task* known = occurrence != nullptr
+                            ? &occurrence->steps_[task.step_].tasks_[i]
+                            : nullptr;
+      const bool isPending =
+        known == nullptr || known->phase_ == TaskPhase::kPending;
+      if (!isPending || proposed_.contains(task)) {
+        continue;
+      }
+      InstanceView* view = Choose(aNow, service, task);
+      if (view == nullptr) {
+        break;
+      }
+      const uint32_t run = (known != nullptr ? known->run_ : 0) + 1;
+      view->AddRun(task,
+                   { .run_ = run,
+                     .need_ = OccupiedBy(spec),
+                     .phase_ = RunPhase::kProposed,
+                     .since_ = aNow });
+      v1::RunStart& start = *round_.add_changes()->mutable_run_start();
+      *start.mutable_task() = JobStore::NameOf(task);
+      start.set_run(run);
+      *start.mutable_instance() = ToMessage(view->Record().key_);
+      proposed_.insert(task);
+      roundPending_.starts_.emplace_back(view->Record().key_, task);
+      if (++starts == kMaxStartsARound) {
+        return;
+      }
+    }
+  }
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -0,0 +1,283 @@
+// What answers and listings of instances say of their runs.
+#include "vanillahatch/core/jobs/fleet_scheduler.h"
+
+#include <algorithm>
+#include <unordered_set>
+
+namespace vanillahatch {
+
+namespace {
+
+// After which an instance that refused or failed orders is tried again.
+constexpr Millis kAvoidAfterRefusal = Millis(500);
+constexpr Millis kAvoidAfterSilence = Seconds(1);
+// Instances that fail what they start in a row are left out for longer.
+constexpr uint32_t kSuspiciousFailures = 3;
+constexpr Millis kAvoidAfterFailures = Seconds(3);
+// Between listings while an instance does not answer.
+constexpr Millis kListingRetry = Millis(200);
+constexpr Millis kListingGap = Millis(30);
+// A listing with this many ends may leave out others.
+constexpr size_t kMostEndsListed = 500;
+
+std::string KeyOf(const v1::TaskName& aTask, uint32_t aRun)
+{
+  return aTask.job() + '.' + std::to_string(aTask.occurrence()) + '.' +
+         std::to_string(aTask.step()) + '.' + std::to_string(aTask.index()) +
+         '#' + std::to_string(aRun);
+}
+
+} // namespace
+
+void FleetScheduler::Doubt(Millis aNow,
+                           const TaskRef& aTask,
+                           RunView& aRun,
+                           std::string_view aReason)
+{
+  aRun.phase_ = RunPhase::kInDoubt;
+  aRun.since_ = aNow;
+  trace_.onDoubt_(aTask, aRun.run_, aReason);
+}
+
+// The run never existed, or is known to exist no more.
+void FleetScheduler::EndWithoutRun(InstanceView& aView,
+                                   const TaskRef& aTask,
+                                   uint32_t aRun)
+{
+  RunView* run = aView.FindRun(aTask, aRun);
+  if (run == nullptr || run->endProposed_) {
+    return;
+  }
+  run->endProposed_ = true;
+  v1::RunEnd& end = *round_.add_changes()->mutable_run_end();
+  *end.mutable_task() = JobStore::NameOf(aTask);
+  end.set_run(aRun);
+  *end.mutable_instance() = ToMessage(aView.Record().key_);
+  end.set_outcome(v1::RUN_STOPPED);
+}
+
+void FleetScheduler::OnStart(Millis aNow,
+                             const StartOrder& aOrder,
+                             const OrderResult& aResult)
+{
+  InstanceView* view = FindView(aOrder.target_.instance_);
+  if (view == nullptr) {
+    return;
+  }
+  if (aResult.clock_) {
+    view->Lease().Observe(*aResult.clock_, aNow);
+    view->lastAnswerAt_ = aNow;
+  }
+  RunView* run = view->FindRun(aOrder.ref_, aOrder.run_);
+  if (run == nullptr) {
+    return;
+  }
+  const bool isOpen = run->phase_ == RunPhase::kOrdered;
+  switch (aResult.status_) {
+    case OrderStatus::kAccepted:
+      if (isOpen) {
+        run->phase_ = RunPhase::kStarted;
+        run->since_ = aNow;
+      }
+      return;
+    case OrderStatus::kFenced:
+      deposed_ = true;
+      return;
+    case OrderStatus::kOtherIncarnation:
+      ProposeGone(*view, "another incarnation answers");
+      return;
+    case OrderStatus::kUnknown:
+      view->avoidUntil_ = aNow + kAvoidAfterSilence;
+      if (isOpen) {
+        Doubt(aNow, aOrder.ref_, *run, "start not answered");
+      }
+      return;
+    case OrderStatus::kNotSent:
+      view->avoidUntil_ = aNow + kAvoidAfterSilence;
+      break;
+    case OrderStatus::kUnhealthy:
+    case OrderStatus::kNoRoom:
+      view->avoidUntil_ = aNow + kAvoidAfterRefusal;
+      break;
+    case OrderStatus::kRunTooOld:
+    case OrderStatus::kPastDeadline:
+    case OrderStatus::kNoTicket:
+    case OrderStatus::kRefused:
+      break;
+  }
+  if (isOpen) {
+    EndWithoutRun(*view, aOrder.ref_, aOrder.run_);
+  }
+}
+
+void FleetScheduler::OnStop(Millis aNow,
+                            const StopOrder& aOrder,
+                            const OrderResult& aResult)
+{
+  InstanceView* view = FindView(aOrder.target_.instance_);
+  if (view == nullptr) {
+    return;
+  }
+  if (aResult.clock_) {
+    view->Lease().Observe(*aResult.clock_, aNow);
+    view->lastAnswerAt_ = aNow;
+  }
+  deposed_ = deposed_ || aResult.status_ == OrderStatus::kFenced;
+  if (aResult.status_ == OrderStatus::kOtherIncarnation) {
+    ProposeGone(*view, "another incarnation answers");
+    return;
+  }
+  if (RunView* run = view->FindRun(aOrder.ref_, aOrder.run_)) {
+    run->stopUnderWay_ = false;
+    if (aResult.status_ == OrderStatus::kAccepted) {
+      run->stoppedAt_ = aNow;
+    }
+  }
+}
+
+void FleetScheduler::OnListing(Millis aNow,
+                               const HoldOrder& aOrder,
+                               Millis aSentAt,
+                               const OrderResult& aResult,
+                               const InstanceListing& aListing)
+{
+  InstanceView* view = FindView(aOrder.target_.instance_);
+  if (view == nullptr) {
+    return;
+  }
+  view->holdUnderWay_ = false;
+  if (aResult.status_ == OrderStatus::kFenced) {
+    deposed_ = true;
+    return;
+  }
+  const bool isOther =
+    aResult.status_ == OrderStatus::kOtherIncarnation ||
+    (aResult.status_ == OrderStatus::kAccepted && aListing.bornUnixMs_ != 0 &&
+     aListing.bornUnixMs_ != aOrder.target_.instance_.bornUnixMs_);
+  if (isOther) {
+    ProposeGone(*view, "another incarnation answers");
+    return;
+  }
+  if (aResult.status_ != OrderStatus::kAccepted) {
+    view->nextHoldAt_ = aNow + kListingRetry;
+    view->confirmedCursor_ = 0;
+    view->avoidUntil_ = aNow + kAvoidAfterSilence;
+    return;
+  }
+  if (!view->contacted_) {
+    view->contacted_ = true;
+    trace_.onInstance_(aOrder.target_.instance_, "in contact");
+  }
+  view->lastAnswerAt_ = aNow;
+  view->nextHoldAt_ = aNow + kListingGap;
+  if (aResult.clock_) {
+    view->Lease().Observe(*aResult.clock_, aNow);
+  }
+  TakeEnds(aNow, *view, aListing);
+  TakeRunning(aNow, *view, aListing);
+  FindLost(aNow, *view, aSentAt, aListing);
+}
+
+void FleetScheduler::TakeEnds(Millis aNow,
+                              InstanceView& aView,
+                              const InstanceListing& aListing)
+{
+  for (const EndedTask& ended : aListing.ended_) {
+    if (ended.number_ <= aView.proposedCursor_) {
+      continue;
+    }
+    aView.proposedCursor_ = ended.number_;
+    v1::RunEnd& end = *round_.add_changes()->mutable_run_end();
+    *end.mutable_task() = ended.task_;
+    end.set_run(ended.run_);
+    *end.mutable_instance() = ToMessage(aView.Record().key_);
+    end.set_end_number(ended.number_);
+    end.set_outcome(ended.outcome_);
+    end.set_checkpoint(ended.checkpoint_);
+    const std::optional<TaskRef> ref = store_.FindTask(ended.task_);
+    RunView* run = ref ? aView.FindRun(*ref, ended.run_) : nullptr;
+    if (run == nullptr) {
+      continue;
+    }
+    trace_.onEnd_(*ref, ended, aView.Record().key_);
+    run->endProposed_ = true;
+    if (ended.outcome_ == v1::RUN_DONE) {
+      aView.failuresInRow_ = 0;
+      if (JobStore::At(*ref).checkpoint_.empty()) {
+        times_.Learn(ref->job_->queue_,
+                     JobStore::SpecOf(*ref),
+                     aNow - run->orderedAt_);
+      }
+    } else if (ended.outcome_ == v1::RUN_FAILED &&
+               ++aView.failuresInRow_ >= kSuspiciousFailures) {
+      aView.avoidUntil_ = aNow + kAvoidAfterFailures;
+      trace_.onInstance_(aView.Record().key_, "fails what it starts");
+    }
+  }
+}
+
+void FleetScheduler::TakeRunning(Millis aNow,
+                                 InstanceView& aView,
+                                 const InstanceListing& aListing)
+{
+  for (const RunningTask& running : aListing.running_) {
+    const std::optional<TaskRef> ref = store_.FindTask(running.task_);
+    RunView* run = ref ? aView.FindRun(*ref, running.run_) : nullptr;
+    if (run == nullptr) {
+      // Of an earlier leader or an earlier life of the task: nobody waits
+      // for it.
+      SendStop(aNow,
+               aView,
+               ref.value_or(TaskRef{}),
+               running.task_,
+               running.run_);
+      continue;
+    }
+    if (run->phase_ != RunPhase::kListed) {
+      run->phase_ = RunPhase::kListed;
+      run->since_ = aNow;
+    }
+    run->percent_ = running.percent_;
+    run->load_ = running.load_;
+    const bool isAtWork = running.percent_ == 100;
+    if (!isAtWork) {
+      run->atWorkSince_.reset();
+    } else if (!run->atWorkSince_) {
+      run->atWorkSince_ = aNow;
+    }
+  }
+}
+
+// Runs that should be there and are in neither list.
+void FleetScheduler::FindLost(Millis aNow,
+                              InstanceView& aView,
+                              Millis aSentAt,
+                              const InstanceListing& aListing)
+{
+  if (aListing.ended_.size() >= kMostEndsListed) {
+    return;
+  }
+  std::unordered_set<std::string> listed;
+  for (const RunningTask& running : aListing.running_) {
+    listed.insert(KeyOf(running.task_, running.run_));
+  }
+  for (auto& [task, run] : aView.Runs()) {
+    const bool isMissing =
+      run.phase_ != RunPhase::kProposed && !run.endProposed_ &&
+      !listed.contains(KeyOf(JobStore::NameOf(task), run.run_));
+    if (!isMissing) {
+      continue;
+    }
+    if (run.stoppedAt_ && *run.stoppedAt_ < aSentAt) {
+      EndWithoutRun(aView, task, run.run_);
+    } else if (run.phase_ != RunPhase::kOrdered && run.since_ < aSentAt &&
+               !run.stopWanted_) {
+      if (run.phase_ != RunPhase::kInDoubt) {
+        Doubt(aNow, task, run, "not listed");
+      }
+      run.stopWanted_ = true;
+    }
+  }
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/core/jobs/job_store.cpp
@@ -0,0 +1,440 @@
+#include "vanillahatch/core/jobs/job_store.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+namespace {
+
+// For jobs whose queue has been removed from the configuration.
+constexpr uint32_t kDefaultMaxAttempts = 3;
+
+} // namespace
+
+InstanceKey ToKey(const v1::InstanceKey& aKey)
+{
+  return { .id_ = aKey.id(), .bornUnixMs_ = aKey.born_unix_ms() };
+}
+
+InstanceKey ToKey(const v1::InstanceRecord& aRecord)
+{
+  return { .id_ = aRecord.id(), .bornUnixMs_ = aRecord.born_unix_ms() };
+}
+
+v1::InstanceKey ToMessage(const InstanceKey& aKey)
+{
+  v1::InstanceKey key;
+  key.set_id(aKey.id_);
+  key.set_born_unix_ms(aKey.bornUnixMs_);
+  return key;
+}
+
+void JobStore::Apply(const v1::JobChanges& aChanges)
+{
+  for (const v1::JobChange& change : aChanges.changes()) {
+    ApplyOne(change);
+  }
+}
+
+void JobStore::ApplyOne(const v1::JobChange& aChange)
+{
+  switch (aChange.body_case()) {
+    case v1::JobChange::kPutConfig:
+      return PutConfig(aChange.put_config());
+    case v1::JobChange::kAcceptJob:
+      return Accept(aChange.accept_job());
+    case v1::JobChange::kCancelJob:
+      return Cancel(aChange.cancel_job());
+    case v1::JobChange::kRunStart:
+      return Start(aChange.run_start());
+    case v1::JobChange::kRunEnd:
+      return End(aChange.run_end());
+    case v1::JobChange::kPutInstance:
+      return PutInstance(aChange.put_instance());
+    case v1::JobChange::kInstanceGone:
+      return RemoveInstance(ToKey(aChange.instance_gone().key()));
+    case v1::JobChange::kStartWave:
+      waves_.try_emplace(aChange.start_wave().wave(),
+                         Wave{ .order_ = aChange.start_wave() });
+      return;
+    case v1::JobChange::kUpkeepBegun:
+      if (const auto it = waves_.find(aChange.upkeep_begun().wave());
+          it != waves_.end()) {
+        it->second.begun_.insert(aChange.upkeep_begun().machine());
+      }
+      return;
+    case v1::JobChange::kForgetJob:
+      return Forget(aChange.forget_job());
+    case v1::JobChange::BODY_NOT_SET:
+      return;
+  }
+}
+
+void JobStore::PutConfig(const v1::FleetDocument& aConfig)
+{
+  if (aConfig.version() > config_.version()) {
+    config_ = aConfig;
+  }
+}
+
+const v1::QueueSpec* JobStore::FindQueue(std::string_view aName) const
+{
+  const auto& queues = config_.queues();
+  const auto it = std::find_if(queues.begin(), queues.end(), [&](auto& aQueue) {
+    return aQueue.name() == aName;
+  });
+  return it != queues.end() ? &*it : nullptr;
+}
+
+const v1::QueueSpec* JobStore::FindQueueFor(std::string_view aHost,
+                                            std::string_view aPath) const
+{
+  const v1::QueueSpec* best = nullptr;
+  for (const v1::QueueSpec& queue : config_.queues()) {
+    const bool fits =
+      queue.host() == aHost && aPath.starts_with(queue.path_prefix());
+    if (fits && (best == nullptr ||
+                 queue.path_prefix().size() > best->path_prefix().size())) {
+      best = &queue;
+    }
+  }
+  return best;
+}
+
+const v1::ServiceSpec* JobStore::FindService(std::string_view aName) const
+{
+  const auto& services = config_.services();
+  const auto it =
+    std::find_if(services.begin(), services.end(), [&](auto& aService) {
+      return aService.name() == aName;
+    });
+  return it != services.end() ? &*it : nullptr;
+}
+
+Job* JobStore::FindJob(std::string_view aId) const
+{
+  const auto it = jobs_.find(std::string(aId));
+  return it != jobs_.end() ? it->second.get() : nullptr;
+}
+
+v1::JobPhase JobStore::PhaseOf(const Job& aJob) const
+{
+  if (aJob.cancelled_) {
+    return v1::JOB_CANCELLED;
+  }
+  if (aJob.failed_) {
+    return v1::JOB_FAILED;
+  }
+  if (aJob.IsCompleted()) {
+    return v1::JOB_COMPLETED;
+  }
+  return aJob.started_ ? v1::JOB_RUNNING : v1::JOB_QUEUED;
+}
+
+uint64_t JobStore::WaitingJobs(std::string_view aQueue) const
+{
+  const auto it = waiting_.find(aQueue);
+  return it != waiting_.end() ? it->second : 0;
+}
+
+const std::string& JobStore::ServiceOf(const Job& aJob) const
+{
+  const v1::QueueSpec* queue = FindQueue(aJob.queue_);
+  return queue != nullptr ? queue->service() : aJob.service_;
+}
+
+uint32_t JobStore::MaxAttempts(const Job& aJob) const
+{
+  const v1::QueueSpec* queue = FindQueue(aJob.queue_);
+  return queue != nullptr ? std::max(queue->max_attempts(), 1U)
+                          : kDefaultMaxAttempts;
+}
+
+Instance* JobStore::FindInstance(const InstanceKey& aKey) const
+{
+  const auto it = instances_.find(aKey);
+  return it != instances_.end() ? it->second.get() : nullptr;
+}
+
+void JobStore::Accept(const v1::AcceptJob& aJob)
+{
+  auto [it, isNew] = jobs_.try_emplace(aJob.id());
+  if (!isNew) {
+    return; // the same job, sent again
+  }
+  it->second = std::make_unique<Job>();
+  Job& job = *it->second;
+  job.id_ = aJob.id();
+  job.queue_ = aJob.queue();
+  job.service_ = aJob.service();
+  job.spec_ = aJob.spec();
+  job.order_ = nextOrder_++;
+  open_.emplace(job.order_, &job);
+  ++waiting_[job.queue_];
+}
+
+void JobStore::Close(Job& aJob)
+{
+  open_.erase(aJob.order_);
+  if (!aJob.started_) {
+    --waiting_[aJob.queue_];
+  }
+}
+
+void JobStore::MarkStarted(Job& aJob)
+{
+  if (!aJob.started_) {
+    aJob.started_ = true;
+    --waiting_[aJob.queue_];
+  }
+}
+
+void JobStore::Cancel(const v1::CancelJob& aJob)
+{
+  Job* job = FindJob(aJob.id());
+  if (job != nullptr && job->IsOpen()) {
+    Close(*job);
+    job->cancelled_ = true;
+  }
+}
+
+Occurrence* JobStore::FindOccurrence(Job& aJob, uint32_t aNumber)
+{
+  const auto it = aJob.occurrences_.find(aNumber);
+  return it != aJob.occurrences_.end() ? &it->second : nullptr;
+}
+
+Occurrence& JobStore::EnsureOccurrence(Job& aJob, uint32_t aNumber)
+{
+  auto [it, isNew] = aJob.occurrences_.try_emplace(aNumber);
+  Occurrence& occurrence = it->second;
+  if (isNew) {
+    occurrence.steps_.resize(aJob.spec_.steps_size());
+    for (int i = 0; i < aJob.spec_.steps_size(); ++i) {
+      const uint32_t count = aJob.spec_.steps(i).task_count();
+      occurrence.steps_[i].tasks_.resize(count);
+      occurrence.steps_[i].pending_ = count;
+    }
+  }
+  return occurrence;
+}
+
+Task& JobStore::At(const TaskRef& aTask)
+{
+  return aTask.job_->occurrences_.at(aTask.occurrence_)
+    .steps_[aTask.step_]
+    .tasks_[aTask.index_];
+}
+
+const v1::StepSpec& JobStore::SpecOf(const TaskRef& aTask)
+{
+  return aTask.job_->spec_.steps(static_cast<int>(aTask.step_));
+}
+
+v1::TaskName JobStore::NameOf(const TaskRef& aTask)
+{
+  v1::TaskName name;
+  name.set_job(aTask.job_->id_);
+  name.set_occurrence(aTask.occurrence_);
+  name.set_step(aTask.step_);
+  name.set_index(aTask.index_);
+  return name;
+}
+
+std::optional<TaskRef> JobStore::FindTask(const v1::TaskName& aName) const
+{
+  Job* job = FindJob(aName.job());
+  Occurrence* occurrence =
+    job != nullptr ? FindOccurrence(*job, aName.occurrence()) : nullptr;
+  if (occurrence == nullptr || aName.step() >= occurrence->steps_.size() ||
+      aName.index() >= occurrence->steps_[aName.step()].tasks_.size()) {
+    return std::nullopt;
+  }
+  return TaskRef{ .job_ = job,
+                  .occurrence_ = aName.occurrence(),
+                  .step_ = aName.step(),
+                  .index_ = aName.index() };
+}
+
+bool JobStore::IsStepReady(const Job& aJob,
+                           const Occurrence* aOccurrence,
+                           uint32_t aStep)
+{
+  const auto& after = aJob.spec_.steps(static_cast<int>(aStep)).after_steps();
+  return std::all_of(after.begin(), after.end(), [&](uint32_t aEarlier) {
+    return aOccurrence != nullptr && aOccurrence->steps_[aEarlier].IsDone();
+  });
+}
+
+std::optional<TaskRef> JobStore::ResolveOrBegin(const v1::TaskName& aName)
+{
+  Job* job = FindJob(aName.job());
+  if (job != nullptr && aName.occurrence() < job->OccurrenceCount()) {
+    EnsureOccurrence(*job, aName.occurrence());
+  }
+  return FindTask(aName);
+}
+
+void JobStore::Start(const v1::RunStart& aStart)
+{
+  const std::optional<TaskRef> ref = ResolveOrBegin(aStart.task());
+  Instance* instance = FindInstance(ToKey(aStart.instance()));
+  if (!ref || instance == nullptr || !ref->job_->IsOpen()) {
+    return;
+  }
+  Task& task = At(*ref);
+  // A start of an overtaken decision: the task is taken, or its number used.
+  if (task.phase_ != TaskPhase::kPending || aStart.run() <= task.run_) {
+    return;
+  }
+  Step& step = ref->job_->occurrences_.at(ref->occurrence_).steps_[ref->step_];
+  --step.pending_;
+  ++step.assigned_;
+  task.phase_ = TaskPhase::kAssigned;
+  task.run_ = aStart.run();
+  task.instance_ = instance;
+  instance->assigned_.insert(*ref);
+  MarkStarted(*ref->job_);
+}
+
+void JobStore::End(const v1::RunEnd& aEnd)
+{
+  Instance* instance = FindInstance(ToKey(aEnd.instance()));
+  if (instance != nullptr) {
+    v1::InstanceRecord& record = instance->record_;
+    record.set_end_cursor(std::max(record.end_cursor(), aEnd.end_number()));
+  }
+  const std::optional<TaskRef> ref = FindTask(aEnd.task());
+  if (!ref) {
+    return;
+  }
+  const Task& task = At(*ref);
+  const bool isCurrent = task.phase_ == TaskPhase::kAssigned &&
+                         task.run_ == aEnd.run() &&
+                         task.instance_ == instance;
+  if (isCurrent) {
+    FinishRun(*ref, aEnd.outcome(), aEnd.checkpoint());
+  }
+}
+
+void JobStore::FinishRun(const TaskRef& aTask,
+                         v1::RunOutcome aOutcome,
+                         const std::string& aCheckpoint)
+{
+  Task& task = At(aTask);
+  Step& step =
+    aTask.job_->occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
+  task.instance_->assigned_.erase(aTask);
+  task.instance_ = nullptr;
+  --step.assigned_;
+  if (!aCheckpoint.empty()) {
+    task.checkpoint_ = aCheckpoint;
+  }
+  const bool isLasting = SpecOf(aTask).lasting();
+  if (aOutcome == v1::RUN_DONE && !isLasting) {
+    FinishTask(aTask);
+    return;
+  }
+  task.phase_ = TaskPhase::kPending;
+  ++step.pending_;
+  if (aOutcome == v1::RUN_FAILED && !isLasting) {
+    CountFailure(aTask);
+  }
+}
+
+void JobStore::CountFailure(const TaskRef& aTask)
+{
+  Step& step =
+    aTask.job_->occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
+  const uint32_t ownFailures = ++At(aTask).failures_;
+  ++step.gangFailures_;
+  const uint32_t failures =
+    SpecOf(aTask).gang() ? step.gangFailures_ : ownFailures;
+  Job& job = *aTask.job_;
+  if (failures >= MaxAttempts(job) && job.IsOpen()) {
+    Close(job);
+    job.failed_ = true;
+  }
+}
+
+void JobStore::FinishTask(const TaskRef& aTask)
+{
+  Job& job = *aTask.job_;
+  Occurrence& occurrence = job.occurrences_.at(aTask.occurrence_);
+  Step& step = occurrence.steps_[aTask.step_];
+  // One end of a gang stands for all of its members.
+  const bool isGang = SpecOf(aTask).gang();
+  for (uint32_t i = 0; i < step.tasks_.size(); ++i) {
+    Task& task = step.tasks_[i];
+    if ((!isGang && i != aTask.index_) || task.phase_ == TaskPhase::kDone) {
+      continue;
+    }
+    if (task.phase_ == TaskPhase::kPending && i != aTask.index_) {
+      --step.pending_;
+    } else if (task.phase_ == TaskPhase::kAssigned &&
+               task.instance_ != nullptr) {
+      task.instance_->assigned_.erase({ .job_ = &job,
+                                        .occurrence_ = aTask.occurrence_,
+                                        .step_ = aTask.step_,
+                                        .index_ = i });
+      task.instance_ = nullptr;
+      --step.assigned_;
+    }
+    task.phase_ = TaskPhase::kDone;
+    task.checkpoint_.clear();
+    ++step.done_;
+  }
+  if (!step.IsDone()) {
+    return;
+  }
+  ++occurrence.stepsDone_;
+  if (!occurrence.IsDone()) {
+    return;
+  }
+  ++job.occurrencesDone_;
+  if (job.IsCompleted() && open_.contains(job.order_)) {
+    Close(job);
+  }
+}
+
+void JobStore::PutInstance(const v1::InstanceRecord& aRecord)
+{
+  const InstanceKey key = ToKey(aRecord);
+  auto [it, isNew] = instances_.try_emplace(key);
+  if (isNew) {
+    it->second = std::make_unique<Instance>();
+    it->second->key_ = key;
+  }
+  const uint64_t cursor = it->second->record_.end_cursor();
+  it->second->record_ = aRecord;
+  it->second->record_.set_end_cursor(std::max(cursor, aRecord.end_cursor()));
+}
+
+void JobStore::RemoveInstance(const InstanceKey& aKey)
+{
+  const auto it = instances_.find(aKey);
+  if (it == instances_.end()) {
+    return;
+  }
+  const std::set<TaskRef> assigned = it->second->assigned_;
+  for (const TaskRef& task : assigned) {
+    FinishRun(task, v1::RUN_STOPPED, {});
+  }
+  instances_.erase(it);
+}
+
+void JobStore::Forget(const v1::ForgetJob& aJob)
+{
+  const auto it = jobs_.find(aJob.id());
+  if (it == jobs_.end() || it->second->IsOpen()) {
+    return;
+  }
+  for (auto& [key, instance] : instances_) {
+    std::erase_if(instance->assigned_, [&](const TaskRef& aTask) {
+      return aTask.job_ == it->second.get();
+    });
+  }
+  jobs_.erase(it);
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -0,0 +1,156 @@
+// The whole state as bytes and back.
+#include "vanillahatch/core/jobs/job_store.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+namespace {
+
+bool IsUntouched(const Task& aTask)
+{
+  return aTask.phase_ == TaskPhase::kPending && aTask.run_ == 0;
+}
+
+} // namespace
+
+void JobStore::WriteJob(const Job& aJob, v1::JobState& aState) const
+{
+  aState.mutable_accepted()->set_id(aJob.id_);
+  aState.mutable_accepted()->set_queue(aJob.queue_);
+  aState.mutable_accepted()->set_service(aJob.service_);
+  *aState.mutable_accepted()->mutable_spec() = aJob.spec_;
+  aState.set_cancelled(aJob.cancelled_);
+  aState.set_failed(aJob.failed_);
+  for (const auto& [number, occurrence] : aJob.occurrences_) {
+    for (size_t i = 0; i < occurrence.steps_.size(); ++i) {
+      v1::StepState& step = *aState.add_steps();
+      step.set_occurrence(number);
+      step.set_step(static_cast<uint32_t>(i));
+      const std::vector<Task>& tasks = occurrence.steps_[i].tasks_;
+      for (size_t k = 0; k < tasks.size(); ++k) {
+        if (IsUntouched(tasks[k])) {
+          continue;
+        }
+        v1::TaskState& task = *step.add_tasks();
+        task.set_index(static_cast<uint32_t>(k));
+        task.set_run(tasks[k].run_);
+        task.set_failures(tasks[k].failures_);
+        task.set_phase(static_cast<uint32_t>(tasks[k].phase_));
+        task.set_checkpoint(tasks[k].checkpoint_);
+        if (tasks[k].instance_ != nullptr) {
+          *task.mutable_instance() = ToMessage(tasks[k].instance_->key_);
+        }
+      }
+    }
+  }
+}
+
+std::string JobStore::Snapshot() const
+{
+  v1::JobStoreSnapshot snapshot;
+  *snapshot.mutable_config() = config_;
+  std::vector<const Job*> jobs;
+  jobs.reserve(jobs_.size());
+  for (const auto& [id, job] : jobs_) {
+    jobs.push_back(job.get());
+  }
+  // Acceptance order is part of the state, so it is kept by position.
+  std::sort(jobs.begin(), jobs.end(), [](const Job* aLeft, const Job* aRight) {
+    return aLeft->order_ < aRight->order_;
+  });
+  for (const Job* job : jobs) {
+    WriteJob(*job, *snapshot.add_jobs());
+  }
+  for (const auto& [key, instance] : instances_) {
+    *snapshot.add_instances() = instance->record_;
+  }
+  for (const auto& [number, wave] : waves_) {
+    v1::WaveState& state = *snapshot.add_waves();
+    *state.mutable_wave() = wave.order_;
+    for (const std::string& machine : wave.begun_) {
+      state.add_begun(machine);
+    }
+  }
+  return snapshot.SerializeAsString();
+}
+
+bool JobStore::ReadJob(const v1::JobState& aState)
+{
+  Accept(aState.accepted());
+  Job& job = *FindJob(aState.accepted().id());
+  for (const v1::StepState& state : aState.steps()) {
+    Occurrence& occurrence = EnsureOccurrence(job, state.occurrence());
+    if (state.step() >= occurrence.steps_.size()) {
+      return false;
+    }
+    Step& step = occurrence.steps_[state.step()];
+    for (const v1::TaskState& saved : state.tasks()) {
+      if (saved.index() >= step.tasks_.size()) {
+        return false;
+      }
+      Task& task = step.tasks_[saved.index()];
+      task.run_ = saved.run();
+      task.failures_ = saved.failures();
+      task.phase_ = static_cast<TaskPhase>(saved.phase());
+      task.checkpoint_ = saved.checkpoint();
+      step.gangFailures_ += saved.failures();
+      --step.pending_;
+      if (task.run_ > 0) {
+        MarkStarted(job);
+      }
+      if (task.phase_ == TaskPhase::kDone) {
+        ++step.done_;
+      } else if (task.phase_ == TaskPhase::kPending) {
+        ++step.pending_;
+      } else {
+        ++step.assigned_;
+        task.instance_ = FindInstance(ToKey(saved.instance()));
+        if (task.instance_ == nullptr) {
+          return false;
+        }
+        task.instance_->assigned_.insert({ .job_ = &job,
+                                           .occurrence_ = state.occurrence(),
+                                           .step_ = state.step(),
+                                           .index_ = saved.index() });
+      }
+    }
+    occurrence.stepsDone_ += step.IsDone() ? 1 : 0;
+  }
+  for (const auto& [number, occurrence] : job.occurrences_) {
+    job.occurrencesDone_ += occurrence.IsDone() ? 1 : 0;
+  }
+  if (aState.cancelled() || aState.failed() || job.IsCompleted()) {
+    Close(job);
+    job.cancelled_ = aState.cancelled();
+    job.failed_ = aState.failed();
+  }
+  return true;
+}
+
+bool JobStore::Restore(const std::string& aBytes)
+{
+  v1::JobStoreSnapshot snapshot;
+  if (!snapshot.ParseFromString(aBytes)) {
+    return false;
+  }
+  JobStore fresh;
+  fresh.config_ = snapshot.config();
+  for (const v1::InstanceRecord& record : snapshot.instances()) {
+    fresh.PutInstance(record);
+  }
+  for (const v1::JobState& job : snapshot.jobs()) {
+    if (!fresh.ReadJob(job)) {
+      return false;
+    }
+  }
+  for (const v1::WaveState& state : snapshot.waves()) {
+    Wave& wave = fresh.waves_[state.wave().wave()];
+    wave.order_ = state.wave();
+    wave.begun_.insert(state.begun().begin(), state.begun().end());
+  }
+  *this = std::move(fresh);
+  return true;
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/scheduler/await_proposal.h
@@ -0,0 +1,35 @@
+// A proposal to the log as an awaitable of the caller's executor.
+#pragma once
+
+#include "replica/log_replica.h"
+
+#include <boost/asio/async_result.hpp>
+#include <boost/asio/awaitable.hpp>
+#include <boost/asio/post.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
+namespace vanillahatch {
+
+inline boost::asio::awaitable<ProposalResult> AwaitProposal(
+  LogReplica& aReplica,
+  std::string aPayload)
+{
+  namespace asio = boost::asio;
+  const auto executor = co_await asio::this_coro::executor;
+  auto initiate = [&aReplica, executor](auto aHandler, std::string aBytes) {
+    auto handler =
+      std::make_shared<decltype(aHandler)>(std::move(aHandler));
+    aReplica.Propose(std::move(aBytes),
+                     [handler, executor](const ProposalResult& aResult) {
+                       asio::post(executor, [handler, aResult]() mutable {
+                         std::move (*handler)(aResult);
+                       });
+                     });
+  };
+  co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
+                                          void(ProposalResult)>(
+    initiate, asio::use_awaitable, std::move(aPayload));
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/scheduler/fleet_driver.cpp
@@ -0,0 +1,388 @@
+#include "scheduler/fleet_driver.h"
+
+#include "scheduler/await_proposal.h"
+#include "vanillahatch/shell/log.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/redirect_error.hpp>
+
+namespace vanillahatch {
+
+namespace asio = boost::asio;
+
+namespace {
+
+// Between rounds: events in between are decided on together.
+constexpr Millis kRoundGap = Millis(10);
+// Rounds come at least this often, for timeouts.
+constexpr Millis kIdleRound = Millis(100);
+// Connections for orders to one instance, beside the one that lists.
+constexpr size_t kOrdersAtOnce = 4;
+
+std::string TextOf(const v1::TaskName& aTask)
+{
+  return aTask.job() + '.' + std::to_string(aTask.occurrence()) + '.' +
+         std::to_string(aTask.step()) + '.' + std::to_string(aTask.index());
+}
+
+} // namespace
+
+FleetDriver::FleetDriver(asio::io_context& aIo,
+                         JobStoreHost& aStore,
+                         LogReplica& aReplica,
+                         InstancePort& aInstances,
+                         MachinePort& aMachines,
+                         Metrics& aMetrics,
+                         const Clock& aClock,
+                         FleetDriverOptions aOptions)
+  : io_(aIo)
+  , store_(aStore)
+  , replica_(aReplica)
+  , instances_(aInstances)
+  , machines_(aMachines)
+  , metrics_(aMetrics)
+  , clock_(aClock)
+  , options_(aOptions)
+  , timer_(aIo)
+{
+}
+
+void FleetDriver::Start()
+{
+  asio::co_spawn(
+    io_, [this] { return RunRounds(); }, asio::detached);
+}
+
+void FleetDriver::Wake()
+{
+  if (!woken_) {
+    woken_ = true;
+    timer_.cancel();
+  }
+}
+
+void FleetDriver::OnLeadership()
+{
+  asio::post(io_, [this] {
+    CheckLeadership();
+    Wake();
+  });
+}
+
+asio::awaitable<void> FleetDriver::RunRounds()
+{
+  for (;;) {
+    boost::system::error_code ignored;
+    if (!woken_) {
+      timer_.expires_after(std::chrono::milliseconds(kIdleRound.Count()));
+      co_await timer_.async_wait(
+        asio::redirect_error(asio::use_awaitable, ignored));
+    }
+    woken_ = false;
+    CheckLeadership();
+    Feed([](FleetScheduler& aScheduler, Millis aNow) {
+      aScheduler.Tick(aNow);
+    });
+    asio::steady_timer gap(io_, std::chrono::milliseconds(kRoundGap.Count()));
+    co_await gap.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+}
+
+void FleetDriver::CheckLeadership()
+{
+  const uint64_t term = replica_.LeaderTerm();
+  if (term == term_ && (term == 0 || scheduler_ != nullptr)) {
+    return;
+  }
+  scheduler_.reset();
+  ++generation_;
+  lanes_.clear();
+  term_ = term;
+  if (term == 0) {
+    LogInfo(Event::kSchedulerStopped, { { "leader", replica_.Status().leader_ } });
+    return;
+  }
+  store_.With([&](JobStore& aStore) {
+    scheduler_ = std::make_unique<FleetScheduler>(
+      aStore,
+      FleetSchedulerOptions{ .fencingToken_ = term, .lease_ = options_.lease_ },
+      MakeTrace(),
+      clock_.Now());
+    LogInfo(Event::kSchedulerStarted,
+            { { "fence", term },
+              { "instances", aStore.Instances().size() },
+              { "open_jobs", aStore.OpenJobs().size() } });
+  });
+}
+
+template<class SchedulerEvent>
+void FleetDriver::Feed(SchedulerEvent aEvent)
+{
+  if (scheduler_ == nullptr) {
+    return;
+  }
+  std::vector<SchedulerAction> actions;
+  store_.With([&](JobStore&) {
+    aEvent(*scheduler_, clock_.Now());
+    actions = scheduler_->Take();
+  });
+  Perform(std::move(actions));
+}
+
+void FleetDriver::Perform(std::vector<SchedulerAction> aActions)
+{
+  for (SchedulerAction& action : aActions) {
+    std::visit([this](auto& aOne) { Perform(std::move(aOne)); }, action);
+  }
+}
+
+void FleetDriver::Enqueue(const InstanceKey& aKey, Work aWork)
+{
+  lanes_[aKey].waiting_.push_back(std::move(aWork));
+  RunLane(aKey);
+}
+
+void FleetDriver::RunLane(const InstanceKey& aKey)
+{
+  Lane& lane = lanes_[aKey];
+  while (lane.underWay_ < kOrdersAtOnce && !lane.waiting_.empty()) {
+    ++lane.underWay_;
+    Work work = std::move(lane.waiting_.front());
+    lane.waiting_.pop_front();
+    asio::co_spawn(
+      io_,
+      [this, aKey, work = std::move(work), generation = generation_]()
+        -> asio::awaitable<void> {
+        co_await work();
+        if (generation == generation_) {
+          --lanes_[aKey].underWay_;
+          RunLane(aKey);
+        }
+      },
+      asio::detached);
+  }
+}
+
+void FleetDriver::Perform(StartOrder aOrder)
+{
+  Enqueue(aOrder.target_.instance_,
+          [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
+            const Millis sentAt = clock_.Now();
+            const OrderResult result = co_await instances_.Start(aOrder);
+            metrics_.Observe("vh_start_milliseconds",
+                             static_cast<double>(
+                               (clock_.Now() - sentAt).Count()));
+            if (result.status_ != OrderStatus::kAccepted) {
+              LogWarning(Event::kStartRefused,
+                         { { "task", TextOf(aOrder.task_) },
+                           { "run", aOrder.run_ },
+                           { "instance", aOrder.target_.instance_.id_ },
+                           { "status", static_cast<int>(result.status_) } });
+            }
+            if (generation == generation_) {
+              Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+                aScheduler.OnStart(aNow, aOrder, result);
+              });
+              Wake();
+            }
+          });
+}
+
+void FleetDriver::Perform(StopOrder aOrder)
+{
+  Enqueue(aOrder.target_.instance_,
+          [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
+            const OrderResult result = co_await instances_.Stop(aOrder);
+            LogInfo(Event::kRunStopped,
+                    { { "task", TextOf(aOrder.task_) },
+                      { "run", aOrder.run_ },
+                      { "instance", aOrder.target_.instance_.id_ },
+                      { "status", static_cast<int>(result.status_) } });
+            if (generation == generation_) {
+              Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+                aScheduler.OnStop(aNow, aOrder, result);
+              });
+              Wake();
+            }
+          });
+}
+
+void FleetDriver::Perform(HoldOrder aOrder)
+{
+  asio::co_spawn(
+    io_,
+    [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
+      const Millis sentAt = clock_.Now();
+      const ListingReply reply = co_await instances_.Hold(aOrder);
+      if (generation == generation_) {
+        Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+          aScheduler.OnListing(
+            aNow, aOrder, sentAt, reply.result_, reply.listing_);
+        });
+        Wake();
+      }
+    },
+    asio::detached);
+}
+
+void FleetDriver::Perform(PaceOrder aOrder)
+{
+  Enqueue(aOrder.target_.instance_, [this, aOrder]() -> asio::awaitable<void> {
+    co_await instances_.Pace(aOrder);
+  });
+}
+
+void FleetDriver::Perform(MachineOrder aOrder)
+{
+  asio::co_spawn(
+    io_,
+    [this, aOrder]() -> asio::awaitable<void> {
+      co_await machines_.Operate(aOrder);
+    },
+    asio::detached);
+}
+
+void FleetDriver::Perform(Proposal aProposal)
+{
+  asio::co_spawn(
+    io_,
+    [this, aProposal, generation = generation_]() -> asio::awaitable<void> {
+      const ProposalResult result = co_await AwaitProposal(
+        replica_, aProposal.changes_.SerializeAsString());
+      if (generation != generation_) {
+        co_return;
+      }
+      if (result.status_ != ProposalStatus::kCommitted) {
+        // What it decided on may or may not hold; a new one takes over.
+        LogWarning(Event::kProposalFailed,
+                   { { "status", static_cast<int>(result.status_) },
+                     { "leader", result.leader_ } });
+        term_ = 0;
+        scheduler_.reset();
+        Wake();
+        co_return;
+      }
+      Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+        aScheduler.OnCommitted(aNow, aProposal.number_);
+      });
+      Wake();
+    },
+    asio::detached);
+}
+
+v1::JobChanges FleetDriver::ChangesFor(const InstanceReport& aReport)
+{
+  v1::JobChanges changes;
+  store_.With([&](const JobStore& aStore) {
+    const InstanceKey key = ToKey(aReport.record_);
+    for (const auto& [other, instance] : aStore.Instances()) {
+      // An earlier life of the same instance or on the same machine is over.
+      const bool isEarlier =
+        other.bornUnixMs_ < key.bornUnixMs_ &&
+        (other.id_ == key.id_ ||
+         (!aReport.record_.machine().empty() &&
+          instance->record_.machine() == aReport.record_.machine()));
+      if (isEarlier) {
+        *changes.add_changes()->mutable_instance_gone()->mutable_key() =
+          ToMessage(other);
+      }
+      const bool isLater =
+        other.id_ == key.id_ && other.bornUnixMs_ > key.bornUnixMs_;
+      if (isLater) {
+        changes.Clear(); // a late report of a former life
+        return;
+      }
+    }
+    const Instance* known = aStore.FindInstance(key);
+    v1::InstanceRecord fresh = aReport.record_;
+    if (known != nullptr) {
+      fresh.set_end_cursor(known->record_.end_cursor());
+      // What was once said to drain does not come back in this life.
+      fresh.set_draining(fresh.draining() || known->record_.draining());
+    }
+    const bool isNew =
+      known == nullptr ||
+      fresh.SerializeAsString() != known->record_.SerializeAsString();
+    if (isNew) {
+      *changes.add_changes()->mutable_put_instance() = fresh;
+    }
+  });
+  return changes;
+}
+
+v1::JobChanges FleetDriver::ChangesForLeave(const std::string& aInstance)
+{
+  v1::JobChanges changes;
+  store_.With([&](const JobStore& aStore) {
+    for (const auto& [key, instance] : aStore.Instances()) {
+      if (key.id_ == aInstance) {
+        *changes.add_changes()->mutable_instance_gone()->mutable_key() =
+          ToMessage(key);
+      }
+    }
+  });
+  return changes;
+}
+
+void FleetDriver::OnReport(const InstanceKey& aKey, Millis aClock)
+{
+  Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+    aScheduler.OnReport(aNow, aKey, aClock);
+  });
+  Wake();
+}
+
+bool FleetDriver::IsWaveCompleted(uint64_t aWave)
+{
+  return store_.With([&](const JobStore& aStore) {
+    const auto it = aStore.Waves().find(aWave);
+    return it != aStore.Waves().end() &&
+           it->second.begun_.size() >=
+             static_cast<size_t>(it->second.order_.machines_size());
+  });
+}
+
+SchedulerTrace FleetDriver::MakeTrace()
+{
+  return {
+    .onStart_ =
+      [this](const StartOrder& aOrder) {
+        metrics_.Count("vh_starts_total");
+        LogInfo(Event::kRunOrdered,
+                { { "task", TextOf(aOrder.task_) },
+                  { "run", aOrder.run_ },
+                  { "instance", aOrder.target_.instance_.id_ },
+                  { "fence", aOrder.target_.fencingToken_ } });
+      },
+    .onEnd_ =
+      [this](const TaskRef&,
+             const EndedTask& aEnded,
+             const InstanceKey& aInstance) {
+        metrics_.Count("vh_ends_total");
+        LogInfo(Event::kRunEnded,
+                { { "task", TextOf(aEnded.task_) },
+                  { "run", aEnded.run_ },
+                  { "how", aEnded.reason_ },
+                  { "instance", aInstance.id_ } });
+      },
+    .onInstance_ =
+      [](const InstanceKey& aInstance, std::string_view aWhat) {
+        LogInfo(Event::kInstanceBelief,
+                { { "instance", aInstance.id_ },
+                  { "born", aInstance.bornUnixMs_ },
+                  { "belief", aWhat } });
+      },
+    .onDoubt_ =
+      [this](const TaskRef& aTask, uint32_t aRun, std::string_view aReason) {
+        metrics_.Count("vh_runs_in_doubt_total");
+        LogWarning(Event::kRunInDoubt,
+                   { { "task", TextOf(JobStore::NameOf(aTask)) },
+                     { "run", aRun },
+                     { "reason", aReason } });
+      },
+  };
+}
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/scheduler/fleet_driver.h
@@ -0,0 +1,87 @@
+// Runs the scheduler while this replica leads: feeds it events, carries out
+// its actions, and logs each decision. Lives on the thread of its io_context.
+#pragma once
+
+#include "scheduler/job_store_host.h"
+#include "scheduler/ports.h"
+#include "vanillahatch/core/jobs/fleet_scheduler.h"
+#include "vanillahatch/shell/metrics.h"
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <deque>
+
+namespace vanillahatch {
+
+struct FleetDriverOptions
+{
+  Millis lease_ = Seconds(5);
+};
+
+class FleetDriver
+{
+public:
+  FleetDriver(boost::asio::io_context& aIo,
+              JobStoreHost& aStore,
+              LogReplica& aReplica,
+              InstancePort& aInstances,
+              MachinePort& aMachines,
+              Metrics& aMetrics,
+              const Clock& aClock,
+              FleetDriverOptions aOptions);
+
+  void Start();
+  // Something may have to be decided; the next round comes at once.
+  void Wake();
+  // After a change of leadership, from any thread.
+  void OnLeadership();
+
+  // What a report changes in the log; empty if nothing.
+  v1::JobChanges ChangesFor(const InstanceReport& aReport);
+  v1::JobChanges ChangesForLeave(const std::string& aInstance);
+  void OnReport(const InstanceKey& aKey, Millis aClock);
+  bool IsWaveCompleted(uint64_t aWave);
+
+private:
+  using Work = std::function<boost::asio::awaitable<void>()>;
+  // Orders to one instance, so that it is not flooded with connections.
+  struct Lane
+  {
+    std::deque<Work> waiting_;
+    size_t underWay_ = 0;
+  };
+
+  boost::asio::awaitable<void> RunRounds();
+  void CheckLeadership();
+  // Calls `aEvent` with the scheduler and carries out what it decides.
+  template<class SchedulerEvent>
+  void Feed(SchedulerEvent aEvent);
+  void Perform(std::vector<SchedulerAction> aActions);
+  void Perform(StartOrder aOrder);
+  void Perform(StopOrder aOrder);
+  void Perform(HoldOrder aOrder);
+  void Perform(PaceOrder aOrder);
+  void Perform(MachineOrder aOrder);
+  void Perform(Proposal aProposal);
+  void Enqueue(const InstanceKey& aKey, Work aWork);
+  void RunLane(const InstanceKey& aKey);
+  SchedulerTrace MakeTrace();
+
+  boost::asio::io_context& io_;
+  JobStoreHost& store_;
+  LogReplica& replica_;
+  InstancePort& instances_;
+  MachinePort& machines_;
+  Metrics& metrics_;
+  const Clock& clock_;
+  FleetDriverOptions options_;
+  boost::asio::steady_timer timer_;
+  bool woken_ = false;
+  std::unique_ptr<FleetScheduler> scheduler_;
+  uint64_t term_ = 0; // of the scheduler
+  // Grows with each scheduler, so that answers to an earlier one are dropped.
+  uint64_t generation_ = 0;
+  std::map<InstanceKey, Lane> lanes_;
+};
+
+} // namespace vanillahatch
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -1,13 +1,17 @@
 #include "vanillahatch/shell/log.h"
 
-#include <log4cplus/asyncappender.h>
+#include "vanillahatch/core/bounded_ring.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
+#include <log4cplus/spi/loggingevent.h>
+#include <atomic>
 #include <memory>
+#include <thread>
 
 namespace vanillahatch {
 
@@ -16,13 +20,92 @@
 constexpr unsigned kQueueLines = 8192;
 constexpr const char* kPattern = "%D{%Y-%m-%dT%H:%M:%S.%q}Z %p %m%n";
 
-std::unique_ptr<log4cplus::Initializer> gInitializer; // NOLINT
+struct Line
+{
+  log4cplus::LogLevel level_ = log4cplus::INFO_LOG_LEVEL;
+  log4cplus::helpers::Time at_;
+  std::string text_;
+};
 
-log4cplus::Logger& Root()
+// Writes lines on a thread of its own. Where the sink is slower than the
+// program, lines are dropped and counted rather than waited for.
+class LineWriter
 {
-  static log4cplus::Logger logger = log4cplus::Logger::getRoot();
-  return logger;
-}
+public:
+  explicit LineWriter(log4cplus::SharedAppenderPtr aSink)
+    : sink_(std::move(aSink))
+    , ring_(kQueueLines)
+    , thread_([this] { Run(); })
+  {
+  }
+  ~LineWriter()
+  {
+    ring_.Close();
+    thread_.join();
+    sink_->close();
+  }
+  LineWriter(const LineWriter&) = delete;
+  LineWriter& operator=(const LineWriter&) = delete;
+
+  void Write(Line aLine)
+  {
+    if (!ring_.TryPush(std::move(aLine))) {
+      ++dropped_;
+    }
+  }
+  uint64_t Dropped() const { return dropped_; }
+
+private:
+  void Run()
+  {
+    uint64_t reported = 0;
+    for (;;) {
+      const std::optional<Line> line = ring_.PopFor(kIdleWait);
+      if (line) {
+        Append(*line);
+      } else if (ring_.Closed()) {
+        return;
+      }
+      const uint64_t dropped = dropped_;
+      if (dropped != reported && ring_.Size() < kQueueLines / 2) {
+        Append({ .level_ = log4cplus::WARN_LOG_LEVEL,
+                 .at_ = log4cplus::helpers::now(),
+                 .text_ = "event=" +
+                          std::to_string(static_cast<int>(
+                            Event::kLogLinesDropped)) +
+                          " name=log-lines-dropped lines=" +
+                          std::to_string(dropped - reported) });
+        reported = dropped;
+      }
+    }
+  }
+
+  void Append(const Line& aLine)
+  {
+    const log4cplus::spi::InternalLoggingEvent event(
+      log4cplus::tstring(),
+      aLine.level_,
+      log4cplus::tstring(),
+      log4cplus::MappedDiagnosticContextMap(),
+      aLine.text_,
+      log4cplus::tstring(),
+      log4cplus::tstring(),
+      aLine.at_,
+      log4cplus::tstring(),
+      0);
+    sink_->doAppend(event);
+  }
+
+  static constexpr Millis kIdleWait = Seconds(60);
+
+  log4cplus::SharedAppenderPtr sink_;
+  BoundedRing<Line> ring_;
+  std::atomic<uint64_t> dropped_ = 0;
+  std::thread thread_;
+};
+
+std::unique_ptr<log4cplus::Initializer> gInitializer; // NOLINT
+std::unique_ptr<LineWriter> gWriter;                  // NOLINT
 
 // Values with spaces or quotes are quoted so that lines stay parseable.
 void AppendValue(std::string& aLine, std::string_view aValue)
@@ -45,7 +128,7 @@
 
 void Write(log4cplus::LogLevel aLevel, Event aEvent, LogFields aFields)
 {
-  if (!gInitializer || !Root().isEnabledFor(aLevel)) {
+  if (!gWriter) {
     return;
   }
   std::string line = "event=" + std::to_string(static_cast<int>(aEvent));
@@ -57,18 +140,22 @@
     line += '=';
     AppendValue(line, field.Value());
   }
-  Root().forcedLog(aLevel, line);
+  gWriter->Write({ .level_ = aLevel,
+                   .at_ = log4cplus::helpers::now(),
+                   .text_ = std::move(line) });
 }
 
 } // namespace
 
 LogSystem::LogSystem(std::string_view aNode,
-                     const std::filesystem::path& aFolder)
+                     const std::filesystem::path& aFolder,
+                     LogConsole aConsole)
 {
   gInitializer = std::make_unique<log4cplus::Initializer>();
   log4cplus::SharedAppenderPtr sink;
   if (aFolder.empty()) {
-    sink = new log4cplus::ConsoleAppender(true, true);
+    sink = new log4cplus::ConsoleAppender(
+      aConsole == LogConsole::kStandardError, true);
   } else {
     std::filesystem::create_directories(aFolder);
     const auto file = aFolder / (std::string(aNode) + ".log");
@@ -77,18 +164,20 @@
       file.string(), kMaxFileBytes, 3, false, true);
   }
   sink->setLayout(std::make_unique<log4cplus::PatternLayout>(kPattern));
-  log4cplus::SharedAppenderPtr async(
-    new log4cplus::AsyncAppender(sink, kQueueLines));
-  Root().addAppender(async);
-  Root().setLogLevel(log4cplus::INFO_LOG_LEVEL);
+  gWriter = std::make_unique<LineWriter>(std::move(sink));
 }
 
 LogSystem::~LogSystem()
 {
-  Root().removeAllAppenders();
+  gWriter.reset();
   gInitializer.reset();
 }
 
+uint64_t LogSystem::DroppedLines()
+{
+  return gWriter ? gWriter->Dropped() : 0;
+}
+
 void LogInfo(Event aEvent, LogFields aFields)
 {
   Write(log4cplus::INFO_LOG_LEVEL, aEvent, aFields);
