Pools follow the demand; waves of upkeep within availability budgets

Change: Demand foretells a service's work 2.2 s ahead, FollowDemand moves idle machines to pools that are short and others to rest; MachineBook tracks operations; waves take idle machines first and empty at most three others, each stop within the step's budget.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -14,7 +14,10 @@
 //   scheduler.OnListing(now, key, sentAt, result, listing);
 #pragma once
 
+#include "vanillahatch/core/jobs/demand.h"
 #include "vanillahatch/core/jobs/instance_view.h"
+#include "vanillahatch/core/jobs/machine_book.h"
+#include "vanillahatch/core/jobs/pool_follower.h"
 #include "vanillahatch/core/jobs/run_times.h"
 
 #include <functional>
@@ -30,6 +33,7 @@
   // How long a start may be under way; a later one is refused by its
   // instance.
   Millis startWithin_ = Millis(1500);
+  PoolFollowerOptions pools_;
 };
 
 // For logs and metrics.
@@ -40,6 +44,7 @@
     onEnd_;
   std::function<void(const InstanceKey&, std::string_view)> onInstance_;
   std::function<void(const TaskRef&, uint32_t, std::string_view)> onDoubt_;
+  std::function<void(const MachineOrder&, std::string_view)> onMachine_;
 };
 
 class FleetScheduler
@@ -65,6 +70,13 @@
                  const OrderResult& aResult,
                  const InstanceListing& aListing);
 
+  // Empty if the platform did not answer.
+  void OnMachines(Millis aAskedAt, std::vector<MachineView> aMachines);
+  void OnMachineAnswer(Millis aNow,
+                       const MachineOrder& aOrder,
+                       MachineOrderStatus aStatus);
+  bool IsWaveCompleted(uint64_t aWave) const;
+
   const std::map<InstanceKey, InstanceView>& Views() const { return views_; }
   const RunTimes& Times() const { return times_; }
   // True once an instance has seen a higher fencing token than ours: another
@@ -85,6 +97,13 @@
     bool isLate_ = false;
   };
 
+  // Work of one service that waits for room.
+  struct Waiting
+  {
+    double cores_ = 0;
+    double coreMillis_ = 0;
+  };
+
   // fleet_scheduler.cpp
   void SyncViews(Millis aNow);
   void RenewLeases(Millis aNow);
@@ -124,11 +143,30 @@
                    Job& aJob,
                    uint32_t aOccurrence,
                    std::vector<Candidate>& aOut);
+  // The job is seen for the first time.
+  void NoteArrival(Millis aNow, const Job& aJob);
   Millis DueAt(Millis aNow, Job& aJob);
   InstanceView* Choose(Millis aNow,
                        const std::string& aService,
                        const TaskRef& aTask);
 
+  // fleet_scheduler_machines.cpp
+  void AskForMachines(Millis aNow);
+  InstanceView* FindOnMachine(const std::string& aMachine);
+  void Operate(Millis aNow,
+               MachineOrder aOrder,
+               std::string aFromPool,
+               std::string_view aReason);
+  void RepeatUnclear(Millis aNow);
+  std::vector<PoolLoad> MeasurePools(Millis aNow);
+  void FollowPools(Millis aNow);
+  bool IsAtWork(Millis aNow, const TaskRef& aTask);
+  // False if too many others of its step are away.
+  bool MayInterrupt(Millis aNow, const TaskRef& aTask);
+  void Evacuate(Millis aNow, InstanceView& aView);
+  void ServeWave(Millis aNow, const Wave& aWave);
+  void ServeWaves(Millis aNow);
+
   JobStore& store_;
   FleetSchedulerOptions options_;
   SchedulerTrace trace_;
@@ -137,7 +175,16 @@
   std::set<TaskRef> proposed_; // starts on their way into the log
   uint64_t nextNumber_ = 1;
   RunTimes times_;
-  std::map<const Job*, Millis> seenAt_; // when open jobs were first seen
+  // When open jobs were first seen, by their order of acceptance.
+  std::map<uint64_t, Millis> seenAt_;
+  uint64_t firstOwnOrder_ = 0; // jobs from here on arrived under this leader
+  std::map<std::string, Demand> demands_;   // by service
+  std::map<std::string, Waiting> waiting_;  // by service, in this round
+  MachineBook machines_;
+  std::map<std::string, Millis> refusedUntil_; // by machine
+  bool listUnderWay_ = false;
+  Millis listAskedAt_;
+  Millis followedAt_;
   std::vector<SchedulerAction> actions_;
   v1::JobChanges round_; // changes of the present event
   Pending roundPending_;
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -77,6 +77,10 @@
   bool contacted_ = false;
   // Set aside for an operation on its machine.
   bool reserved_ = false;
+  // Being emptied for an operation on its machine.
+  bool evacuating_ = false;
+  Millis lastBusyAt_;
+  Millis avoidMoveUntil_; // an operation on its machine was refused
   bool holdUnderWay_ = false;
   Millis nextHoldAt_;
   Millis lastAnswerAt_;
--- a/include/vanillahatch/core/jobs/orders.h
+++ b/include/vanillahatch/core/jobs/orders.h
@@ -154,6 +154,11 @@
   std::string instance_; // id of its present one; empty: none
 };
 
+// Asks for the list of all machines.
+struct MachineListOrder
+{
+};
+
 struct Proposal
 {
   uint64_t number_ = 0;
@@ -165,6 +170,7 @@
                                      HoldOrder,
                                      PaceOrder,
                                      MachineOrder,
+                                     MachineListOrder,
                                      Proposal>;
 
 } // namespace vanillahatch
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -23,6 +23,9 @@
   , options_(aOptions)
   , trace_(std::move(aTrace))
 {
+  if (!store_.OpenJobs().empty()) {
+    firstOwnOrder_ = store_.OpenJobs().rbegin()->first + 1;
+  }
   SyncViews(aNow);
 }
 
@@ -62,6 +65,7 @@
                     .since_ = aNow,
                     .orderedAt_ = aNow });
     }
+    machines_.OnInstance(view.Facts().machine(), view.Facts().service());
   }
 }
 
@@ -86,8 +90,12 @@
 {
   SyncViews(aNow);
   WatchLapses(aNow);
+  ServeWaves(aNow);
   StopUnwanted(aNow);
   PlaceTasks(aNow);
+  FollowPools(aNow);
+  RepeatUnclear(aNow);
+  AskForMachines(aNow);
   RenewLeases(aNow);
 }
 
@@ -118,6 +126,9 @@
   for (auto& [key, view] : views_) {
     const uint64_t cursor = view.Facts().end_cursor();
     const bool hasRuns = !view.Runs().empty();
+    if (hasRuns) {
+      view.lastBusyAt_ = aNow;
+    }
     const bool hasNews = cursor > view.confirmedCursor_;
     const bool waitsForLog = view.proposedCursor_ > cursor;
     const bool isWanted = hasRuns || hasNews || !view.contacted_;
--- /dev/null
+++ b/src/core/jobs/fleet_scheduler_machines.cpp
@@ -0,0 +1,348 @@
+// Machines: pools that follow the demand, and waves of upkeep within the
+// availability budgets.
+#include "vanillahatch/core/jobs/fleet_scheduler.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+namespace {
+
+// Between decisions on pools: fast against a turn, whose rise takes seconds.
+constexpr Millis kFollowEvery = Millis(150);
+// How far ahead demand is foretold: a move and the first report after it.
+constexpr Millis kForesight = Millis(2200);
+// Waiting work is to be done within this.
+constexpr double kDrainMillis = 800;
+// Between lists of machines; operations and reports are known without them.
+constexpr Millis kListEvery = Seconds(4);
+constexpr Millis kListEveryWhileBusy = Millis(1200);
+// Before an operation that was not answered is sent again.
+constexpr Millis kOperateAgain = Millis(400);
+constexpr Millis kOperateThrottled = Millis(150);
+// Machines that are emptied for upkeep at the same time, while they carry
+// work: few, so that the pools keep their room.
+constexpr size_t kMostEvacuating = 3;
+// Two machines of work that the platform may not list any more.
+constexpr double kMillisOfCore = 1000.0;
+
+} // namespace
+
+void FleetScheduler::OnMachines(Millis aAskedAt,
+                                std::vector<MachineView> aMachines)
+{
+  listUnderWay_ = false;
+  if (!aMachines.empty()) {
+    machines_.TakeList(aAskedAt, std::move(aMachines));
+  }
+}
+
+void FleetScheduler::AskForMachines(Millis aNow)
+{
+  const Millis every =
+    machines_.Ops().empty() ? kListEvery : kListEveryWhileBusy;
+  const bool isDue = !machines_.IsListed() || aNow - listAskedAt_ >= every;
+  if (listUnderWay_ || !isDue || aNow - listAskedAt_ < kOperateAgain) {
+    return;
+  }
+  listUnderWay_ = true;
+  listAskedAt_ = aNow;
+  actions_.push_back(MachineListOrder{});
+}
+
+InstanceView* FleetScheduler::FindOnMachine(const std::string& aMachine)
+{
+  for (auto& [key, view] : views_) {
+    if (view.Facts().machine() == aMachine && !view.goneProposed_) {
+      return &view;
+    }
+  }
+  return nullptr;
+}
+
+void FleetScheduler::Operate(Millis aNow,
+                             MachineOrder aOrder,
+                             std::string aFromPool,
+                             std::string_view aReason)
+{
+  aOrder.fencingToken_ = options_.fencingToken_;
+  if (InstanceView* view = FindOnMachine(aOrder.machine_)) {
+    view->reserved_ = true;
+  }
+  trace_.onMachine_(aOrder, aReason);
+  actions_.push_back(aOrder);
+  machines_.Begin(aNow, std::move(aOrder), std::move(aFromPool));
+}
+
+void FleetScheduler::OnMachineAnswer(Millis aNow,
+                                     const MachineOrder& aOrder,
+                                     MachineOrderStatus aStatus)
+{
+  MachineOp* op = machines_.FindOp(aOrder.machine_);
+  if (op == nullptr || op->order_.pool_ != aOrder.pool_ ||
+      op->order_.wave_ != aOrder.wave_) {
+    return;
+  }
+  InstanceView* view = FindOnMachine(aOrder.machine_);
+  switch (aStatus) {
+    case MachineOrderStatus::kAccepted:
+      op->phase_ = MachineOpPhase::kAccepted;
+      op->since_ = aNow;
+      if (view != nullptr) {
+        ProposeGone(*view, aOrder.wave_ != 0 ? "upkeep" : "moved");
+      }
+      if (aOrder.wave_ != 0) {
+        v1::UpkeepBegun& begun =
+          *round_.add_changes()->mutable_upkeep_begun();
+        begun.set_wave(aOrder.wave_);
+        begun.set_machine(aOrder.machine_);
+      }
+      return;
+    case MachineOrderStatus::kFenced:
+      deposed_ = true;
+      return;
+    case MachineOrderStatus::kThrottled:
+      op->phase_ = MachineOpPhase::kUnclear;
+      op->since_ = aNow - kOperateAgain + kOperateThrottled;
+      return;
+    case MachineOrderStatus::kUnknown:
+      op->phase_ = MachineOpPhase::kUnclear;
+      op->since_ = aNow;
+      return;
+    case MachineOrderStatus::kBusy:
+    case MachineOrderStatus::kNotOfWave:
+    case MachineOrderStatus::kRefused:
+      if (view != nullptr) {
+        view->reserved_ = false;
+        view->avoidMoveUntil_ = aNow + kListEvery;
+      }
+      refusedUntil_[aOrder.machine_] = aNow + kListEveryWhileBusy;
+      machines_.End(aOrder.machine_);
+  }
+}
+
+void FleetScheduler::RepeatUnclear(Millis aNow)
+{
+  for (const auto& [name, held] : machines_.Ops()) {
+    const bool isDue = held.phase_ == MachineOpPhase::kUnclear &&
+                       aNow - held.since_ >= kOperateAgain;
+    if (isDue) {
+      MachineOp& op = *machines_.FindOp(name);
+      op.phase_ = MachineOpPhase::kOrdered;
+      op.since_ = aNow;
+      actions_.push_back(op.order_);
+    }
+  }
+}
+
+std::vector<PoolLoad> FleetScheduler::MeasurePools(Millis aNow)
+{
+  std::map<std::string, PoolLoad> pools;
+  for (const v1::ServiceSpec& service : store_.Config().services()) {
+    pools[service.name()] = { .service_ = service.name(),
+                              .isSpare_ = service.spare() };
+  }
+  double coresOfMachine = 0;
+  for (const auto& [key, view] : views_) {
+    const auto it = pools.find(view.Facts().service());
+    const bool isLeaving =
+      view.goneProposed_ || view.reserved_ || view.Facts().draining();
+    if (it == pools.end() || isLeaving) {
+      continue;
+    }
+    PoolLoad& pool = it->second;
+    const double cores = view.Facts().capacity().cpu_millis() / kMillisOfCore;
+    coresOfMachine = std::max(coresOfMachine, cores);
+    for (const auto& [task, run] : view.Runs()) {
+      const bool isLasting = JobStore::SpecOf(task).lasting();
+      (isLasting ? pool.lasting_ : pool.wanted_) +=
+        run.need_.cpu_millis() / kMillisOfCore;
+    }
+    if (view.evacuating_) {
+      continue;
+    }
+    pool.capacity_ += cores;
+    ++pool.machineCount_;
+    const bool isIdle = view.Runs().empty() && view.IsUsable(aNow) &&
+                        aNow >= view.avoidMoveUntil_ &&
+                        !view.Facts().machine().empty();
+    if (isIdle) {
+      pool.idle_.push_back({ .machine_ = view.Facts().machine(),
+                             .idleFor_ = aNow - view.lastBusyAt_,
+                             .cores_ = cores });
+    }
+  }
+  for (const auto& [name, op] : machines_.Ops()) {
+    const std::string& target =
+      op.order_.pool_.empty() ? op.fromPool_ : op.order_.pool_;
+    if (const auto it = pools.find(target); it != pools.end()) {
+      it->second.capacity_ += coresOfMachine;
+      ++it->second.machineCount_;
+    }
+  }
+  for (const auto& [name, machine] : machines_.Machines()) {
+    const auto it = pools.find(machine.pool_);
+    const auto refused = refusedUntil_.find(name);
+    const bool isRefused =
+      refused != refusedUntil_.end() && aNow < refused->second;
+    const bool isAtRest = it != pools.end() && it->second.isSpare_ &&
+                          machine.state_ == MachineState::kUp &&
+                          machines_.FindOp(name) == nullptr && !isRefused;
+    if (isAtRest) {
+      it->second.idle_.push_back({ .machine_ = name,
+                                   .idleFor_ = kListEvery,
+                                   .cores_ = coresOfMachine });
+    }
+  }
+  for (const auto& [service, waiting] : waiting_) {
+    const auto it = pools.find(service);
+    if (it != pools.end()) {
+      it->second.wanted_ +=
+        std::min(waiting.cores_, waiting.coreMillis_ / kDrainMillis);
+    }
+  }
+  std::vector<PoolLoad> out;
+  for (auto& [service, pool] : pools) {
+    pool.expected_ = demands_[service].ForecastCores(aNow, kForesight);
+    out.push_back(std::move(pool));
+  }
+  return out;
+}
+
+void FleetScheduler::FollowPools(Millis aNow)
+{
+  if (aNow - followedAt_ < kFollowEvery || !machines_.IsListed()) {
+    return;
+  }
+  followedAt_ = aNow;
+  const std::vector<PoolLoad> pools = MeasurePools(aNow);
+  for (const PoolMove& move : FollowDemand(pools, options_.pools_)) {
+    Operate(aNow,
+            { .machine_ = move.machine_, .pool_ = move.toPool_ },
+            move.fromPool_,
+            "follows demand");
+  }
+}
+
+// A task is at work once its instance lists it so, and nobody stops it.
+bool FleetScheduler::IsAtWork(Millis aNow, const TaskRef& aTask)
+{
+  const Task& task = JobStore::At(aTask);
+  InstanceView* view =
+    task.instance_ != nullptr ? FindView(task.instance_->key_) : nullptr;
+  RunView* run =
+    view != nullptr ? view->FindRun(aTask, task.run_) : nullptr;
+  return run != nullptr && run->phase_ == RunPhase::kListed &&
+         run->atWorkSince_ && !run->stopWanted_ && !run->endProposed_ &&
+         !view->goneProposed_ && aNow - view->lastAnswerAt_ <= options_.lease_;
+}
+
+bool FleetScheduler::MayInterrupt(Millis aNow, const TaskRef& aTask)
+{
+  const v1::StepSpec& spec = JobStore::SpecOf(aTask);
+  uint32_t away = 0;
+  for (uint32_t i = 0; i < spec.task_count(); ++i) {
+    TaskRef other = aTask;
+    other.index_ = i;
+    away += i != aTask.index_ && !IsAtWork(aNow, other) ? 1 : 0;
+  }
+  return away < std::max(spec.max_unavailable(), 1U);
+}
+
+// Takes tasks that last off an instance, as far as their budgets allow. On an
+// instance that leaves anyway they are moved at once.
+void FleetScheduler::Evacuate(Millis aNow, InstanceView& aView)
+{
+  const bool leavesAnyway = aView.Facts().draining();
+  for (auto& [task, run] : aView.Runs()) {
+    const bool isMovable = JobStore::SpecOf(task).lasting() &&
+                           run.phase_ == RunPhase::kListed &&
+                           !run.stopWanted_ && !run.endProposed_;
+    if (isMovable && (leavesAnyway || MayInterrupt(aNow, task))) {
+      run.stopWanted_ = true;
+    }
+  }
+}
+
+void FleetScheduler::ServeWave(Millis aNow, const Wave& aWave)
+{
+  const uint64_t number = aWave.order_.wave();
+  std::vector<InstanceView*> busy;
+  size_t evacuating = 0;
+  for (const std::string& machine : aWave.order_.machines()) {
+    if (aWave.begun_.contains(machine) ||
+        machines_.FindOp(machine) != nullptr) {
+      continue;
+    }
+    const auto refused = refusedUntil_.find(machine);
+    if (refused != refusedUntil_.end() && aNow < refused->second) {
+      continue;
+    }
+    InstanceView* view = FindOnMachine(machine);
+    if (view != nullptr && !view->Runs().empty()) {
+      busy.push_back(view);
+      evacuating += view->evacuating_ ? 1 : 0;
+      continue;
+    }
+    const auto listed = machines_.Machines().find(machine);
+    const bool isUp =
+      view != nullptr ? !view->Facts().draining()
+                      : listed != machines_.Machines().end() &&
+                          listed->second.state_ == MachineState::kUp;
+    if (isUp && machines_.InUpkeep(number) < aWave.order_.max_concurrent()) {
+      const std::string pool = view != nullptr ? view->Facts().service()
+                                               : listed->second.pool_;
+      Operate(aNow,
+              { .machine_ = machine, .wave_ = number },
+              pool,
+              "upkeep");
+    }
+  }
+  std::sort(busy.begin(), busy.end(), [](auto* aLeft, auto* aRight) {
+    return aLeft->Runs().size() < aRight->Runs().size();
+  });
+  const size_t most =
+    std::min<size_t>(kMostEvacuating, aWave.order_.max_concurrent());
+  for (InstanceView* view : busy) {
+    if (!view->evacuating_ && evacuating < most) {
+      view->evacuating_ = true;
+      ++evacuating;
+      trace_.onInstance_(view->Record().key_, "emptied for upkeep");
+    }
+  }
+}
+
+void FleetScheduler::ServeWaves(Millis aNow)
+{
+  if (!machines_.IsListed()) {
+    return; // Machines that an earlier leader took down are not known yet.
+  }
+  for (const auto& [number, wave] : store_.Waves()) {
+    if (!IsWaveCompleted(number)) {
+      ServeWave(aNow, wave);
+    }
+  }
+  for (auto& [key, view] : views_) {
+    if (view.contacted_ && (view.evacuating_ || view.Facts().draining())) {
+      Evacuate(aNow, view);
+    }
+  }
+}
+
+bool FleetScheduler::IsWaveCompleted(uint64_t aWave) const
+{
+  const auto it = store_.Waves().find(aWave);
+  if (it == store_.Waves().end()) {
+    return false;
+  }
+  const auto& machines = it->second.order_.machines();
+  return std::all_of(
+    machines.begin(), machines.end(), [&](const std::string& aMachine) {
+      // One that the platform no longer lists has left the fleet.
+      const bool isGone =
+        machines_.IsListed() && !machines_.Machines().contains(aMachine);
+      return it->second.begun_.contains(aMachine) || isGone;
+    });
+}
+
+} // namespace vanillahatch
--- a/src/core/jobs/fleet_scheduler_placing.cpp
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -10,13 +10,36 @@
 
 // Starts of one round; more would delay the answers to callers.
 constexpr size_t kMaxStartsARound = 200;
+// Closed jobs whose arrival may still be remembered.
+constexpr size_t kForgetSeen = 256;
+constexpr double kMillisOfCore = 1000.0;
 
 } // namespace
 
+void FleetScheduler::NoteArrival(Millis aNow, const Job& aJob)
+{
+  if (aJob.order_ < firstOwnOrder_) {
+    return; // It did not arrive now.
+  }
+  double work = 0;
+  for (const v1::StepSpec& step : aJob.spec_.steps()) {
+    if (!step.lasting()) {
+      work += static_cast<double>(step.task_count()) *
+              OccupiedBy(step).cpu_millis() / kMillisOfCore *
+              static_cast<double>(times_.Expect(aJob.queue_, step).Count());
+    }
+  }
+  demands_[store_.ServiceOf(aJob)].Add(aNow, work);
+}
+
 // When the job has to be done to count as in time.
 Millis FleetScheduler::DueAt(Millis aNow, Job& aJob)
 {
-  const Millis seenAt = seenAt_.try_emplace(&aJob, aNow).first->second;
+  const auto [seen, isNew] = seenAt_.try_emplace(aJob.order_, aNow);
+  const Millis seenAt = seen->second;
+  if (isNew) {
+    NoteArrival(aNow, aJob);
+  }
   const v1::QueueSpec* queue = store_.FindQueue(aJob.queue_);
   const double stretch = queue != nullptr ? queue->stretch() : 1.0;
   const Millis target(queue != nullptr ? queue->target_latency_ms() : 0);
@@ -56,8 +79,14 @@
 
 std::vector<FleetScheduler::Candidate> FleetScheduler::Candidates(Millis aNow)
 {
+  const auto& open = store_.OpenJobs();
+  if (seenAt_.size() > 2 * open.size() + kForgetSeen) {
+    std::erase_if(seenAt_, [&](const auto& aItem) {
+      return !open.contains(aItem.first);
+    });
+  }
   std::vector<Candidate> candidates;
-  for (const auto& [order, job] : store_.OpenJobs()) {
+  for (const auto& [order, job] : open) {
     CollectFrom(aNow, *job, 0, candidates);
   }
   const auto rank = [](const Candidate& aCandidate) {
@@ -115,6 +144,7 @@
 void FleetScheduler::PlaceTasks(Millis aNow)
 {
   size_t starts = 0;
+  waiting_.clear();
   for (const Candidate& candidate : Candidates(aNow)) {
     Job& job = *candidate.first_.job_;
     const std::string& service = store_.ServiceOf(job);
@@ -132,8 +162,18 @@
       if (!isPending || proposed_.contains(task)) {
         continue;
       }
-      InstanceView* view = Choose(aNow, service, task);
+      InstanceView* view =
+        starts < kMaxStartsARound ? Choose(aNow, service, task) : nullptr;
       if (view == nullptr) {
+        // The rest of the step waits too.
+        Waiting& waiting = waiting_[service];
+        const double cores =
+          (spec.task_count() - i) * OccupiedBy(spec).cpu_millis() /
+          kMillisOfCore;
+        waiting.cores_ += cores;
+        waiting.coreMillis_ +=
+          cores *
+          static_cast<double>(times_.Expect(job.queue_, spec).Count());
         break;
       }
       const uint32_t run = (known != nullptr ? known->run_ : 0) + 1;
@@ -148,9 +188,7 @@
       *start.mutable_instance() = ToMessage(view->Record().key_);
       proposed_.insert(task);
       roundPending_.starts_.emplace_back(view->Record().key_, task);
-      if (++starts == kMaxStartsARound) {
-        return;
-      }
+      ++starts;
     }
   }
 }
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -16,7 +16,8 @@
 InstanceView::InstanceView(Instance& aInstance,
                            Millis aLongestLease,
                            Millis aNow)
-  : lastAnswerAt_(aNow)
+  : lastBusyAt_(aNow)
+  , lastAnswerAt_(aNow)
   , confirmedCursor_(0)
   , proposedCursor_(aInstance.record_.end_cursor())
   , instance_(&aInstance)
@@ -78,7 +79,7 @@
 
 bool InstanceView::IsUsable(Millis aNow) const
 {
-  return contacted_ && !reserved_ && !goneProposed_ && !Facts().draining() &&
+  return contacted_ && !reserved_ && !evacuating_ && !goneProposed_ && !Facts().draining() &&
          lease_.IsClockKnown() && aNow >= avoidUntil_;
 }
 
--- /dev/null
+++ b/src/core/jobs/machine_book.cpp
@@ -0,0 +1,87 @@
+#include "vanillahatch/core/jobs/machine_book.h"
+
+#include <algorithm>
+
+namespace vanillahatch {
+
+void MachineBook::TakeList(Millis aAskedAt, std::vector<MachineView> aMachines)
+{
+  std::map<std::string, MachineView> fresh;
+  for (MachineView& machine : aMachines) {
+    const std::string name = machine.machine_;
+    const auto op = ops_.find(name);
+    const bool isOvertaken =
+      op != ops_.end() && op->second.since_ >= aAskedAt;
+    const auto known = machines_.find(name);
+    if (isOvertaken && known != machines_.end()) {
+      fresh.emplace(name, known->second);
+      continue;
+    }
+    fresh.emplace(name, std::move(machine));
+  }
+  machines_ = std::move(fresh);
+  listed_ = true;
+  // An accepted operation is over when the machine is up in its new pool; the
+  // machines of a spare pool have no instance that would report it.
+  std::erase_if(ops_, [&](const auto& aItem) {
+    const MachineOp& op = aItem.second;
+    const auto it = machines_.find(aItem.first);
+    if (op.phase_ != MachineOpPhase::kAccepted || op.since_ >= aAskedAt ||
+        it == machines_.end()) {
+      return false;
+    }
+    return it->second.state_ == MachineState::kUp;
+  });
+}
+
+void MachineBook::OnInstance(const std::string& aMachine,
+                             const std::string& aPool)
+{
+  if (aMachine.empty()) {
+    return;
+  }
+  MachineView& machine = machines_[aMachine];
+  machine.machine_ = aMachine;
+  machine.pool_ = aPool;
+  machine.state_ = MachineState::kUp;
+  const auto op = ops_.find(aMachine);
+  if (op != ops_.end() && op->second.phase_ == MachineOpPhase::kAccepted) {
+    ops_.erase(op);
+  }
+}
+
+void MachineBook::Begin(Millis aNow, MachineOrder aOrder, std::string aFromPool)
+{
+  const std::string machine = aOrder.machine_;
+  ops_[machine] = { .order_ = std::move(aOrder),
+                    .fromPool_ = std::move(aFromPool),
+                    .since_ = aNow,
+                    .orderedAt_ = aNow };
+}
+
+MachineOp* MachineBook::FindOp(const std::string& aMachine)
+{
+  const auto it = ops_.find(aMachine);
+  return it != ops_.end() ? &it->second : nullptr;
+}
+
+void MachineBook::End(const std::string& aMachine)
+{
+  ops_.erase(aMachine);
+}
+
+size_t MachineBook::InUpkeep(uint64_t aWave) const
+{
+  size_t count = 0;
+  for (const auto& [name, op] : ops_) {
+    count += op.order_.wave_ == aWave ? 1 : 0;
+  }
+  // Begun by an earlier leader, for whichever wave.
+  for (const auto& [name, machine] : machines_) {
+    const bool isCounted = ops_.contains(name);
+    count += !isCounted && machine.state_ == MachineState::kUpkeep ? 1 : 0;
+  }
+  return count;
+}
+
+} // namespace vanillahatch
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -238,8 +238,38 @@
 {
   asio::co_spawn(
     io_,
-    [this, aOrder]() -> asio::awaitable<void> {
-      co_await machines_.Operate(aOrder);
+    [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
+      const MachineOrderStatus status = co_await machines_.Operate(aOrder);
+      metrics_.Count("vh_machine_orders_total");
+      LogInfo(Event::kMachineAnswered,
+              { { "machine", aOrder.machine_ },
+                { "pool", aOrder.pool_ },
+                { "wave", aOrder.wave_ },
+                { "status", static_cast<int>(status) } });
+      if (generation == generation_) {
+        Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+          aScheduler.OnMachineAnswer(aNow, aOrder, status);
+        });
+        Wake();
+      }
+    },
+    asio::detached);
+}
+
+void FleetDriver::Perform(MachineListOrder /*aOrder*/)
+{
+  asio::co_spawn(
+    io_,
+    [this, generation = generation_]() -> asio::awaitable<void> {
+      const Millis askedAt = clock_.Now();
+      auto machines = co_await machines_.List();
+      if (generation == generation_) {
+        Feed([&](FleetScheduler& aScheduler, Millis) {
+          aScheduler.OnMachines(
+            askedAt,
+            machines ? std::move(*machines) : std::vector<MachineView>());
+        });
+      }
     },
     asio::detached);
 }
@@ -336,11 +366,8 @@
 
 bool FleetDriver::IsWaveCompleted(uint64_t aWave)
 {
-  return store_.With([&](const JobStore& aStore) {
-    const auto it = aStore.Waves().find(aWave);
-    return it != aStore.Waves().end() &&
-           it->second.begun_.size() >=
-             static_cast<size_t>(it->second.order_.machines_size());
+  return store_.With([&](const JobStore&) {
+    return scheduler_ != nullptr && scheduler_->IsWaveCompleted(aWave);
   });
 }
 
@@ -382,6 +409,15 @@
                      { "run", aRun },
                      { "reason", aReason } });
       },
+    .onMachine_ =
+      [](const MachineOrder& aOrder, std::string_view aReason) {
+        LogInfo(Event::kMachineOrdered,
+                { { "machine", aOrder.machine_ },
+                  { "pool", aOrder.pool_ },
+                  { "wave", aOrder.wave_ },
+                  { "reason", aReason },
+                  { "fence", aOrder.fencingToken_ } });
+      },
   };
 }
 
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -62,6 +62,7 @@
   void Perform(HoldOrder aOrder);
   void Perform(PaceOrder aOrder);
   void Perform(MachineOrder aOrder);
+  void Perform(MachineListOrder aOrder);
   void Perform(Proposal aProposal);
   void Enqueue(const InstanceKey& aKey, Work aWork);
   void RunLane(const InstanceKey& aKey);
