A late report of an ended incarnation is told from news

A report of the old incarnation, delayed past its upkeep, put it back into the store; the book of machines took that for the new instance and closed the operation 25 ms after it began (events 632, 633). Ruled out: the listing after the change of leader, which counted the machines rightly. Change: the log remembers ended incarnations, their reports say nothing; an operation ends only with another incarnation than the one it ended. Instances that never answer and no longer report are given up too.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -112,7 +112,14 @@
   uint64_t Propose(v1::JobChanges aChanges, Pending aPending);
   OrderTarget TargetOf(const InstanceView& aView) const;
   InstanceView* FindView(const InstanceKey& aKey);
-  void ProposeGone(InstanceView& aView, std::string_view aReason);
+  enum class GoneFor
+  {
+    kNow,  // it could not be reached, and may report again
+    kGood, // this incarnation is over
+  };
+  void ProposeGone(InstanceView& aView,
+                   GoneFor aFor,
+                   std::string_view aReason);
 
   // fleet_scheduler_runs.cpp
   void TakeEnds(Millis aNow,
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -84,6 +84,7 @@
   bool holdUnderWay_ = false;
   Millis nextHoldAt_;
   Millis lastAnswerAt_;
+  Millis reportedAt_; // of its own accord
   uint64_t confirmedCursor_ = 0; // that it was told last
   uint64_t proposedCursor_ = 0;  // of ends that are on their way to the log
   Millis avoidUntil_;            // it refused or failed orders
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -14,6 +14,7 @@
 #include "jobs.pb.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <optional>
@@ -153,6 +154,8 @@
     return instances_;
   }
   Instance* FindInstance(const InstanceKey& aKey) const;
+  // True if that incarnation is known to be over.
+  bool HasDeparted(const InstanceKey& aKey) const;
   const std::map<uint64_t, Wave>& Waves() const { return waves_; }
 
   // Null if that occurrence has not begun.
@@ -183,7 +186,8 @@
   void CountFailure(const TaskRef& aTask);
   void FinishTask(const TaskRef& aTask);
   void PutInstance(const v1::InstanceRecord& aRecord);
-  void RemoveInstance(const InstanceKey& aKey);
+  void RemoveInstance(const v1::InstanceGone& aGone);
+  void RememberDeparted(const InstanceKey& aKey);
   void Forget(const v1::ForgetJob& aJob);
   void MarkStarted(Job& aJob);
   void Close(Job& aJob);
@@ -198,6 +202,7 @@
   std::map<std::string, uint64_t, std::less<>> waiting_; // by queue
   std::map<InstanceKey, std::unique_ptr<Instance>> instances_;
   std::map<uint64_t, Wave> waves_;
+  std::deque<InstanceKey> departed_; // the latest ones
   uint64_t nextOrder_ = 1;
 };
 
--- a/include/vanillahatch/core/jobs/machine_book.h
+++ b/include/vanillahatch/core/jobs/machine_book.h
@@ -23,6 +23,7 @@
 {
   MachineOrder order_;
   std::string fromPool_;
+  InstanceKey former_; // that the operation ends; empty: none
   MachineOpPhase phase_ = MachineOpPhase::kOrdered;
   Millis since_;
   Millis orderedAt_;
@@ -34,9 +35,14 @@
   // A list that was asked for at `aAskedAt`.
   void TakeList(Millis aAskedAt, std::vector<MachineView> aMachines);
   // The instance of a machine reported.
-  void OnInstance(const std::string& aMachine, const std::string& aPool);
+  void OnInstance(const std::string& aMachine,
+                  const std::string& aPool,
+                  const InstanceKey& aInstance);
 
-  void Begin(Millis aNow, MachineOrder aOrder, std::string aFromPool);
+  void Begin(Millis aNow,
+             MachineOrder aOrder,
+             std::string aFromPool,
+             InstanceKey aFormer);
   MachineOp* FindOp(const std::string& aMachine);
   // The operation has ended or will not happen.
   void End(const std::string& aMachine);
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -65,7 +65,8 @@
                     .since_ = aNow,
                     .orderedAt_ = aNow });
     }
-    machines_.OnInstance(view.Facts().machine(), view.Facts().service());
+    machines_.OnInstance(
+      view.Facts().machine(), view.Facts().service(), key);
   }
 }
 
@@ -99,14 +100,17 @@
   RenewLeases(aNow);
 }
 
-void FleetScheduler::ProposeGone(InstanceView& aView, std::string_view aReason)
+void FleetScheduler::ProposeGone(InstanceView& aView,
+                                 GoneFor aFor,
+                                 std::string_view aReason)
 {
   if (aView.goneProposed_) {
     return;
   }
   aView.goneProposed_ = true;
-  *round_.add_changes()->mutable_instance_gone()->mutable_key() =
-    ToMessage(aView.Record().key_);
+  v1::InstanceGone& gone = *round_.add_changes()->mutable_instance_gone();
+  *gone.mutable_key() = ToMessage(aView.Record().key_);
+  gone.set_final(aFor == GoneFor::kGood);
   trace_.onInstance_(aView.Record().key_, aReason);
 }
 
@@ -114,9 +118,13 @@
 void FleetScheduler::WatchLapses(Millis aNow)
 {
   for (auto& [key, view] : views_) {
-    const bool isSilent = aNow - view.lastAnswerAt_ > options_.lease_;
-    if (isSilent && !view.Runs().empty() && view.Lease().HasLapsed(aNow)) {
-      ProposeGone(view, "lease lapsed");
+    const bool isSilent = aNow - view.lastAnswerAt_ > options_.lease_ &&
+                          aNow - view.reportedAt_ > options_.lease_;
+    const bool isCutOff =
+      !view.Runs().empty() && aNow - view.lastAnswerAt_ > options_.lease_;
+    const bool isDead = view.Runs().empty() && isSilent && !view.contacted_;
+    if ((isCutOff || isDead) && view.Lease().HasLapsed(aNow)) {
+      ProposeGone(view, GoneFor::kNow, "lease lapsed");
     }
   }
 }
@@ -196,6 +204,7 @@
   SyncViews(aNow);
   if (InstanceView* view = FindView(aKey)) {
     view->Lease().Observe(aClock, aNow);
+    view->reportedAt_ = aNow;
   }
 }
 
--- a/src/core/jobs/fleet_scheduler_machines.cpp
+++ b/src/core/jobs/fleet_scheduler_machines.cpp
@@ -66,12 +66,15 @@
                              std::string_view aReason)
 {
   aOrder.fencingToken_ = options_.fencingToken_;
+  InstanceKey former;
   if (InstanceView* view = FindOnMachine(aOrder.machine_)) {
     view->reserved_ = true;
+    former = view->Record().key_;
   }
   trace_.onMachine_(aOrder, aReason);
   actions_.push_back(aOrder);
-  machines_.Begin(aNow, std::move(aOrder), std::move(aFromPool));
+  machines_.Begin(
+    aNow, std::move(aOrder), std::move(aFromPool), std::move(former));
 }
 
 void FleetScheduler::OnMachineAnswer(Millis aNow,
@@ -89,7 +92,8 @@
       op->phase_ = MachineOpPhase::kAccepted;
       op->since_ = aNow;
       if (view != nullptr) {
-        ProposeGone(*view, aOrder.wave_ != 0 ? "upkeep" : "moved");
+        ProposeGone(
+          *view, GoneFor::kGood, aOrder.wave_ != 0 ? "upkeep" : "moved");
       }
       if (aOrder.wave_ != 0) {
         v1::UpkeepBegun& begun =
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -84,7 +84,7 @@
       deposed_ = true;
       return;
     case OrderStatus::kOtherIncarnation:
-      ProposeGone(*view, "another incarnation answers");
+      ProposeGone(*view, GoneFor::kGood, "another incarnation answers");
       return;
     case OrderStatus::kUnknown:
       view->avoidUntil_ = aNow + kAvoidAfterSilence;
@@ -124,7 +124,7 @@
   }
   deposed_ = deposed_ || aResult.status_ == OrderStatus::kFenced;
   if (aResult.status_ == OrderStatus::kOtherIncarnation) {
-    ProposeGone(*view, "another incarnation answers");
+    ProposeGone(*view, GoneFor::kGood, "another incarnation answers");
     return;
   }
   if (RunView* run = view->FindRun(aOrder.ref_, aOrder.run_)) {
@@ -155,7 +155,7 @@
     (aResult.status_ == OrderStatus::kAccepted && aListing.bornUnixMs_ != 0 &&
      aListing.bornUnixMs_ != aOrder.target_.instance_.bornUnixMs_);
   if (isOther) {
-    ProposeGone(*view, "another incarnation answers");
+    ProposeGone(*view, GoneFor::kGood, "another incarnation answers");
     return;
   }
   if (aResult.status_ != OrderStatus::kAccepted) {
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -18,6 +18,7 @@
                            Millis aNow)
   : lastBusyAt_(aNow)
   , lastAnswerAt_(aNow)
+  , reportedAt_(aNow)
   , confirmedCursor_(0)
   , proposedCursor_(aInstance.record_.end_cursor())
   , instance_(&aInstance)
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -8,6 +8,9 @@
 
 // For jobs whose queue has been removed from the configuration.
 constexpr uint32_t kDefaultMaxAttempts = 3;
+// Reports that are late by seconds are told from news; a fleet of the target's
+// size replaces fewer instances in that time.
+constexpr size_t kMostDeparted = 1000;
 
 } // namespace
 
@@ -52,7 +55,7 @@
     case v1::JobChange::kPutInstance:
       return PutInstance(aChange.put_instance());
     case v1::JobChange::kInstanceGone:
-      return RemoveInstance(ToKey(aChange.instance_gone().key()));
+      return RemoveInstance(aChange.instance_gone());
     case v1::JobChange::kStartWave:
       waves_.try_emplace(aChange.start_wave().wave(),
                          Wave{ .order_ = aChange.start_wave() });
@@ -400,6 +403,9 @@
 void JobStore::PutInstance(const v1::InstanceRecord& aRecord)
 {
   const InstanceKey key = ToKey(aRecord);
+  if (HasDeparted(key)) {
+    return;
+  }
   auto [it, isNew] = instances_.try_emplace(key);
   if (isNew) {
     it->second = std::make_unique<Instance>();
@@ -410,9 +416,29 @@
   it->second->record_.set_end_cursor(std::max(cursor, aRecord.end_cursor()));
 }
 
-void JobStore::RemoveInstance(const InstanceKey& aKey)
+bool JobStore::HasDeparted(const InstanceKey& aKey) const
 {
-  const auto it = instances_.find(aKey);
+  return std::find(departed_.begin(), departed_.end(), aKey) !=
+         departed_.end();
+}
+
+void JobStore::RememberDeparted(const InstanceKey& aKey)
+{
+  if (!HasDeparted(aKey)) {
+    departed_.push_back(aKey);
+  }
+  if (departed_.size() > kMostDeparted) {
+    departed_.pop_front();
+  }
+}
+
+void JobStore::RemoveInstance(const v1::InstanceGone& aGone)
+{
+  const InstanceKey key = ToKey(aGone.key());
+  if (aGone.final()) {
+    RememberDeparted(key);
+  }
+  const auto it = instances_.find(key);
   if (it == instances_.end()) {
     return;
   }
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -72,6 +72,9 @@
       state.add_begun(machine);
     }
   }
+  for (const InstanceKey& key : departed_) {
+    *snapshot.add_departed() = ToMessage(key);
+  }
   return snapshot.SerializeAsString();
 }
 
@@ -149,6 +152,9 @@
     wave.order_ = state.wave();
     wave.begun_.insert(state.begun().begin(), state.begun().end());
   }
+  for (const v1::InstanceKey& key : snapshot.departed()) {
+    fresh.departed_.push_back(ToKey(key));
+  }
   *this = std::move(fresh);
   return true;
 }
--- a/src/core/jobs/machine_book.cpp
+++ b/src/core/jobs/machine_book.cpp
@@ -35,9 +35,12 @@
 }
 
 void MachineBook::OnInstance(const std::string& aMachine,
-                             const std::string& aPool)
+                             const std::string& aPool,
+                             const InstanceKey& aInstance)
 {
-  if (aMachine.empty()) {
+  const MachineOp* held = FindOp(aMachine);
+  const bool isFormer = held != nullptr && held->former_ == aInstance;
+  if (aMachine.empty() || isFormer) {
     return;
   }
   MachineView& machine = machines_[aMachine];
@@ -50,11 +53,15 @@
   }
 }
 
-void MachineBook::Begin(Millis aNow, MachineOrder aOrder, std::string aFromPool)
+void MachineBook::Begin(Millis aNow,
+                        MachineOrder aOrder,
+                        std::string aFromPool,
+                        InstanceKey aFormer)
 {
   const std::string machine = aOrder.machine_;
   ops_[machine] = { .order_ = std::move(aOrder),
                     .fromPool_ = std::move(aFromPool),
+                    .former_ = std::move(aFormer),
                     .since_ = aNow,
                     .orderedAt_ = aNow };
 }
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -26,6 +26,13 @@
          std::to_string(aTask.step()) + '.' + std::to_string(aTask.index());
 }
 
+void AddGone(v1::JobChanges& aChanges, const InstanceKey& aKey)
+{
+  v1::InstanceGone& gone = *aChanges.add_changes()->mutable_instance_gone();
+  *gone.mutable_key() = ToMessage(aKey);
+  gone.set_final(true);
+}
+
 } // namespace
 
 FleetDriver::FleetDriver(asio::io_context& aIo,
@@ -307,6 +314,9 @@
   v1::JobChanges changes;
   store_.With([&](const JobStore& aStore) {
     const InstanceKey key = ToKey(aReport.record_);
+    if (aStore.HasDeparted(key)) {
+      return; // a late report
+    }
     for (const auto& [other, instance] : aStore.Instances()) {
       // An earlier life of the same instance or on the same machine is over.
       const bool isEarlier =
@@ -315,8 +325,7 @@
          (!aReport.record_.machine().empty() &&
           instance->record_.machine() == aReport.record_.machine()));
       if (isEarlier) {
-        *changes.add_changes()->mutable_instance_gone()->mutable_key() =
-          ToMessage(other);
+        AddGone(changes, other);
       }
       const bool isLater =
         other.id_ == key.id_ && other.bornUnixMs_ > key.bornUnixMs_;
@@ -348,8 +357,7 @@
   store_.With([&](const JobStore& aStore) {
     for (const auto& [key, instance] : aStore.Instances()) {
       if (key.id_ == aInstance) {
-        *changes.add_changes()->mutable_instance_gone()->mutable_key() =
-          ToMessage(key);
+        AddGone(changes, key);
       }
     }
   });
