--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -42,6 +42,16 @@
 
 namespace vanillahatch {
 
+struct LogTiming
+{
+  Millis heartbeat_ = Millis(400);
+  Millis minElectionTimeout_ = Millis(1200);
+  Millis maxElectionTimeout_ = Millis(2000);
+  // After an election that nobody won, candidates try again sooner.
+  Millis minRetry_ = Millis(200);
+  Millis maxRetry_ = Millis(700);
+};
+
 struct ControlLogOptions
 {
   std::string self_;
@@ -51,12 +61,7 @@
   // True if replicas of other names may join too.
   bool openMembership_ = false;
   uint64_t seed_ = 0;                 // must differ from start to start
-  Millis heartbeat_ = Millis(400);
-  Millis minElectionTimeout_ = Millis(1200);
-  Millis maxElectionTimeout_ = Millis(2000);
-  // After an election that nobody won, candidates try again sooner.
-  Millis minRetry_ = Millis(200);
-  Millis maxRetry_ = Millis(700);
+  LogTiming timing_;
   size_t maxUncommitted_ = 4096;       // entries; more are refused
   size_t maxMessageBytes_ = 256 << 10; // of entries in one message
 };
--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -16,6 +16,7 @@
 
 #include "vanillahatch/core/jobs/demand.h"
 #include "vanillahatch/core/jobs/instance_view.h"
+#include "vanillahatch/core/jobs/job_order.h"
 #include "vanillahatch/core/jobs/machine_book.h"
 #include "vanillahatch/core/jobs/pool_follower.h"
 #include "vanillahatch/core/jobs/run_times.h"
@@ -45,6 +46,8 @@
   std::function<void(const InstanceKey&, std::string_view)> onInstance_;
   std::function<void(const TaskRef&, uint32_t, std::string_view)> onDoubt_;
   std::function<void(const MachineOrder&, std::string_view)> onMachine_;
+  // About once a second.
+  std::function<void(const PoolLoad&)> onPool_;
 };
 
 class FleetScheduler
@@ -56,6 +59,8 @@
                  Millis aNow);
 
   void Tick(Millis aNow);
+  // What is to be done by now. What goes into the log is collected and comes
+  // with the next `Tick`.
   std::vector<SchedulerAction> Take();
 
   // The proposal of that number is in the log and applied.
@@ -89,12 +94,11 @@
     std::vector<std::pair<InstanceKey, TaskRef>> starts_;
     bool hasEnds_ = false;
   };
-  // A ready task that waits for room.
+  // Ready tasks of one step that wait for room.
   struct Candidate
   {
-    TaskRef first_; // of the pending ones of its step
-    Millis dueAt_;
-    bool isLate_ = false;
+    TaskRef first_;
+    JobUrgency urgency_;
   };
 
   // Work of one service that waits for room.
@@ -152,7 +156,7 @@
                    std::vector<Candidate>& aOut);
   // The job is seen for the first time.
   void NoteArrival(Millis aNow, const Job& aJob);
-  Millis DueAt(Millis aNow, Job& aJob);
+  JobUrgency UrgencyOf(Millis aNow, const Job& aJob, uint32_t aOccurrence);
   InstanceView* Choose(Millis aNow,
                        const std::string& aService,
                        const TaskRef& aTask);
@@ -171,6 +175,9 @@
   // False if too many others of its step are away.
   bool MayInterrupt(Millis aNow, const TaskRef& aTask);
   void Evacuate(Millis aNow, InstanceView& aView);
+  void Consolidate(Millis aNow);
+  static bool FitElsewhere(const InstanceView& aView,
+                           std::span<InstanceView* const> aHosts);
   void ServeWave(Millis aNow, const Wave& aWave);
   void ServeWaves(Millis aNow);
 
@@ -192,6 +199,8 @@
   bool listUnderWay_ = false;
   Millis listAskedAt_;
   Millis followedAt_;
+  Millis poolsTracedAt_;
+  Millis consolidatedAt_;
   std::vector<SchedulerAction> actions_;
   v1::JobChanges round_; // changes of the present event
   Pending roundPending_;
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -67,6 +67,8 @@
   // Room that is taken or promised; what is being stopped still counts.
   const v1::Resources& Used() const { return used_; }
   bool HasRoomFor(const v1::Resources& aNeed) const;
+  // Runs of tasks that last.
+  uint32_t LastingRuns() const;
   // Runs of one step there.
   uint32_t CountOf(const TaskRef& aAnyOfStep) const;
 
@@ -79,6 +81,9 @@
   bool reserved_ = false;
   // Being emptied for an operation on its machine.
   bool evacuating_ = false;
+  bool consolidating_ = false; // emptied only of tasks that last
+  // Its pool ebbs: no new work for now, so that its machine can go.
+  bool closed_ = false;
   Millis lastBusyAt_;
   Millis avoidMoveUntil_; // an operation on its machine was refused
   bool holdUnderWay_ = false;
--- a/include/vanillahatch/core/jobs/pool_follower.h
+++ b/include/vanillahatch/core/jobs/pool_follower.h
@@ -5,6 +5,9 @@
 // and of the spare pool, go to the pool that is short; what no pool needs goes
 // to rest. A machine that carries anything is never moved.
 //
+// A pool that ebbs keeps its work spread over many machines; those with the
+// least work are closed to new work, so that they can go soon.
+//
 // A pure decision: the state of the pools in, moves out. Moving back and forth
 // is kept down by a margin between the level at which a pool takes machines
 // and the one at which it gives them, and by the time that a machine has to be
@@ -26,6 +29,14 @@
   double cores_ = 0;
 };
 
+// Carries work that ends by itself.
+struct BusyMachine
+{
+  std::string machine_;
+  double cores_ = 0;
+  double usedCores_ = 0;
+};
+
 struct PoolLoad
 {
   std::string service_;
@@ -38,6 +49,7 @@
   double expected_ = 0;
   size_t machineCount_ = 0; // up, and on their way here
   std::vector<IdleMachine> idle_;
+  std::vector<BusyMachine> busy_;
 };
 
 struct PoolFollowerOptions
@@ -61,7 +73,13 @@
   std::string toPool_;
 };
 
-std::vector<PoolMove> FollowDemand(std::span<const PoolLoad> aPools,
-                                   const PoolFollowerOptions& aOptions);
+struct PoolDecision
+{
+  std::vector<PoolMove> moves_;
+  std::vector<std::string> closed_; // machines that get no new work for now
+};
+
+PoolDecision FollowDemand(std::span<const PoolLoad> aPools,
+                          const PoolFollowerOptions& aOptions);
 
 } // namespace vanillahatch
--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -64,6 +64,7 @@
   kWaveDecided = 631,
   kMachineOrdered = 632,
   kMachineAnswered = 633,
+  kPoolMeasured = 634,
   kSchedulerStarted = 640,
   kSchedulerStopped = 641,
   kProposalFailed = 642,
--- a/src/core/control_log_election.cpp
+++ b/src/core/control_log_election.cpp
@@ -50,7 +50,7 @@
 {
   role_ = LogRole::kPreCandidate;
   leader_.clear();
-  SetElectionTimer(options_.minRetry_, options_.maxRetry_);
+  SetElectionTimer(options_.timing_.minRetry_, options_.timing_.maxRetry_);
   votes_ = { self_ };
   AskForVotes(true);
   CountVotes();
@@ -62,7 +62,7 @@
   ++term_;
   votedFor_ = self_;
   RecordVote();
-  SetElectionTimer(options_.minRetry_, options_.maxRetry_);
+  SetElectionTimer(options_.timing_.minRetry_, options_.timing_.maxRetry_);
   votes_.clear();
   AskForVotes(false);
 }
@@ -127,7 +127,7 @@
   // was cut off and comes back does not disturb the others.
   const bool hearsLeader =
     IsLeader() ||
-    (heardLeader_ && now_ - leaderHeardAt_ < options_.minElectionTimeout_);
+    (heardLeader_ && now_ - leaderHeardAt_ < options_.timing_.minElectionTimeout_);
   if (!isPreVote && aMessage.term() > term_) {
     BecomeFollower(aMessage.term(), {});
   }
--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -7,7 +7,7 @@
 
 void ControlLog::SayHello()
 {
-  helloAt_ = now_ + options_.heartbeat_;
+  helloAt_ = now_ + options_.timing_.heartbeat_;
   if (cluster_ == 0 && options_.mayFound_ && options_.replicas_.size() == 1) {
     Found();
     return;
@@ -60,7 +60,7 @@
                                       return aName == self_.name() ||
                                              (it != blanks_.end() &&
                                               now_ - it->second.second <=
-                                                options_.minElectionTimeout_);
+                                                options_.timing_.minElectionTimeout_);
                                     });
   if (allBlank) {
     Found();
@@ -142,7 +142,7 @@
     return;
   }
   const bool isFree =
-    !learner_ || now_ - learnerHeardAt_ > options_.maxElectionTimeout_;
+    !learner_ || now_ - learnerHeardAt_ > options_.timing_.maxElectionTimeout_;
   if (isFree) {
     learner_ = from;
     RefreshProgress();
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -20,7 +20,7 @@
   votes_.clear();
   progress_.clear();
   RefreshProgress();
-  heartbeatAt_ = now_ + options_.heartbeat_;
+  heartbeatAt_ = now_ + options_.timing_.heartbeat_;
   AppendOwn({});
 }
 
@@ -73,7 +73,7 @@
     const Progress* progress = FindProgress(aMember);
     return IsSame(aMember, self_) ||
            (progress != nullptr &&
-            now_ - progress->heardAt_ < options_.minElectionTimeout_);
+            now_ - progress->heardAt_ < options_.timing_.minElectionTimeout_);
   });
   if (!hasQuorum) {
     BecomeFollower(term_, {});
@@ -82,15 +82,15 @@
   if (now_ < heartbeatAt_) {
     return;
   }
-  heartbeatAt_ = now_ + options_.heartbeat_;
-  if (learner_ && now_ - learnerHeardAt_ > options_.maxElectionTimeout_) {
+  heartbeatAt_ = now_ + options_.timing_.heartbeat_;
+  if (learner_ && now_ - learnerHeardAt_ > options_.timing_.maxElectionTimeout_) {
     learner_.reset();
     RefreshProgress();
   }
   for (Progress& progress : progress_) {
     const bool isUnderWay =
       progress.sentUpTo_ != 0 &&
-      now_ - progress.sentAt_ < options_.minElectionTimeout_;
+      now_ - progress.sentAt_ < options_.timing_.minElectionTimeout_;
     if (isUnderWay) {
       SendHeartbeat(progress);
     } else {
--- a/src/core/jobs/demand.cpp
+++ b/src/core/jobs/demand.cpp
@@ -4,6 +4,14 @@
 
 namespace vanillahatch {
 
+namespace {
+
+// A few large jobs look like a steep rise; demand is not foretold to grow by
+// more than this until a machine joins.
+constexpr double kMostGrowth = 2.5;
+
+} // namespace
+
 void Demand::Advance(Millis aNow)
 {
   const int64_t slot = aNow.Count() / kBucket.Count();
@@ -59,7 +67,8 @@
     (count * sumXY - sumX * sumY) / (count * sumXX - sumX * sumX);
   const double level = (sumY - slope * sumX) / count;
   const double ahead = static_cast<double>(aAhead.Count()) / kBucket.Count();
-  return std::max(0.0, level + slope * ahead);
+  const double foretold = level + slope * ahead;
+  return std::clamp(foretold, 0.0, std::max(0.0, level * kMostGrowth));
 }
 
 } // namespace vanillahatch
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -8,8 +8,6 @@
 
 // Longest wait of a listing; the platform's bound is 2,000 ms.
 constexpr Millis kLongPoll = Millis(1500);
-// Between listings of one instance, so that ends are taken in batches.
-constexpr Millis kListingGap = Millis(30);
 // After a stop that was not answered.
 constexpr Millis kStopRetry = Millis(300);
 
@@ -81,9 +79,6 @@
 
 std::vector<SchedulerAction> FleetScheduler::Take()
 {
-  if (round_.changes_size() > 0) {
-    Propose(std::exchange(round_, {}), std::exchange(roundPending_, {}));
-  }
   return std::exchange(actions_, {});
 }
 
@@ -98,6 +93,9 @@
   RepeatUnclear(aNow);
   AskForMachines(aNow);
   RenewLeases(aNow);
+  if (round_.changes_size() > 0) {
+    Propose(std::exchange(round_, {}), std::exchange(roundPending_, {}));
+  }
 }
 
 void FleetScheduler::ProposeGone(InstanceView& aView,
--- a/src/core/jobs/fleet_scheduler_machines.cpp
+++ b/src/core/jobs/fleet_scheduler_machines.cpp
@@ -23,7 +23,9 @@
 // Machines that are emptied for upkeep at the same time, while they carry
 // work: few, so that the pools keep their room.
 constexpr size_t kMostEvacuating = 3;
-// Two machines of work that the platform may not list any more.
+// Between consolidations; each costs its tasks about a second of work.
+constexpr Millis kConsolidateEvery = Millis(700);
+constexpr Millis kTracePoolsEvery = Seconds(1);
 constexpr double kMillisOfCore = 1000.0;
 
 } // namespace
@@ -162,18 +164,24 @@
       (isLasting ? pool.lasting_ : pool.wanted_) +=
         run.need_.cpu_millis() / kMillisOfCore;
     }
-    if (view.evacuating_) {
+    const bool isSilent = aNow - view.lastAnswerAt_ > options_.lease_ / 2 &&
+                          !view.Runs().empty();
+    if (view.evacuating_ || isSilent) {
       continue;
     }
     pool.capacity_ += cores;
     ++pool.machineCount_;
-    const bool isIdle = view.Runs().empty() && view.IsUsable(aNow) &&
-                        aNow >= view.avoidMoveUntil_ &&
-                        !view.Facts().machine().empty();
-    if (isIdle) {
+    const bool isMovable = aNow >= view.avoidMoveUntil_ && view.contacted_ &&
+                           !view.Facts().machine().empty();
+    if (isMovable && view.Runs().empty()) {
       pool.idle_.push_back({ .machine_ = view.Facts().machine(),
                              .idleFor_ = aNow - view.lastBusyAt_,
                              .cores_ = cores });
+    } else if (isMovable && view.LastingRuns() == 0) {
+      pool.busy_.push_back(
+        { .machine_ = view.Facts().machine(),
+          .cores_ = cores,
+          .usedCores_ = view.Used().cpu_millis() / kMillisOfCore });
     }
   }
   for (const auto& [name, op] : machines_.Ops()) {
@@ -220,7 +228,17 @@
   }
   followedAt_ = aNow;
   const std::vector<PoolLoad> pools = MeasurePools(aNow);
-  for (const PoolMove& move : FollowDemand(pools, options_.pools_)) {
+  if (aNow - poolsTracedAt_ >= kTracePoolsEvery) {
+    poolsTracedAt_ = aNow;
+    std::for_each(pools.begin(), pools.end(), trace_.onPool_);
+  }
+  const PoolDecision decision = FollowDemand(pools, options_.pools_);
+  for (auto& [key, view] : views_) {
+    view.closed_ = std::find(decision.closed_.begin(),
+                             decision.closed_.end(),
+                             view.Facts().machine()) != decision.closed_.end();
+  }
+  for (const PoolMove& move : decision.moves_) {
     Operate(aNow,
             { .machine_ = move.machine_, .pool_ = move.toPool_ },
             move.fromPool_,
@@ -268,6 +286,96 @@
   }
 }
 
+// Lasting tasks that a failure has spread keep machines from moving. The host
+// with the fewest is emptied if the other hosts have room for all of them.
+void FleetScheduler::Consolidate(Millis aNow)
+{
+  if (aNow - consolidatedAt_ < kConsolidateEvery) {
+    return;
+  }
+  consolidatedAt_ = aNow;
+  std::map<std::string, std::vector<InstanceView*>> hosts;
+  for (auto& [key, view] : views_) {
+    const bool isHost = view.LastingRuns() > 0 && !view.Facts().draining() &&
+                        !view.goneProposed_;
+    if (isHost) {
+      hosts[view.Facts().service()].push_back(&view);
+    }
+  }
+  for (auto& [service, views] : hosts) {
+    const bool isUnderWay =
+      std::any_of(views.begin(), views.end(), [&](const InstanceView* aView) {
+        return aView->evacuating_ || !aView->IsUsable(aNow);
+      });
+    if (views.size() < 2 || isUnderWay) {
+      continue;
+    }
+    InstanceView* least = *std::min_element(
+      views.begin(), views.end(), [](auto* aLeft, auto* aRight) {
+        return aLeft->LastingRuns() < aRight->LastingRuns();
+      });
+    if (FitElsewhere(*least, views)) {
+      least->evacuating_ = true;
+      least->consolidating_ = true;
+      trace_.onInstance_(least->Record().key_, "emptied to free its machine");
+    }
+  }
+}
+
+// Whether every lasting run of `aView` finds room on the other hosts beside
+// the lasting ones there; work that ends by itself makes way in time.
+bool FleetScheduler::FitElsewhere(const InstanceView& aView,
+                                  std::span<InstanceView* const> aHosts)
+{
+  struct Room
+  {
+    const InstanceView* view_ = nullptr;
+    int64_t cpuMillis_ = 0;
+    int64_t memoryMb_ = 0;
+    std::map<std::pair<const Job*, uint32_t>, uint32_t> bySteps_;
+  };
+  std::vector<Room> rooms;
+  for (const InstanceView* host : aHosts) {
+    if (host == &aView) {
+      continue;
+    }
+    Room room{ .view_ = host,
+               .cpuMillis_ = host->Facts().capacity().cpu_millis(),
+               .memoryMb_ = host->Facts().capacity().memory_mb() };
+    for (const auto& [task, run] : host->Runs()) {
+      if (JobStore::SpecOf(task).lasting()) {
+        room.cpuMillis_ -= run.need_.cpu_millis();
+        room.memoryMb_ -= run.need_.memory_mb();
+        ++room.bySteps_[{ task.job_, task.step_ }];
+      }
+    }
+    rooms.push_back(std::move(room));
+  }
+  for (const auto& [task, run] : aView.Runs()) {
+    const v1::StepSpec& spec = JobStore::SpecOf(task);
+    if (!spec.lasting()) {
+      continue;
+    }
+    const auto room =
+      std::find_if(rooms.begin(), rooms.end(), [&](const Room& aRoom) {
+        const auto held = aRoom.bySteps_.find({ task.job_, task.step_ });
+        const uint32_t count =
+          held != aRoom.bySteps_.end() ? held->second : 0;
+        return aRoom.cpuMillis_ >= run.need_.cpu_millis() &&
+               aRoom.memoryMb_ >= run.need_.memory_mb() &&
+               (spec.max_per_instance() == 0 ||
+                count < spec.max_per_instance());
+      });
+    if (room == rooms.end()) {
+      return false;
+    }
+    room->cpuMillis_ -= run.need_.cpu_millis();
+    room->memoryMb_ -= run.need_.memory_mb();
+    ++room->bySteps_[{ task.job_, task.step_ }];
+  }
+  return true;
+}
+
 void FleetScheduler::ServeWave(Millis aNow, const Wave& aWave)
 {
   const uint64_t number = aWave.order_.wave();
@@ -326,7 +434,12 @@
       ServeWave(aNow, wave);
     }
   }
+  Consolidate(aNow);
   for (auto& [key, view] : views_) {
+    if (view.consolidating_ && view.LastingRuns() == 0) {
+      view.consolidating_ = false;
+      view.evacuating_ = false;
+    }
     if (view.contacted_ && (view.evacuating_ || view.Facts().draining())) {
       Evacuate(aNow, view);
     }
--- a/src/core/jobs/fleet_scheduler_placing.cpp
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -2,7 +2,6 @@
 #include "vanillahatch/core/jobs/fleet_scheduler.h"
 
 #include <algorithm>
-#include <tuple>
 
 namespace vanillahatch {
 
@@ -32,24 +31,35 @@
   demands_[store_.ServiceOf(aJob)].Add(aNow, work);
 }
 
-// When the job has to be done to count as in time.
-Millis FleetScheduler::DueAt(Millis aNow, Job& aJob)
+JobUrgency FleetScheduler::UrgencyOf(Millis aNow,
+                                     const Job& aJob,
+                                     uint32_t aOccurrence)
 {
   const auto [seen, isNew] = seenAt_.try_emplace(aJob.order_, aNow);
-  const Millis seenAt = seen->second;
   if (isNew) {
     NoteArrival(aNow, aJob);
   }
   const v1::QueueSpec* queue = store_.FindQueue(aJob.queue_);
+  const auto it = aJob.occurrences_.find(aOccurrence);
+  std::vector<bool> done(static_cast<size_t>(aJob.spec_.steps_size()), false);
+  const Millis chain = times_.RemainingChain(aJob.queue_, aJob.spec_, done);
+  for (size_t i = 0; it != aJob.occurrences_.end() && i < done.size(); ++i) {
+    done[i] = it->second.steps_[i].IsDone();
+  }
   const double stretch = queue != nullptr ? queue->stretch() : 1.0;
   const Millis target(queue != nullptr ? queue->target_latency_ms() : 0);
-  const std::vector<bool> nothingDone(
-    static_cast<size_t>(aJob.spec_.steps_size()), false);
-  const Millis chain =
-    times_.RemainingChain(aJob.queue_, aJob.spec_, nothingDone);
-  return seenAt + target +
-         Millis(static_cast<int64_t>(stretch *
-                                     static_cast<double>(chain.Count())));
+  const Millis stretched(
+    static_cast<int64_t>(stretch * static_cast<double>(chain.Count())));
+  return RankJob(
+    aNow,
+    { .isLasting_ = aJob.spec_.steps(0).lasting(),
+      .isBegun_ = it != aJob.occurrences_.end(),
+      .priority_ = queue != nullptr ? queue->priority() : 0,
+      .arrivedAt_ = seen->second,
+      .objective_ = target + stretched,
+      .remainingChain_ =
+        times_.RemainingChain(aJob.queue_, aJob.spec_, done),
+      .order_ = aJob.order_ });
 }
 
 void FleetScheduler::CollectFrom(Millis aNow,
@@ -68,12 +78,10 @@
     if (!hasPending || !JobStore::IsStepReady(aJob, occurrence, step)) {
       continue;
     }
-    const Millis dueAt = DueAt(aNow, aJob);
     aOut.push_back({ .first_ = { .job_ = &aJob,
                                  .occurrence_ = aOccurrence,
                                  .step_ = step },
-                     .dueAt_ = dueAt,
-                     .isLate_ = dueAt < aNow });
+                     .urgency_ = UrgencyOf(aNow, aJob, aOccurrence) });
   }
 }
 
@@ -89,24 +97,17 @@
   for (const auto& [order, job] : open) {
     CollectFrom(aNow, *job, 0, candidates);
   }
-  const auto rank = [](const Candidate& aCandidate) {
-    const bool lasts = JobStore::SpecOf(aCandidate.first_).lasting();
-    return std::tuple(!lasts,
-                      aCandidate.isLate_,
-                      aCandidate.dueAt_,
-                      aCandidate.first_.job_->order_,
-                      aCandidate.first_.step_);
-  };
   std::sort(candidates.begin(),
             candidates.end(),
-            [&](const Candidate& aLeft, const Candidate& aRight) {
-              return rank(aLeft) < rank(aRight);
+            [](const Candidate& aLeft, const Candidate& aRight) {
+              return ComesBefore(aLeft.urgency_, aRight.urgency_);
             });
   return candidates;
 }
 
 // Best fit: the instance that keeps the least room, so that wide tasks still
-// find some.
+// find some and others run empty. Tasks that last gather on few instances,
+// since a machine that carries one cannot move.
 InstanceView* FleetScheduler::Choose(Millis aNow,
                                      const std::string& aService,
                                      const TaskRef& aTask)
@@ -115,6 +116,7 @@
   const v1::Resources need = OccupiedBy(step);
   InstanceView* best = nullptr;
   uint32_t bestLeft = 0;
+  uint32_t bestGathered = 0;
   for (auto& [key, view] : views_) {
     const v1::InstanceRecord& facts = view.Facts();
     if (facts.service() != aService || !view.IsUsable(aNow) ||
@@ -133,9 +135,15 @@
     }
     const uint32_t left = facts.capacity().cpu_millis() -
                           view.Used().cpu_millis() - need.cpu_millis();
-    if (best == nullptr || left < bestLeft) {
+    const uint32_t gathered = step.lasting() ? view.LastingRuns() : 0;
+    const bool isBetter =
+      best == nullptr || gathered > bestGathered ||
+      (gathered == bestGathered &&
+       (step.lasting() && gathered == 0 ? left > bestLeft : left < bestLeft));
+    if (isBetter) {
       best = &view;
       bestLeft = left;
+      bestGathered = gathered;
     }
   }
   return best;
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -62,6 +62,14 @@
          used_.gpus() + aNeed.gpus() <= capacity.gpus();
 }
 
+uint32_t InstanceView::LastingRuns() const
+{
+  return static_cast<uint32_t>(
+    std::count_if(runs_.begin(), runs_.end(), [](const auto& aItem) {
+      return JobStore::SpecOf(aItem.first).lasting();
+    }));
+}
+
 uint32_t InstanceView::CountOf(const TaskRef& aAnyOfStep) const
 {
   TaskRef first = aAnyOfStep;
@@ -80,7 +88,7 @@
 
 bool InstanceView::IsUsable(Millis aNow) const
 {
-  return contacted_ && !reserved_ && !evacuating_ && !goneProposed_ && !Facts().draining() &&
+  return contacted_ && !reserved_ && !evacuating_ && !closed_ && !goneProposed_ && !Facts().draining() &&
          lease_.IsClockKnown() && aNow >= avoidUntil_;
 }
 
--- a/src/core/jobs/pool_follower.cpp
+++ b/src/core/jobs/pool_follower.cpp
@@ -87,10 +87,34 @@
                      .toPool_ = aTaker.pool_->service_ });
 }
 
+// What a pool does not need any more gets no new work, the least used first.
+void Close(const Balance& aPool,
+           const PoolFollowerOptions& aOptions,
+           std::vector<std::string>& aClosed)
+{
+  double surplus = aPool.capacity_ - aPool.Need(aOptions);
+  for (const IdleMachine& machine : aPool.idle_) {
+    surplus -= machine.cores_; // It will be given first.
+  }
+  std::vector<BusyMachine> busy = aPool.pool_->busy_;
+  std::sort(busy.begin(),
+            busy.end(),
+            [](const BusyMachine& aLeft, const BusyMachine& aRight) {
+              return aLeft.usedCores_ < aRight.usedCores_;
+            });
+  for (const BusyMachine& machine : busy) {
+    surplus -= machine.cores_;
+    if (surplus < 0 || aPool.pool_->isSpare_) {
+      return;
+    }
+    aClosed.push_back(machine.machine_);
+  }
+}
+
 } // namespace
 
-std::vector<PoolMove> FollowDemand(std::span<const PoolLoad> aPools,
-                                   const PoolFollowerOptions& aOptions)
+PoolDecision FollowDemand(std::span<const PoolLoad> aPools,
+                          const PoolFollowerOptions& aOptions)
 {
   std::vector<Balance> pools;
   for (const PoolLoad& pool : aPools) {
@@ -105,7 +129,8 @@
                 return aLeft.idleFor_ < aRight.idleFor_;
               });
   }
-  std::vector<PoolMove> moves;
+  PoolDecision decision;
+  std::vector<PoolMove>& moves = decision.moves_;
   while (moves.size() < aOptions.mostMoves_) {
     const auto taker = std::max_element(
       pools.begin(), pools.end(), [&](const auto& aLeft, const auto& aRight) {
@@ -130,7 +155,10 @@
       Give(pool, *spare, moves);
     }
   }
-  return moves;
+  for (const Balance& pool : pools) {
+    Close(pool, aOptions, decision.closed_);
+  }
+  return decision;
 }
 
 } // namespace vanillahatch
--- a/src/gateway/job_gateway.cpp
+++ b/src/gateway/job_gateway.cpp
@@ -2,6 +2,7 @@
 
 #include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/rpc.h"
+#include "vanillahatch/shell/scope_guard.h"
 
 #include <algorithm>
 #include <boost/asio/async_result.hpp>
@@ -79,6 +80,14 @@
     io_, [this] { return WatchLeader(); }, asio::detached);
 }
 
+void JobGateway::Stop()
+{
+  stopping_ = true;
+  for (grpc::ClientContext* context : contexts_) {
+    context->TryCancel();
+  }
+}
+
 v1::JobService::Stub& JobGateway::StubOf(const std::string& aReplica)
 {
   std::unique_ptr<v1::JobService::Stub>& stub = stubs_[aReplica];
@@ -113,7 +122,7 @@
 
 asio::awaitable<void> JobGateway::WatchLeader()
 {
-  for (;;) {
+  while (!stopping_) {
     const std::string replica = finder_.NextToAsk();
     co_await AskMembers(replica);
     LogReadiness();
@@ -126,6 +135,8 @@
 {
   auto call = std::make_shared<CallState>();
   SetDeadline(call->context_, kMembersTimeout);
+  contexts_.insert(&call->context_);
+  const ScopeGuard ended([&] { contexts_.erase(&call->context_); });
   v1::JobService::Stub& stub = StubOf(aReplica);
   const grpc::Status status = co_await AwaitCall([&](auto aDone) {
     stub.async()->Members(&call->context_,
@@ -154,6 +165,8 @@
 {
   auto call = std::make_shared<CallState>();
   SetDeadline(call->context_, aTimeout);
+  contexts_.insert(&call->context_);
+  const ScopeGuard ended([&] { contexts_.erase(&call->context_); });
   v1::JobService::Stub& stub = StubOf(aReplica);
   *call->request_.mutable_place() = aCall.place_;
   if (aCall.kind_ == JobCallKind::kSubmit) {
@@ -195,7 +208,7 @@
   std::string detail = "no leader is known";
   Millis withoutLeaderSince = begunAt;
   std::optional<v1::JobReply> answer;
-  while (!answer && clock_.Now() < until) {
+  while (!answer && !stopping_ && clock_.Now() < until) {
     const std::string leader = finder_.Leader();
     if (leader.empty()) {
       if (clock_.Now() - withoutLeaderSince > kWaitForLeader) {
--- a/src/gateway/job_gateway.h
+++ b/src/gateway/job_gateway.h
@@ -17,6 +17,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 
 namespace vanillahatch {
 
@@ -51,6 +52,10 @@
 
   void Start();
   boost::asio::awaitable<v1::JobReply> Handle(JobCall aCall);
+  // Cancels what is under way; no further call is begun. The io_context must
+  // run on until `HasStopped`.
+  void Stop();
+  bool HasStopped() const { return stopping_ && contexts_.empty(); }
   bool IsReady() const { return finder_.IsReady(clock_.Now()); }
   size_t UnderWay() const { return underWay_; }
 
@@ -71,6 +76,8 @@
   const Clock& clock_;
   LeaderFinder finder_;
   std::map<std::string, std::unique_ptr<v1::JobService::Stub>> stubs_;
+  std::set<grpc::ClientContext*> contexts_; // of calls under way
+  bool stopping_ = false;
   bool wasReady_ = false;
   size_t underWay_ = 0;
 };
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -12,8 +12,6 @@
 constexpr size_t kRingEvents = 4096;
 constexpr Millis kCommitTimeout = Seconds(5);
 constexpr Millis kLongestWait = Seconds(1);
-constexpr uint64_t kCompactEntries = 4096;
-constexpr uint64_t kCompactBytes = 4U << 20U;
 
 uint64_t FreshSeed()
 {
@@ -101,7 +99,8 @@
                                 .replicas_ = options_.replicas_,
                                 .mayFound_ = options_.mayFound_,
                                 .openMembership_ = options_.openMembership_,
-                                .seed_ = FreshSeed() };
+                                .seed_ = FreshSeed(),
+                                .timing_ = options_.timing_ };
   try {
     log_ = std::make_unique<ControlLog>(std::move(logOptions),
                                         isLost ? nullptr : &contents.value(),
@@ -393,8 +392,8 @@
 void LogReplica::MaybeCompact()
 {
   const uint64_t kept = log_->AppliedIndex() - log_->History().BaseIndex();
-  const bool isLong = kept >= kCompactEntries;
-  const bool isLarge = kept > 0 && store_.LogBytes() > kCompactBytes;
+  const bool isLong = kept >= options_.compactEntries_;
+  const bool isLarge = kept > 0 && store_.LogBytes() > options_.compactBytes_;
   if (log_->HasActions() || (!isLong && !isLarge)) {
     return;
   }
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -68,6 +68,11 @@
   std::function<void(const std::string&)> onDiskFailure_;
   // Called on the replica's thread when it starts or ceases to lead.
   std::function<void()> onLeadership_;
+  LogTiming timing_;
+  // The log is folded into a snapshot beyond this. A replica that is further
+  // behind than the log reaches back gets the whole snapshot.
+  uint64_t compactEntries_ = 4096;
+  uint64_t compactBytes_ = 4U << 20U;
   bool sync_ = true;      // false only for comparing figures in benches
   size_t maxBatch_ = 512; // events for one sync
 };
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -426,6 +426,17 @@
                   { "reason", aReason },
                   { "fence", aOrder.fencingToken_ } });
       },
+    .onPool_ =
+      [](const PoolLoad& aPool) {
+        LogInfo(Event::kPoolMeasured,
+                { { "service", aPool.service_ },
+                  { "machines", aPool.machineCount_ },
+                  { "idle", aPool.idle_.size() },
+                  { "cores", static_cast<int>(aPool.capacity_) },
+                  { "lasting", static_cast<int>(aPool.lasting_) },
+                  { "wanted", static_cast<int>(aPool.wanted_) },
+                  { "expected", static_cast<int>(aPool.expected_) } });
+      },
   };
 }
 
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -62,6 +62,7 @@
   EventEntry{ Event::kWaveDecided, "wave-decided" },
   EventEntry{ Event::kMachineOrdered, "machine-ordered" },
   EventEntry{ Event::kMachineAnswered, "machine-answered" },
+  EventEntry{ Event::kPoolMeasured, "pool-measured" },
   EventEntry{ Event::kSchedulerStarted, "scheduler-started" },
   EventEntry{ Event::kSchedulerStopped, "scheduler-stopped" },
   EventEntry{ Event::kProposalFailed, "proposal-failed" },
