--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -111,6 +111,12 @@
              const StoreContents* aContents,
              Millis aNow);
 
+  // Whom a replica that is no member yet asks to be let in.
+  void SetReplicas(std::vector<std::string> aNames)
+  {
+    options_.replicas_ = std::move(aNames);
+  }
+
   void Tick(Millis aNow);
   void Receive(Millis aNow, const v1::PeerMessage& aMessage);
   Result<LogPosition, ProposeError> Propose(Millis aNow, std::string aPayload);
@@ -216,6 +222,9 @@
   void TellCommit(const v1::LogMember& aMember);
   uint64_t AgreedIndex(const v1::LogConfig& aConfig);
   void MaybeReplace();
+  using Members = google::protobuf::RepeatedPtrField<v1::LogMember>;
+  Members::iterator FindSilent(Members& aMembers, Millis aSpan);
+  void MaybeLeaveOut();
 
   ControlLogOptions options_;
   std::mt19937_64 random_;
--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -22,6 +22,7 @@
 #include "vanillahatch/core/jobs/run_times.h"
 
 #include <functional>
+#include <unordered_map>
 
 namespace vanillahatch {
 
@@ -35,6 +36,7 @@
   // instance.
   Millis startWithin_ = Millis(1500);
   PoolFollowerOptions pools_;
+  MachineBookOptions machines_;
 };
 
 // For logs and metrics.
@@ -58,7 +60,8 @@
                  SchedulerTrace aTrace,
                  Millis aNow);
 
-  void Tick(Millis aNow);
+  // `aUnixNow` is the time of day, for work that is due at a time.
+  void Tick(Millis aNow, Millis aUnixNow);
   // What is to be done by now. What goes into the log is collected and comes
   // with the next `Tick`.
   std::vector<SchedulerAction> Take();
@@ -69,6 +72,7 @@
   void OnReport(Millis aNow, const InstanceKey& aKey, Millis aClock);
   void OnStart(Millis aNow, const StartOrder& aOrder, const OrderResult& aResult);
   void OnStop(Millis aNow, const StopOrder& aOrder, const OrderResult& aResult);
+  void OnPace(const PaceOrder& aOrder, const OrderResult& aResult);
   void OnListing(Millis aNow,
                  const HoldOrder& aOrder,
                  Millis aSentAt,
@@ -92,7 +96,7 @@
   struct Pending
   {
     std::vector<std::pair<InstanceKey, TaskRef>> starts_;
-    bool hasEnds_ = false;
+    std::vector<std::pair<InstanceKey, TaskRef>> ends_;
   };
   // Ready tasks of one step that wait for room.
   struct Candidate
@@ -101,6 +105,22 @@
     JobUrgency urgency_;
   };
 
+  // What the order of a job depends on.
+  struct Arrival
+  {
+    Millis at_;
+    Millis objective_;
+    Millis remainingChain_;
+    uint32_t stepsDone_ = 0; // for which the chain holds
+  };
+  // The usable instances of one service in this round.
+  struct Room
+  {
+    std::vector<InstanceView*> views_;
+    // Needs that found no room in this round; larger ones will not either.
+    std::vector<v1::Resources> refused_;
+  };
+
   // Work of one service that waits for room.
   struct Waiting
   {
@@ -132,10 +152,8 @@
   void TakeRunning(Millis aNow,
                    InstanceView& aView,
                    const InstanceListing& aListing);
-  void FindLost(Millis aNow,
-                InstanceView& aView,
-                Millis aSentAt,
-                const InstanceListing& aListing);
+  void Pace(InstanceView& aView);
+  void FindLost(Millis aNow, InstanceView& aView, Millis aSentAt);
   void EndWithoutRun(InstanceView& aView, const TaskRef& aTask, uint32_t aRun);
   void SendStop(Millis aNow,
                 InstanceView& aView,
@@ -156,10 +174,24 @@
                    std::vector<Candidate>& aOut);
   // The job is seen for the first time.
   void NoteArrival(Millis aNow, const Job& aJob);
-  JobUrgency UrgencyOf(Millis aNow, const Job& aJob, uint32_t aOccurrence);
+  Millis RemainingChain(const Job& aJob, const Occurrence* aOccurrence) const;
+  Room& RoomOf(Millis aNow, const std::string& aService);
+  JobUrgency UrgencyOf(Millis aNow,
+                       const Job& aJob,
+                       const Occurrence* aOccurrence);
+  // Null if no instance has room; `aRack` empty: any.
   InstanceView* Choose(Millis aNow,
                        const std::string& aService,
-                       const TaskRef& aTask);
+                       const TaskRef& aTask,
+                       std::string_view aRack);
+  // Place what they can of the step, and note what waits.
+  void PlaceStep(Millis aNow, const Candidate& aCandidate);
+  void PlaceGang(Millis aNow, const Candidate& aCandidate);
+  void ProposeStart(Millis aNow,
+                    InstanceView& aView,
+                    const TaskRef& aTask,
+                    uint32_t aRun);
+  void NoteWaiting(const Candidate& aCandidate, uint32_t aTasks);
 
   // fleet_scheduler_machines.cpp
   void AskForMachines(Millis aNow);
@@ -189,17 +221,21 @@
   std::set<TaskRef> proposed_; // starts on their way into the log
   uint64_t nextNumber_ = 1;
   RunTimes times_;
-  // When open jobs were first seen, by their order of acceptance.
-  std::map<uint64_t, Millis> seenAt_;
+  // Of open jobs, by their order of acceptance.
+  std::unordered_map<uint64_t, Arrival> arrivals_;
+  uint64_t syncedChanges_ = 0; // of the store's instances
   uint64_t firstOwnOrder_ = 0; // jobs from here on arrived under this leader
   std::map<std::string, Demand> demands_;   // by service
   std::map<std::string, Waiting> waiting_;  // by service, in this round
+  std::map<std::string, Room> rooms_;       // by service, in this round
   MachineBook machines_;
   std::map<std::string, Millis> refusedUntil_; // by machine
   bool listUnderWay_ = false;
   Millis listAskedAt_;
   Millis followedAt_;
   Millis poolsTracedAt_;
+  Millis unixNow_;
+  size_t startsOfRound_ = 0;
   Millis consolidatedAt_;
   std::vector<SchedulerAction> actions_;
   v1::JobChanges round_; // changes of the present event
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -44,6 +44,7 @@
   uint32_t load_ = 0;          // as listed
   uint32_t pacedTo_ = 100;     // as ordered last
   bool paceUnderWay_ = false;
+  uint64_t seenInListing_ = 0; // number of the latest that showed it
   std::optional<Millis> atWorkSince_; // listed at full percent
 };
 
@@ -90,6 +91,7 @@
   Millis nextHoldAt_;
   Millis lastAnswerAt_;
   Millis reportedAt_; // of its own accord
+  uint64_t listings_ = 0;        // that were taken in
   uint64_t confirmedCursor_ = 0; // that it was told last
   uint64_t proposedCursor_ = 0;  // of ends that are on their way to the log
   Millis avoidUntil_;            // it refused or failed orders
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -136,7 +136,7 @@
                                     std::string_view aPath) const;
   const v1::ServiceSpec* FindService(std::string_view aName) const;
 
-  Job* FindJob(std::string_view aId) const;
+  Job* FindJob(const std::string& aId) const;
   v1::JobPhase PhaseOf(const Job& aJob) const;
   // Jobs that are neither complete, failed nor cancelled, oldest first.
   const std::map<uint64_t, Job*>& OpenJobs() const { return open_; }
@@ -156,6 +156,8 @@
   Instance* FindInstance(const InstanceKey& aKey) const;
   // True if that incarnation is known to be over.
   bool HasDeparted(const InstanceKey& aKey) const;
+  // Grows whenever an instance is put, changed or removed.
+  uint64_t InstanceChanges() const { return instanceChanges_; }
   const std::map<uint64_t, Wave>& Waves() const { return waves_; }
 
   // Null if that occurrence has not begun.
@@ -203,6 +205,7 @@
   std::map<InstanceKey, std::unique_ptr<Instance>> instances_;
   std::map<uint64_t, Wave> waves_;
   std::deque<InstanceKey> departed_; // the latest ones
+  uint64_t instanceChanges_ = 0;
   uint64_t nextOrder_ = 1;
 };
 
--- a/include/vanillahatch/core/jobs/machine_book.h
+++ b/include/vanillahatch/core/jobs/machine_book.h
@@ -29,13 +29,24 @@
   Millis orderedAt_;
 };
 
+struct MachineBookOptions
+{
+  // How long a machine is away at least. Until then no report and no list can
+  // be news of its next life: reports are late at times, and lists lag.
+  Millis leastMove_ = Millis(1200);
+  Millis leastUpkeep_ = Millis(1600);
+};
+
 class MachineBook
 {
 public:
+  explicit MachineBook(MachineBookOptions aOptions = {});
+
   // A list that was asked for at `aAskedAt`.
   void TakeList(Millis aAskedAt, std::vector<MachineView> aMachines);
   // The instance of a machine reported.
-  void OnInstance(const std::string& aMachine,
+  void OnInstance(Millis aNow,
+                  const std::string& aMachine,
                   const std::string& aPool,
                   const InstanceKey& aInstance);
 
@@ -57,6 +68,10 @@
   size_t InUpkeep(uint64_t aWave) const;
 
 private:
+  // True if what was known at `aAt` may tell of the machine's next life.
+  bool MayBeBack(const MachineOp& aOp, Millis aAt) const;
+
+  MachineBookOptions options_;
   std::map<std::string, MachineView> machines_;
   std::map<std::string, MachineOp> ops_;
   bool listed_ = false;
--- a/include/vanillahatch/core/jobs/orders.h
+++ b/include/vanillahatch/core/jobs/orders.h
@@ -64,6 +64,7 @@
 struct PaceOrder
 {
   OrderTarget target_;
+  TaskRef ref_;
   v1::TaskName task_;
   uint32_t run_ = 0;
   uint32_t percent_ = 100;
--- a/include/vanillahatch/shell/http_client.h
+++ b/include/vanillahatch/shell/http_client.h
@@ -4,7 +4,7 @@
 // Silent connections are found within stated bounds: data that is not
 // acknowledged breaks a connection after `kUnacknowledged`, an idle peer is
 // probed by TCP and given up after about `kKeepalive`, and no connection is
-// reused after `kIdleAge` without use.
+// reused after `idleAge_` without use.
 #pragma once
 
 #include "vanillahatch/core/clock.h"
@@ -50,10 +50,18 @@
   bool aborted_ = false;
 };
 
+struct HttpClientOptions
+{
+  Millis idleAge_ = Seconds(15); // after which a connection is not reused
+};
+
 class HttpClient
 {
 public:
-  HttpClient() = default;
+  explicit HttpClient(HttpClientOptions aOptions = {})
+    : options_(aOptions)
+  {
+  }
 
   boost::asio::awaitable<ExchangeResult> Exchange(
     Endpoint aEndpoint,
@@ -65,7 +73,6 @@
   void CloseStale();
   size_t IdleConnections() const;
 
-  static constexpr Millis kIdleAge = Seconds(15);
   static constexpr Millis kUnacknowledged = Seconds(3);
   static constexpr Millis kKeepalive = Seconds(9);
 
@@ -86,6 +93,7 @@
   boost::asio::awaitable<ExchangeResult> ReadAnswer(Endpoint aEndpoint,
                                                     Stream aStream);
 
+  HttpClientOptions options_;
   std::map<Endpoint, std::vector<Idle>> idle_;
 };
 
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -10,6 +10,13 @@
 // Entries that a joining replica may be behind when it is taken in. It votes
 // only with the configuration entry in its log, so with everything before it.
 constexpr uint64_t kCatchUpSlack = 100;
+// A member that has been silent for so long gives its place to a newcomer of
+// another name.
+constexpr Millis kLostAfter = Seconds(2);
+// A member of an even number is left out after this: without it as many losses
+// are borne, and a quorum is smaller. It may join again.
+constexpr Millis kLeftOutAfter = Seconds(6);
+constexpr int kLeastMembers = 3;
 
 } // namespace
 
@@ -87,6 +94,7 @@
     learner_.reset();
     RefreshProgress();
   }
+  MaybeLeaveOut();
   for (Progress& progress : progress_) {
     const bool isUnderWay =
       progress.sentUpTo_ != 0 &&
@@ -243,6 +251,43 @@
   }
 }
 
+// The member that has been silent the longest, and longer than `aSpan`.
+ControlLog::Members::iterator ControlLog::FindSilent(Members& aMembers,
+                                                     Millis aSpan)
+{
+  auto found = aMembers.end();
+  Millis since = now_ - aSpan;
+  for (auto it = aMembers.begin(); it != aMembers.end(); ++it) {
+    const Progress* progress = FindProgress(*it);
+    if (progress != nullptr && progress->heardAt_ < since) {
+      since = progress->heardAt_;
+      found = it;
+    }
+  }
+  return found;
+}
+
+void ControlLog::MaybeLeaveOut()
+{
+  const auto& present = history_.Latest().config_;
+  const int size = present.members_size();
+  const bool isEven = size % 2 == 0;
+  if (!options_.openMembership_ || !isEven || size <= kLeastMembers ||
+      IsConfigPending() || learner_ || !IsLeaderInForce()) {
+    return;
+  }
+  v1::LogEntry entry;
+  *entry.mutable_config() = present;
+  auto& members = *entry.mutable_config()->mutable_members();
+  const auto silent = FindSilent(members, kLeftOutAfter);
+  if (silent == members.end()) {
+    return;
+  }
+  members.erase(silent);
+  AppendOwn(std::move(entry));
+  RefreshProgress();
+}
+
 // Puts a replica that has caught up into the configuration, in the place of
 // its former incarnation if there was one.
 void ControlLog::MaybeReplace()
@@ -256,10 +301,13 @@
   v1::LogEntry entry;
   *entry.mutable_config() = history_.Latest().config_;
   auto& members = *entry.mutable_config()->mutable_members();
-  const auto it =
+  auto it =
     std::find_if(members.begin(), members.end(), [&](const auto& aMember) {
       return aMember.name() == learner_->name();
     });
+  if (it == members.end()) {
+    it = FindSilent(members, kLostAfter);
+  }
   if (it != members.end()) {
     *it = *learner_;
   } else {
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -1,5 +1,7 @@
 #include "vanillahatch/core/jobs/fleet_scheduler.h"
 
+#include "vanillahatch/core/jobs/pacing.h"
+
 #include <algorithm>
 
 namespace vanillahatch {
@@ -8,8 +10,37 @@
 
 // Longest wait of a listing; the platform's bound is 2,000 ms.
 constexpr Millis kLongPoll = Millis(1500);
+// Leases are renewed for so long without an answer.
+constexpr Millis kRenewUnanswered = Millis(1200);
 // After a stop that was not answered.
 constexpr Millis kStopRetry = Millis(300);
+// Between listings of an instance whose filling tasks are paced; the listed
+// figures are those of the last half second.
+constexpr Millis kPacingPoll = Millis(250);
+
+// All members of a gang resume from the same checkpoint.
+const std::string& CheckpointOf(const TaskRef& aTask)
+{
+  const Task& own = JobStore::At(aTask);
+  if (!JobStore::SpecOf(aTask).gang()) {
+    return own.checkpoint_;
+  }
+  const Step& step =
+    aTask.job_->occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
+  const auto saved =
+    std::find_if(step.tasks_.begin(), step.tasks_.end(), [](const Task& aOne) {
+      return !aOne.checkpoint_.empty();
+    });
+  return saved != step.tasks_.end() ? saved->checkpoint_ : own.checkpoint_;
+}
+
+Millis WaitFor(const InstanceView& aView)
+{
+  if (aView.Runs().empty() || !aView.contacted_) {
+    return {};
+  }
+  return NeedsPacing(aView) ? kPacingPoll : kLongPoll;
+}
 
 } // namespace
 
@@ -20,6 +51,7 @@
   : store_(aStore)
   , options_(aOptions)
   , trace_(std::move(aTrace))
+  , machines_(options_.machines_)
 {
   if (!store_.OpenJobs().empty()) {
     firstOwnOrder_ = store_.OpenJobs().rbegin()->first + 1;
@@ -45,6 +77,10 @@
 // there and no view knows was begun by an earlier leader.
 void FleetScheduler::SyncViews(Millis aNow)
 {
+  if (syncedChanges_ == store_.InstanceChanges()) {
+    return;
+  }
+  syncedChanges_ = store_.InstanceChanges();
   std::erase_if(views_, [&](const auto& aItem) {
     // The same key may name a new record by now.
     return store_.FindInstance(aItem.first) != &aItem.second.Record();
@@ -64,7 +100,7 @@
                     .orderedAt_ = aNow });
     }
     machines_.OnInstance(
-      view.Facts().machine(), view.Facts().service(), key);
+      aNow, view.Facts().machine(), view.Facts().service(), key);
   }
 }
 
@@ -82,8 +118,9 @@
   return std::exchange(actions_, {});
 }
 
-void FleetScheduler::Tick(Millis aNow)
+void FleetScheduler::Tick(Millis aNow, Millis aUnixNow)
 {
+  unixNow_ = aUnixNow;
   SyncViews(aNow);
   WatchLapses(aNow);
   ServeWaves(aNow);
@@ -144,9 +181,11 @@
     }
     HoldOrder order{ .target_ = TargetOf(view),
                      .endCursor_ = cursor,
-                     .wait_ = hasRuns && view.contacted_ ? kLongPoll
-                                                         : Millis() };
-    if (view.Lease().IsClockKnown() && hasRuns) {
+                     .wait_ = WaitFor(view) };
+    // An instance that does not answer may still hear: renewing its lease would
+    // keep its tasks from ever being started elsewhere.
+    const bool isHeard = aNow - view.lastAnswerAt_ <= kRenewUnanswered;
+    if (view.Lease().IsClockKnown() && hasRuns && isHeard) {
       const Millis deadline = view.Lease().ClockAt(aNow) + options_.lease_;
       view.Lease().Extend(deadline);
       order.deadline_ = deadline;
@@ -214,22 +253,20 @@
   }
   const Pending pending = std::move(it->second);
   pending_.erase(it);
-  for (auto& [key, view] : views_) {
-    std::vector<TaskRef> ended;
-    const Instance* instance = store_.FindInstance(key);
-    for (const auto& [task, run] : view.Runs()) {
-      const bool isHeld = instance != nullptr &&
-                          instance->assigned_.contains(task) &&
-                          JobStore::At(task).run_ == run.run_;
-      if (run.phase_ != RunPhase::kProposed && !isHeld) {
-        ended.push_back(task);
-      }
+  SyncViews(aNow);
+  for (const auto& [key, task] : pending.ends_) {
+    InstanceView* view = FindView(key);
+    const auto held = view != nullptr ? view->Runs().find(task)
+                                      : std::map<TaskRef, RunView>::iterator();
+    if (view == nullptr || held == view->Runs().end()) {
+      continue;
     }
-    for (const TaskRef& task : ended) {
-      view.RemoveRun(task);
+    const bool isEnded = !view->Record().assigned_.contains(task) ||
+                         JobStore::At(task).run_ != held->second.run_;
+    if (isEnded) {
+      view->RemoveRun(task);
     }
   }
-  SyncViews(aNow);
   for (const auto& [key, task] : pending.starts_) {
     proposed_.erase(task);
     InstanceView* view = FindView(key);
@@ -252,7 +289,7 @@
                       .task_ = JobStore::NameOf(task),
                       .run_ = run->second.run_,
                       .text_ = task.job_->spec_.text(),
-                      .checkpoint_ = JobStore::At(task).checkpoint_,
+                      .checkpoint_ = CheckpointOf(task),
                       .deadline_ = clock + options_.startWithin_ };
     view->Lease().Extend(order.deadline_);
     run->second.phase_ = RunPhase::kOrdered;
--- a/src/core/jobs/fleet_scheduler_machines.cpp
+++ b/src/core/jobs/fleet_scheduler_machines.cpp
@@ -23,6 +23,9 @@
 // Machines that are emptied for upkeep at the same time, while they carry
 // work: few, so that the pools keep their room.
 constexpr size_t kMostEvacuating = 3;
+// A healthy instance answers a listing at least this often; what was listed
+// longer ago may have ended since.
+constexpr Millis kFreshListing = Seconds(2);
 // Between consolidations; each costs its tasks about a second of work.
 constexpr Millis kConsolidateEvery = Millis(700);
 constexpr Millis kTracePoolsEvery = Seconds(1);
@@ -256,7 +259,7 @@
     view != nullptr ? view->FindRun(aTask, task.run_) : nullptr;
   return run != nullptr && run->phase_ == RunPhase::kListed &&
          run->atWorkSince_ && !run->stopWanted_ && !run->endProposed_ &&
-         !view->goneProposed_ && aNow - view->lastAnswerAt_ <= options_.lease_;
+         !view->goneProposed_ && aNow - view->lastAnswerAt_ <= kFreshListing;
 }
 
 bool FleetScheduler::MayInterrupt(Millis aNow, const TaskRef& aTask)
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -1,8 +1,8 @@
 // What answers and listings of instances say of their runs.
 #include "vanillahatch/core/jobs/fleet_scheduler.h"
+#include "vanillahatch/core/jobs/pacing.h"
 
 #include <algorithm>
-#include <unordered_set>
 
 namespace vanillahatch {
 
@@ -19,13 +19,7 @@
 constexpr Millis kListingGap = Millis(30);
 // A listing with this many ends may leave out others.
 constexpr size_t kMostEndsListed = 500;
-
-std::string KeyOf(const v1::TaskName& aTask, uint32_t aRun)
-{
-  return aTask.job() + '.' + std::to_string(aTask.occurrence()) + '.' +
-         std::to_string(aTask.step()) + '.' + std::to_string(aTask.index()) +
-         '#' + std::to_string(aRun);
-}
+constexpr uint32_t kAtWork = 100; // percent
 
 } // namespace
 
@@ -49,6 +43,7 @@
     return;
   }
   run->endProposed_ = true;
+  roundPending_.ends_.emplace_back(aView.Record().key_, aTask);
   v1::RunEnd& end = *round_.add_changes()->mutable_run_end();
   *end.mutable_task() = JobStore::NameOf(aTask);
   end.set_run(aRun);
@@ -173,9 +168,43 @@
   if (aResult.clock_) {
     view->Lease().Observe(*aResult.clock_, aNow);
   }
+  ++view->listings_;
   TakeEnds(aNow, *view, aListing);
   TakeRunning(aNow, *view, aListing);
-  FindLost(aNow, *view, aSentAt, aListing);
+  if (aListing.ended_.size() < kMostEndsListed) {
+    FindLost(aNow, *view, aSentAt);
+  }
+  Pace(*view);
+}
+
+void FleetScheduler::Pace(InstanceView& aView)
+{
+  for (const PaceChange& change : PaceFillers(aView)) {
+    RunView& run = *aView.FindRun(change.task_, change.run_);
+    run.pacedTo_ = change.percent_;
+    run.paceUnderWay_ = true;
+    actions_.push_back(PaceOrder{ .target_ = TargetOf(aView),
+                                  .ref_ = change.task_,
+                                  .task_ = JobStore::NameOf(change.task_),
+                                  .run_ = change.run_,
+                                  .percent_ = change.percent_ });
+  }
+}
+
+void FleetScheduler::OnPace(const PaceOrder& aOrder, const OrderResult& aResult)
+{
+  deposed_ = deposed_ || aResult.status_ == OrderStatus::kFenced;
+  InstanceView* view = FindView(aOrder.target_.instance_);
+  RunView* run =
+    view != nullptr ? view->FindRun(aOrder.ref_, aOrder.run_) : nullptr;
+  if (run == nullptr) {
+    return;
+  }
+  run->paceUnderWay_ = false;
+  if (aResult.status_ != OrderStatus::kAccepted) {
+    // Not known to be slowed: the next listing decides afresh.
+    run->pacedTo_ = 100;
+  }
 }
 
 void FleetScheduler::TakeEnds(Millis aNow,
@@ -201,6 +230,7 @@
     }
     trace_.onEnd_(*ref, ended, aView.Record().key_);
     run->endProposed_ = true;
+    roundPending_.ends_.emplace_back(aView.Record().key_, *ref);
     if (ended.outcome_ == v1::RUN_DONE) {
       aView.failuresInRow_ = 0;
       if (JobStore::At(*ref).checkpoint_.empty()) {
@@ -233,13 +263,14 @@
                running.run_);
       continue;
     }
+    run->seenInListing_ = aView.listings_;
     if (run->phase_ != RunPhase::kListed) {
       run->phase_ = RunPhase::kListed;
       run->since_ = aNow;
     }
     run->percent_ = running.percent_;
     run->load_ = running.load_;
-    const bool isAtWork = running.percent_ == 100;
+    const bool isAtWork = running.percent_ == kAtWork;
     if (!isAtWork) {
       run->atWorkSince_.reset();
     } else if (!run->atWorkSince_) {
@@ -251,20 +282,12 @@
 // Runs that should be there and are in neither list.
 void FleetScheduler::FindLost(Millis aNow,
                               InstanceView& aView,
-                              Millis aSentAt,
-                              const InstanceListing& aListing)
+                              Millis aSentAt)
 {
-  if (aListing.ended_.size() >= kMostEndsListed) {
-    return;
-  }
-  std::unordered_set<std::string> listed;
-  for (const RunningTask& running : aListing.running_) {
-    listed.insert(KeyOf(running.task_, running.run_));
-  }
   for (auto& [task, run] : aView.Runs()) {
-    const bool isMissing =
-      run.phase_ != RunPhase::kProposed && !run.endProposed_ &&
-      !listed.contains(KeyOf(JobStore::NameOf(task), run.run_));
+    const bool isMissing = run.phase_ != RunPhase::kProposed &&
+                           !run.endProposed_ &&
+                           run.seenInListing_ != aView.listings_;
     if (!isMissing) {
       continue;
     }
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -114,9 +114,9 @@
   return it != services.end() ? &*it : nullptr;
 }
 
-Job* JobStore::FindJob(std::string_view aId) const
+Job* JobStore::FindJob(const std::string& aId) const
 {
-  const auto it = jobs_.find(std::string(aId));
+  const auto it = jobs_.find(aId);
   return it != jobs_.end() ? it->second.get() : nullptr;
 }
 
@@ -411,6 +411,7 @@
     it->second = std::make_unique<Instance>();
     it->second->key_ = key;
   }
+  ++instanceChanges_;
   const uint64_t cursor = it->second->record_.end_cursor();
   it->second->record_ = aRecord;
   it->second->record_.set_end_cursor(std::max(cursor, aRecord.end_cursor()));
@@ -447,6 +448,7 @@
     FinishRun(task, v1::RUN_STOPPED, {});
   }
   instances_.erase(it);
+  ++instanceChanges_;
 }
 
 void JobStore::Forget(const v1::ForgetJob& aJob)
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -155,6 +155,7 @@
   for (const v1::InstanceKey& key : snapshot.departed()) {
     fresh.departed_.push_back(ToKey(key));
   }
+  fresh.instanceChanges_ = instanceChanges_ + 1;
   *this = std::move(fresh);
   return true;
 }
--- a/src/core/jobs/machine_book.cpp
+++ b/src/core/jobs/machine_book.cpp
@@ -4,6 +4,18 @@
 
 namespace vanillahatch {
 
+MachineBook::MachineBook(MachineBookOptions aOptions)
+  : options_(aOptions)
+{
+}
+
+bool MachineBook::MayBeBack(const MachineOp& aOp, Millis aAt) const
+{
+  const Millis least = aOp.order_.pool_.empty() ? options_.leastUpkeep_
+                                                : options_.leastMove_;
+  return aOp.phase_ == MachineOpPhase::kAccepted && aAt - aOp.since_ >= least;
+}
+
 void MachineBook::TakeList(Millis aAskedAt, std::vector<MachineView> aMachines)
 {
   std::map<std::string, MachineView> fresh;
@@ -11,7 +23,7 @@
     const std::string name = machine.machine_;
     const auto op = ops_.find(name);
     const bool isOvertaken =
-      op != ops_.end() && op->second.since_ >= aAskedAt;
+      op != ops_.end() && !MayBeBack(op->second, aAskedAt);
     const auto known = machines_.find(name);
     if (isOvertaken && known != machines_.end()) {
       fresh.emplace(name, known->second);
@@ -26,20 +38,20 @@
   std::erase_if(ops_, [&](const auto& aItem) {
     const MachineOp& op = aItem.second;
     const auto it = machines_.find(aItem.first);
-    if (op.phase_ != MachineOpPhase::kAccepted || op.since_ >= aAskedAt ||
-        it == machines_.end()) {
-      return false;
-    }
-    return it->second.state_ == MachineState::kUp;
+    return MayBeBack(op, aAskedAt) && it != machines_.end() &&
+           it->second.state_ == MachineState::kUp;
   });
 }
 
-void MachineBook::OnInstance(const std::string& aMachine,
+void MachineBook::OnInstance(Millis aNow,
+                             const std::string& aMachine,
                              const std::string& aPool,
                              const InstanceKey& aInstance)
 {
   const MachineOp* held = FindOp(aMachine);
-  const bool isFormer = held != nullptr && held->former_ == aInstance;
+  const bool isFormer =
+    held != nullptr &&
+    (held->former_ == aInstance || !MayBeBack(*held, aNow));
   if (aMachine.empty() || isFormer) {
     return;
   }
@@ -47,10 +59,7 @@
   machine.machine_ = aMachine;
   machine.pool_ = aPool;
   machine.state_ = MachineState::kUp;
-  const auto op = ops_.find(aMachine);
-  if (op != ops_.end() && op->second.phase_ == MachineOpPhase::kAccepted) {
-    ops_.erase(op);
-  }
+  ops_.erase(aMachine);
 }
 
 void MachineBook::Begin(Millis aNow,
--- a/src/gateway/job_gateway.h
+++ b/src/gateway/job_gateway.h
@@ -52,6 +52,10 @@
 
   void Start();
   boost::asio::awaitable<v1::JobReply> Handle(JobCall aCall);
+  void SetSeeds(std::vector<std::string> aSeeds)
+  {
+    finder_.SetSeeds(std::move(aSeeds));
+  }
   // Cancels what is under way; no further call is begun. The io_context must
   // run on until `HasStopped`.
   void Stop();
--- a/src/gateway/leader_finder.cpp
+++ b/src/gateway/leader_finder.cpp
@@ -7,6 +7,11 @@
 {
 }
 
+void LeaderFinder::SetSeeds(std::vector<std::string> aSeeds)
+{
+  options_.seeds_ = std::move(aSeeds);
+}
+
 std::vector<std::string> LeaderFinder::Known() const
 {
   std::set<std::string> known = members_;
--- a/src/gateway/leader_finder.h
+++ b/src/gateway/leader_finder.h
@@ -26,6 +26,8 @@
 public:
   explicit LeaderFinder(LeaderFinderOptions aOptions);
 
+  // The settings name other seeds now.
+  void SetSeeds(std::vector<std::string> aSeeds);
   // Whom to ask next: the believed leader, else the others in turn.
   std::string NextToAsk();
   // A replica's answer; `aLeader` may be empty.
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -143,6 +143,14 @@
   }
 }
 
+void LogReplica::SetReplicas(std::vector<std::string> aNames)
+{
+  RunAt(
+    clock_.Now(),
+    [this, names = std::move(aNames)] { log_->SetReplicas(names); },
+    [] {}); // a stopping replica asks nobody
+}
+
 LogReplicaStatus LogReplica::Status() const
 {
   std::lock_guard lock(statusMutex_);
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -115,6 +115,9 @@
              std::function<void()> aWork,
              std::function<void()> aRefused);
 
+  // The names that a replica which is no member yet asks to be let in.
+  void SetReplicas(std::vector<std::string> aNames);
+
   bool IsLeader() const { return isLeader_; }
   // The term in which this replica leads; 0 while it does not.
   uint64_t LeaderTerm() const { return leaderTerm_; }
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -17,6 +17,8 @@
 constexpr Millis kRoundGap = Millis(10);
 // Rounds come at least this often, for timeouts.
 constexpr Millis kIdleRound = Millis(100);
+// Instances come and go with moves, and descriptors are bounded.
+constexpr Millis kCloseIdleEvery = Seconds(1);
 // Connections for orders to one instance, beside the one that lists.
 constexpr size_t kOrdersAtOnce = 4;
 
@@ -88,8 +90,9 @@
     }
     woken_ = false;
     CheckLeadership();
-    Feed([](FleetScheduler& aScheduler, Millis aNow) {
-      aScheduler.Tick(aNow);
+    CloseIdleConnections();
+    Feed([this](FleetScheduler& aScheduler, Millis aNow) {
+      aScheduler.Tick(aNow, clock_.UnixNow());
     });
     asio::steady_timer gap(io_, std::chrono::milliseconds(kRoundGap.Count()));
     co_await gap.async_wait(
@@ -97,6 +100,15 @@
   }
 }
 
+void FleetDriver::CloseIdleConnections()
+{
+  const Millis now = clock_.Now();
+  if (now - closedIdleAt_ >= kCloseIdleEvery) {
+    closedIdleAt_ = now;
+    instances_.CloseIdle();
+  }
+}
+
 void FleetDriver::CheckLeadership()
 {
   const uint64_t term = replica_.LeaderTerm();
@@ -114,7 +126,9 @@
   store_.With([&](JobStore& aStore) {
     scheduler_ = std::make_unique<FleetScheduler>(
       aStore,
-      FleetSchedulerOptions{ .fencingToken_ = term, .lease_ = options_.lease_ },
+      FleetSchedulerOptions{ .fencingToken_ = term,
+                             .lease_ = options_.lease_,
+                             .machines_ = options_.machines_ },
       MakeTrace(),
       clock_.Now());
     LogInfo(Event::kSchedulerStarted,
@@ -236,9 +250,20 @@
 
 void FleetDriver::Perform(PaceOrder aOrder)
 {
-  Enqueue(aOrder.target_.instance_, [this, aOrder]() -> asio::awaitable<void> {
-    co_await instances_.Pace(aOrder);
-  });
+  Enqueue(aOrder.target_.instance_,
+          [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
+            const OrderResult result = co_await instances_.Pace(aOrder);
+            LogInfo(Event::kRunPaced,
+                    { { "task", TextOf(aOrder.task_) },
+                      { "run", aOrder.run_ },
+                      { "percent", aOrder.percent_ },
+                      { "status", static_cast<int>(result.status_) } });
+            if (generation == generation_) {
+              Feed([&](FleetScheduler& aScheduler, Millis) {
+                aScheduler.OnPace(aOrder, result);
+              });
+            }
+          });
 }
 
 void FleetDriver::Perform(MachineOrder aOrder)
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -16,6 +16,7 @@
 struct FleetDriverOptions
 {
   Millis lease_ = Seconds(5);
+  MachineBookOptions machines_;
 };
 
 class FleetDriver
@@ -53,6 +54,7 @@
 
   boost::asio::awaitable<void> RunRounds();
   void CheckLeadership();
+  void CloseIdleConnections();
   // Calls `aEvent` with the scheduler and carries out what it decides.
   template<class SchedulerEvent>
   void Feed(SchedulerEvent aEvent);
@@ -78,6 +80,7 @@
   FleetDriverOptions options_;
   boost::asio::steady_timer timer_;
   bool woken_ = false;
+  Millis closedIdleAt_;
   std::unique_ptr<FleetScheduler> scheduler_;
   uint64_t term_ = 0; // of the scheduler
   // Grows with each scheduler, so that answers to an earlier one are dropped.
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -22,6 +22,8 @@
   virtual boost::asio::awaitable<OrderResult> Stop(StopOrder aOrder) = 0;
   virtual boost::asio::awaitable<OrderResult> Pace(PaceOrder aOrder) = 0;
   virtual boost::asio::awaitable<ListingReply> Hold(HoldOrder aOrder) = 0;
+  // Closes connections that have not been used for a while.
+  virtual void CloseIdle() = 0;
 };
 
 class MachinePort
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -65,7 +65,7 @@
     return nullptr;
   }
   const auto oldest = std::chrono::steady_clock::now() -
-                      std::chrono::milliseconds(kIdleAge.Count());
+                      std::chrono::milliseconds(options_.idleAge_.Count());
   std::vector<Idle>& idle = it->second;
   while (!idle.empty()) {
     const Idle candidate = std::move(idle.back());
@@ -80,7 +80,7 @@
 void HttpClient::CloseStale()
 {
   const auto oldest = std::chrono::steady_clock::now() -
-                      std::chrono::milliseconds(kIdleAge.Count());
+                      std::chrono::milliseconds(options_.idleAge_.Count());
   for (auto it = idle_.begin(); it != idle_.end();) {
     std::erase_if(it->second, [&](const Idle& aIdle) {
       return aIdle.since_ < oldest || !IsUsable(*aIdle.stream_);
--- /dev/null
+++ b/test/fleet_scheduler_test.cpp
@@ -0,0 +1,305 @@
+#define BOOST_TEST_MODULE fleet_scheduler
+#include "fleet_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+using namespace vanillahatch::test;
+
+namespace {
+
+struct OneServiceFixture
+{
+  OneServiceFixture()
+  {
+    world_.Configure({ { "layout", false }, { "rest", true } },
+                     { { "drafts", "layout" } });
+  }
+
+  bool IsCompleted(const Job& aJob)
+  {
+    return world_.Store().PhaseOf(aJob) == v1::JOB_COMPLETED;
+  }
+
+  FleetWorld world_;
+};
+
+v1::TaskName FirstTask(const Job& aJob)
+{
+  v1::TaskName task;
+  task.set_job(aJob.id_);
+  return task;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Scheduling, OneServiceFixture)
+
+BOOST_AUTO_TEST_CASE(JobRunsItsStepsInOrderAndCompletes)
+{
+  world_.Add("a", "layout");
+  v1::StepSpec second = FleetWorld::StepOf(2, 1000);
+  second.add_after_steps(0);
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(4, 1000), second });
+  world_.RunFor(Millis(300));
+  BOOST_TEST(world_.At("a").running_.size() == 4U);
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+  BOOST_TEST(world_.Starts() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(TasksNeverExceedTheRoomOfAnInstance)
+{
+  world_.Add("a", "layout", 4);
+  world_.Submit("j1", "drafts", { FleetWorld::StepOf(9, 1500) });
+  for (int i = 0; i < 100; ++i) {
+    world_.RunFor(Millis(20));
+    BOOST_TEST(world_.At("a").running_.size() <= 2U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(MaxPerInstanceIsKept)
+{
+  world_.Add("a", "layout");
+  world_.Add("b", "layout");
+  v1::StepSpec step = FleetWorld::StepOf(6, 500);
+  step.set_max_per_instance(1);
+  world_.Submit("j1", "drafts", { step });
+  world_.RunFor(Millis(300));
+  BOOST_TEST(world_.At("a").running_.size() == 1U);
+  BOOST_TEST(world_.At("b").running_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(DrainingInstanceGetsNoNewTask)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  a.record_.set_draining(true);
+  world_.Report(a);
+  world_.Submit("j1", "drafts", { FleetWorld::StepOf(2, 500) });
+  world_.RunFor(Seconds(1));
+  BOOST_TEST(a.startsSeen_ == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(StartWithoutAnswerIsFoundInTheListingAndNotRepeated)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  a.losesStartAnswers_ = true;
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500) });
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+  BOOST_TEST(world_.Doubts() == 1U);
+  BOOST_TEST(a.startsSeen_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StartThatArrivesAfterItsStopIsRefused)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  a.holdsStartsBack_ = true;
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500, 2000) });
+  world_.RunFor(Millis(300));
+  BOOST_REQUIRE(!a.late_.empty());
+  a.holdsStartsBack_ = false;
+  BOOST_TEST(world_.RunUntil(
+    [&] { return world_.RunningCopies(FirstTask(job)) == 1; }, Seconds(3)));
+  world_.CarryOutLate(a);
+  BOOST_TEST(world_.RunningCopies(FirstTask(job)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TaskOfACutInstanceStartsAgainOnlyAfterItsLeaseLapsed)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500, 60000) });
+  world_.RunFor(Millis(500));
+  BOOST_REQUIRE(a.running_.size() == 1U);
+  a.answers_ = false;
+  world_.Add("b", "layout");
+  size_t most = 0;
+  const bool isAgain = world_.RunUntil(
+    [&] {
+      most = std::max(most, world_.RunningCopies(FirstTask(job)));
+      return world_.At("b").startsSeen_ == 1;
+    },
+    Seconds(12));
+  BOOST_TEST(isAgain);
+  BOOST_TEST(most == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NewLeaderTakesOverWhatRunsWithoutStartingItAgain)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(3, 500, 3000) });
+  world_.RunFor(Millis(500));
+  world_.Lead(2);
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(6)));
+  BOOST_TEST(a.startsSeen_ == 3U);
+  BOOST_TEST(a.fence_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(StartThatAnEarlierLeaderLoggedButNeverSentRunsLater)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500) });
+  v1::JobChanges changes;
+  v1::RunStart& start = *changes.add_changes()->mutable_run_start();
+  *start.mutable_task() = FirstTask(job);
+  start.set_run(1);
+  *start.mutable_instance() = ToMessage(ToKey(a.record_));
+  world_.Store().Apply(changes);
+  world_.Lead(2);
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(4)));
+  BOOST_TEST(a.startsSeen_ == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(CancelledJobIsStopped)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  world_.Submit("j1", "drafts", { FleetWorld::StepOf(2, 500, 60000) });
+  world_.RunFor(Millis(300));
+  BOOST_REQUIRE(a.running_.size() == 2U);
+  v1::JobChanges changes;
+  changes.add_changes()->mutable_cancel_job()->set_id("j1");
+  world_.Store().Apply(changes);
+  world_.RunFor(Millis(300));
+  BOOST_TEST(a.running_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(LastingTaskIsRestartedHoweverItEnds)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::LastingStep(1, 1) });
+  world_.RunFor(Millis(300));
+  BOOST_REQUIRE(a.running_.size() == 1U);
+  a.ended_.push_back({ .number_ = ++a.lastEnd_,
+                       .task_ = FirstTask(job),
+                       .run_ = 1,
+                       .outcome_ = v1::RUN_DONE });
+  a.running_.clear();
+  world_.RunFor(Millis(500));
+  BOOST_TEST(a.running_.size() == 1U);
+  BOOST_TEST(a.running_[0].run_ == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_AUTO_TEST_SUITE(Machines)
+
+// Two services and a spare pool; the demand of one exceeds its pool.
+BOOST_AUTO_TEST_CASE(IdleMachinesFollowTheDemand)
+{
+  FleetWorld world;
+  world.Configure({ { "layout", false }, { "meter", false } },
+                  { { "drafts", "layout" } });
+  for (int i = 0; i < 3; ++i) {
+    world.Add("l" + std::to_string(i), "layout");
+  }
+  for (int i = 0; i < 8; ++i) {
+    world.Add("m" + std::to_string(i), "meter");
+  }
+  world.RunFor(Seconds(1));
+  for (int i = 0; i < 30; ++i) {
+    world.Submit("j" + std::to_string(i),
+                 "drafts",
+                 { FleetWorld::StepOf(6, 1000, 1000) });
+  }
+  world.RunFor(Seconds(4));
+  size_t moved = 0;
+  for (const MachineOrder& order : world.MachineOrders()) {
+    moved += order.pool_ == "layout" ? 1 : 0;
+  }
+  BOOST_TEST(moved >= 3U);
+  BOOST_TEST(moved <= 6U); // "meter" keeps its least machines
+}
+
+BOOST_AUTO_TEST_CASE(MachineThatCarriesAnythingIsNeverMoved)
+{
+  FleetWorld world;
+  world.Configure({ { "layout", false }, { "meter", false } },
+                  { { "drafts", "layout" }, { "archive", "meter" } });
+  world.Add("l0", "layout");
+  for (int i = 0; i < 6; ++i) {
+    world.Add("m" + std::to_string(i), "meter", 2);
+  }
+  world.RunFor(Millis(500));
+  world.Submit("kept", "archive", { FleetWorld::LastingStep(6, 1) });
+  world.RunFor(Seconds(1));
+  for (int i = 0; i < 30; ++i) {
+    world.Submit("j" + std::to_string(i),
+                 "drafts",
+                 { FleetWorld::StepOf(6, 1000, 1000) });
+  }
+  world.RunFor(Seconds(4));
+  BOOST_TEST(world.MachineOrders().empty());
+}
+
+BOOST_AUTO_TEST_CASE(WaveIsDoneWithinItsCapAndTheAvailabilityBudget)
+{
+  FleetWorld world;
+  world.Configure({ { "meter", false } }, { { "archive", "meter" } });
+  for (int i = 0; i < 5; ++i) {
+    world.Add("m" + std::to_string(i), "meter", 4);
+  }
+  world.RunFor(Millis(500));
+  const Job& job =
+    world.Submit("kept", "archive", { FleetWorld::LastingStep(4, 1) });
+  world.RunFor(Seconds(1));
+  v1::JobChanges changes;
+  v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+  wave.set_wave(1);
+  wave.set_duration_ms(60000);
+  wave.set_max_concurrent(2);
+  for (int i = 0; i < 5; ++i) {
+    wave.add_machines("m-m" + std::to_string(i));
+  }
+  world.Store().Apply(changes);
+  size_t leastAtWork = 4;
+  const bool isDone = world.RunUntil(
+    [&] {
+      size_t atWork = 0;
+      for (uint32_t i = 0; i < 4; ++i) {
+        v1::TaskName task = FirstTask(job);
+        task.set_index(i);
+        atWork += world.RunningCopies(task);
+      }
+      leastAtWork = std::min(leastAtWork, atWork);
+      return world.Scheduler().IsWaveCompleted(1);
+    },
+    Seconds(60));
+  BOOST_TEST(isDone);
+  BOOST_TEST(leastAtWork >= 3U);
+  BOOST_TEST(world.MostInUpkeep() <= 2U);
+}
+
+BOOST_AUTO_TEST_CASE(UnansweredMachineOrderIsRepeatedUntilItIsAnswered)
+{
+  FleetWorld world;
+  world.Configure({ { "meter", false } }, {});
+  world.Add("m0", "meter");
+  world.RunFor(Millis(500));
+  world.machinesAnswer_ = false;
+  v1::JobChanges changes;
+  v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+  wave.set_wave(1);
+  wave.set_max_concurrent(1);
+  wave.add_machines("m-m0");
+  world.Store().Apply(changes);
+  world.RunFor(Seconds(2));
+  BOOST_TEST(!world.Scheduler().IsWaveCompleted(1));
+  world.machinesAnswer_ = true;
+  world.RunFor(Seconds(1));
+  BOOST_TEST(world.Scheduler().IsWaveCompleted(1));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- /dev/null
+++ b/test/fleet_world.h
@@ -0,0 +1,461 @@
+// A small fleet for tests of FleetScheduler, in virtual time: instances that
+// run tasks under leases, a platform that moves machines, and a log that
+// commits at once. Faults are set on the instances.
+#pragma once
+
+#include "vanillahatch/core/jobs/fleet_scheduler.h"
+
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <functional>
+
+namespace vanillahatch::test {
+
+// One instance as it behaves on its own.
+struct FakeInstance
+{
+  struct Run
+  {
+    v1::TaskName task_;
+    uint32_t run_ = 0;
+    Millis endsAt_; // Millis::Max(): lasts
+  };
+
+  v1::InstanceRecord record_;
+  Millis clockOffset_; // of its own clock
+  uint64_t fence_ = 0;
+  Millis deadline_; // on its own clock
+  std::vector<Run> running_;
+  std::vector<EndedTask> ended_;
+  std::map<std::string, uint32_t> highestEnded_; // run by task
+  uint64_t lastEnd_ = 0;
+  bool answers_ = true;         // false: cut off, but running on
+  bool losesStartAnswers_ = false; // carries starts out, answers nothing
+  std::deque<StartOrder> late_; // carried out by `CarryOutLate`
+  bool holdsStartsBack_ = false; // starts go to `late_`, unanswered
+  uint32_t startsSeen_ = 0;
+};
+
+inline std::string KeyOf(const v1::TaskName& aTask)
+{
+  return aTask.job() + '.' + std::to_string(aTask.occurrence()) + '.' +
+         std::to_string(aTask.step()) + '.' + std::to_string(aTask.index());
+}
+
+class FleetWorld
+{
+public:
+  explicit FleetWorld(uint64_t aFence = 1) { Lead(aFence); }
+
+  // A new leader takes over from the same log.
+  void Lead(uint64_t aFence)
+  {
+    fence_ = aFence;
+    scheduler_ = std::make_unique<FleetScheduler>(
+      store_,
+      FleetSchedulerOptions{ .fencingToken_ = aFence },
+      SchedulerTrace{
+        .onStart_ = [this](const StartOrder&) { ++starts_; },
+        .onEnd_ = [](const TaskRef&, const EndedTask&, const InstanceKey&) {},
+        .onInstance_ = [](const InstanceKey&, std::string_view) {},
+        .onDoubt_ = [this](const TaskRef&,
+                           uint32_t,
+                           std::string_view) { ++doubts_; },
+        .onMachine_ = [this](const MachineOrder& aOrder,
+                             std::string_view) { orders_.push_back(aOrder); },
+        .onPool_ = [](const PoolLoad&) {},
+      },
+      now_);
+  }
+
+  void Configure(std::vector<std::pair<std::string, bool>> aServices,
+                 std::vector<std::pair<std::string, std::string>> aQueues)
+  {
+    v1::JobChanges changes;
+    v1::FleetDocument& config = *changes.add_changes()->mutable_put_config();
+    config.set_version(store_.Config().version() + 1);
+    for (const auto& [name, isSpare] : aServices) {
+      v1::ServiceSpec& service = *config.add_services();
+      service.set_name(name);
+      service.set_spare(isSpare);
+      service.set_enforces_capacity(true);
+    }
+    for (const auto& [name, service] : aQueues) {
+      v1::QueueSpec& queue = *config.add_queues();
+      queue.set_name(name);
+      queue.set_host("host");
+      queue.set_path_prefix("/" + name + "/");
+      queue.set_service(service);
+      queue.set_max_attempts(3);
+      queue.set_stretch(1.6);
+      queue.set_target_latency_ms(600);
+    }
+    store_.Apply(changes);
+  }
+
+  FakeInstance& Add(const std::string& aId,
+                    const std::string& aService,
+                    uint32_t aCores = 16,
+                    int64_t aBorn = 1000)
+  {
+    FakeInstance& instance = instances_[aId];
+    instance = {};
+    instance.record_.set_id(aId);
+    instance.record_.set_born_unix_ms(aBorn);
+    instance.record_.set_address("10.0.0.1");
+    instance.record_.set_port(80);
+    instance.record_.set_service(aService);
+    instance.record_.set_machine("m-" + aId);
+    instance.record_.mutable_capacity()->set_cpu_millis(aCores * 1000);
+    instance.record_.mutable_capacity()->set_memory_mb(64000);
+    instance.clockOffset_ = Millis(5000);
+    Report(instance);
+    return instance;
+  }
+
+  void Report(const FakeInstance& aInstance)
+  {
+    v1::JobChanges changes;
+    *changes.add_changes()->mutable_put_instance() = aInstance.record_;
+    store_.Apply(changes);
+    scheduler_->OnReport(
+      now_, ToKey(aInstance.record_), now_ + aInstance.clockOffset_);
+  }
+
+  Job& Submit(const std::string& aId,
+              const std::string& aQueue,
+              std::vector<v1::StepSpec> aSteps)
+  {
+    v1::JobChanges changes;
+    v1::AcceptJob& job = *changes.add_changes()->mutable_accept_job();
+    job.set_id(aId);
+    job.set_queue(aQueue);
+    job.set_service(store_.FindQueue(aQueue)->service());
+    for (v1::StepSpec& step : aSteps) {
+      *job.mutable_spec()->add_steps() = std::move(step);
+    }
+    store_.Apply(changes);
+    return *store_.FindJob(aId);
+  }
+
+  static v1::StepSpec StepOf(uint32_t aTasks,
+                             uint32_t aCpuMillis,
+                             uint32_t aRunMs = 600)
+  {
+    v1::StepSpec step;
+    step.set_task_count(aTasks);
+    step.mutable_need()->set_cpu_millis(aCpuMillis);
+    step.mutable_need()->set_memory_mb(1000);
+    step.set_estimated_run_ms(aRunMs);
+    return step;
+  }
+
+  static v1::StepSpec LastingStep(uint32_t aTasks, uint32_t aMaxUnavailable)
+  {
+    v1::StepSpec step = StepOf(aTasks, 1500, 0);
+    step.set_lasting(true);
+    step.set_max_unavailable(aMaxUnavailable);
+    return step;
+  }
+
+  void RunFor(Millis aSpan)
+  {
+    constexpr Millis kRound = Millis(10);
+    for (const Millis until = now_ + aSpan; now_ < until;) {
+      now_ = now_ + kRound;
+      for (auto& [id, instance] : instances_) {
+        Advance(instance);
+      }
+      FinishMachines();
+      scheduler_->Tick(now_, now_);
+      Perform();
+    }
+  }
+
+  bool RunUntil(const std::function<bool()>& aHolds, Millis aWithin)
+  {
+    for (const Millis until = now_ + aWithin; now_ < until;) {
+      RunFor(Millis(10));
+      if (aHolds()) {
+        return true;
+      }
+    }
+    return false;
+  }
+
+  // Orders that were held back arrive now.
+  void CarryOutLate(FakeInstance& aInstance)
+  {
+    while (!aInstance.late_.empty()) {
+      const StartOrder order = aInstance.late_.front();
+      aInstance.late_.pop_front();
+      (void)StartOn(aInstance, order);
+    }
+  }
+
+  size_t RunningCopies(const v1::TaskName& aTask) const
+  {
+    size_t copies = 0;
+    for (const auto& [id, instance] : instances_) {
+      for (const FakeInstance::Run& run : instance.running_) {
+        copies += KeyOf(run.task_) == KeyOf(aTask) ? 1 : 0;
+      }
+    }
+    return copies;
+  }
+
+  Millis Now() const { return now_; }
+  JobStore& Store() { return store_; }
+  FleetScheduler& Scheduler() { return *scheduler_; }
+  FakeInstance& At(const std::string& aId) { return instances_.at(aId); }
+  const std::vector<MachineOrder>& MachineOrders() const { return orders_; }
+  size_t Starts() const { return starts_; }
+  size_t Doubts() const { return doubts_; }
+  // The most machines that were away for upkeep at once.
+  size_t MostInUpkeep() const { return mostInUpkeep_; }
+  bool machinesAnswer_ = true;
+
+private:
+  struct Away
+  {
+    std::string id_;
+    std::string pool_;
+    bool isUpkeep_ = false;
+    Millis backAt_;
+  };
+
+  void Advance(FakeInstance& aInstance)
+  {
+    const Millis clock = now_ + aInstance.clockOffset_;
+    const bool hasLapsed = clock > aInstance.deadline_;
+    std::vector<FakeInstance::Run> kept;
+    for (FakeInstance::Run& run : aInstance.running_) {
+      if (hasLapsed) {
+        End(aInstance, run, v1::RUN_STOPPED, "lapsed");
+      } else if (now_ >= run.endsAt_) {
+        End(aInstance, run, v1::RUN_DONE, "done");
+      } else {
+        kept.push_back(std::move(run));
+      }
+    }
+    aInstance.running_ = std::move(kept);
+  }
+
+  static void End(FakeInstance& aInstance,
+                  const FakeInstance::Run& aRun,
+                  v1::RunOutcome aOutcome,
+                  std::string aReason)
+  {
+    aInstance.highestEnded_[KeyOf(aRun.task_)] = aRun.run_;
+    aInstance.ended_.push_back({ .number_ = ++aInstance.lastEnd_,
+                                 .task_ = aRun.task_,
+                                 .run_ = aRun.run_,
+                                 .outcome_ = aOutcome,
+                                 .reason_ = std::move(aReason) });
+  }
+
+  OrderResult StartOn(FakeInstance& aInstance, const StartOrder& aOrder)
+  {
+    const Millis clock = now_ + aInstance.clockOffset_;
+    const auto refuse = [&](OrderStatus aStatus) {
+      return OrderResult{ .status_ = aStatus, .clock_ = clock };
+    };
+    if (aOrder.target_.fencingToken_ < aInstance.fence_) {
+      return refuse(OrderStatus::kFenced);
+    }
+    aInstance.fence_ = aOrder.target_.fencingToken_;
+    const auto ended = aInstance.highestEnded_.find(KeyOf(aOrder.task_));
+    if (ended != aInstance.highestEnded_.end() &&
+        ended->second >= aOrder.run_) {
+      return refuse(OrderStatus::kRunTooOld);
+    }
+    if (clock > aOrder.deadline_) {
+      return refuse(OrderStatus::kPastDeadline);
+    }
+    ++aInstance.startsSeen_;
+    aInstance.deadline_ = std::max(aInstance.deadline_, aOrder.deadline_);
+    const v1::StepSpec& spec = JobStore::SpecOf(aOrder.ref_);
+    aInstance.running_.push_back(
+      { .task_ = aOrder.task_,
+        .run_ = aOrder.run_,
+        .endsAt_ = spec.lasting()
+                     ? Millis::Max()
+                     : now_ + Millis(spec.estimated_run_ms()) });
+    return { .status_ = OrderStatus::kAccepted, .clock_ = clock };
+  }
+
+  FakeInstance* Reach(const OrderTarget& aTarget)
+  {
+    const auto it = instances_.find(aTarget.instance_.id_);
+    const bool isThere =
+      it != instances_.end() && it->second.answers_ &&
+      ToKey(it->second.record_) == aTarget.instance_;
+    return isThere ? &it->second : nullptr;
+  }
+
+  void Perform()
+  {
+    for (int round = 0; round < 4; ++round) {
+      for (SchedulerAction& action : scheduler_->Take()) {
+        std::visit([this](auto& aOne) { Perform(aOne); }, action);
+      }
+    }
+  }
+
+  void Perform(Proposal& aProposal)
+  {
+    // What a real log does with the entry: nothing keeps references into it.
+    v1::JobChanges changes;
+    changes.ParseFromString(aProposal.changes_.SerializeAsString());
+    store_.Apply(changes);
+    scheduler_->OnCommitted(now_, aProposal.number_);
+  }
+
+  void Perform(StartOrder& aOrder)
+  {
+    FakeInstance* instance = Reach(aOrder.target_);
+    OrderResult result{ .status_ = OrderStatus::kUnknown };
+    if (instance != nullptr && instance->holdsStartsBack_) {
+      instance->late_.push_back(aOrder);
+    } else if (instance != nullptr) {
+      const OrderResult answer = StartOn(*instance, aOrder);
+      result = instance->losesStartAnswers_ ? result : answer;
+    }
+    scheduler_->OnStart(now_, aOrder, result);
+  }
+
+  void Perform(StopOrder& aOrder)
+  {
+    FakeInstance* instance = Reach(aOrder.target_);
+    OrderResult result{ .status_ = OrderStatus::kUnknown };
+    if (instance != nullptr) {
+      uint32_t& highest = instance->highestEnded_[KeyOf(aOrder.task_)];
+      std::erase_if(instance->running_, [&](const FakeInstance::Run& aRun) {
+        const bool isIt = KeyOf(aRun.task_) == KeyOf(aOrder.task_) &&
+                          aRun.run_ == aOrder.run_;
+        if (isIt) {
+          End(*instance, aRun, v1::RUN_STOPPED, "stopped");
+        }
+        return isIt;
+      });
+      highest = std::max(highest, aOrder.run_);
+      result = { .status_ = OrderStatus::kAccepted,
+                 .clock_ = now_ + instance->clockOffset_ };
+    }
+    scheduler_->OnStop(now_, aOrder, result);
+  }
+
+  void Perform(HoldOrder& aOrder)
+  {
+    FakeInstance* instance = Reach(aOrder.target_);
+    if (instance == nullptr) {
+      scheduler_->OnListing(
+        now_, aOrder, now_, { .status_ = OrderStatus::kUnknown }, {});
+      return;
+    }
+    instance->fence_ =
+      std::max(instance->fence_, aOrder.target_.fencingToken_);
+    if (aOrder.deadline_) {
+      instance->deadline_ = std::max(instance->deadline_, *aOrder.deadline_);
+    }
+    std::erase_if(instance->ended_, [&](const EndedTask& aEnded) {
+      return aEnded.number_ <= aOrder.endCursor_;
+    });
+    InstanceListing listing{ .ended_ = instance->ended_,
+                             .bornUnixMs_ =
+                               instance->record_.born_unix_ms() };
+    for (const FakeInstance::Run& run : instance->running_) {
+      listing.running_.push_back(
+        { .task_ = run.task_, .run_ = run.run_, .percent_ = 100 });
+    }
+    scheduler_->OnListing(now_,
+                          aOrder,
+                          now_ - Millis(1),
+                          { .status_ = OrderStatus::kAccepted,
+                            .clock_ = now_ + instance->clockOffset_ },
+                          listing);
+  }
+
+  void Perform(PaceOrder& aOrder)
+  {
+    scheduler_->OnPace(aOrder, { .status_ = OrderStatus::kAccepted });
+  }
+
+  void Perform(MachineOrder& aOrder)
+  {
+    if (!machinesAnswer_) {
+      scheduler_->OnMachineAnswer(now_, aOrder, MachineOrderStatus::kUnknown);
+      return;
+    }
+    const std::string id = aOrder.machine_.substr(2);
+    const auto it = instances_.find(id);
+    const std::string pool =
+      aOrder.pool_.empty() && it != instances_.end()
+        ? it->second.record_.service()
+        : aOrder.pool_;
+    constexpr Millis kAwayFor = Seconds(2);
+    away_.push_back({ .id_ = id,
+                      .pool_ = pool,
+                      .isUpkeep_ = aOrder.pool_.empty(),
+                      .backAt_ = now_ + kAwayFor });
+    if (it != instances_.end()) {
+      it->second.running_.clear();
+      it->second.answers_ = false;
+    }
+    const auto inUpkeep = std::count_if(
+      away_.begin(), away_.end(), [](const Away& aAway) {
+        return aAway.isUpkeep_;
+      });
+    mostInUpkeep_ = std::max(mostInUpkeep_, static_cast<size_t>(inUpkeep));
+    scheduler_->OnMachineAnswer(now_, aOrder, MachineOrderStatus::kAccepted);
+  }
+
+  void Perform(MachineListOrder& /*aOrder*/)
+  {
+    std::vector<MachineView> machines;
+    for (const auto& [id, instance] : instances_) {
+      const bool isAway =
+        std::any_of(away_.begin(), away_.end(), [&](const Away& aAway) {
+          return aAway.id_ == id;
+        });
+      machines.push_back(
+        { .machine_ = "m-" + id,
+          .pool_ = instance.record_.service(),
+          .state_ = isAway ? MachineState::kMoving : MachineState::kUp,
+          .instance_ = id });
+    }
+    scheduler_->OnMachines(now_, std::move(machines));
+  }
+
+  void FinishMachines()
+  {
+    for (size_t i = 0; i < away_.size();) {
+      if (away_[i].backAt_ > now_) {
+        ++i;
+        continue;
+      }
+      const Away back = away_[i];
+      away_.erase(away_.begin() + static_cast<std::ptrdiff_t>(i));
+      const int64_t born =
+        instances_.at(back.id_).record_.born_unix_ms() + 1000;
+      const bool isSpare = store_.FindService(back.pool_) != nullptr &&
+                           store_.FindService(back.pool_)->spare();
+      if (!isSpare) {
+        Add(back.id_, back.pool_, 16, born);
+      }
+    }
+  }
+
+  Millis now_ = Seconds(1000);
+  uint64_t fence_ = 1;
+  JobStore store_;
+  std::unique_ptr<FleetScheduler> scheduler_;
+  std::map<std::string, FakeInstance> instances_;
+  std::vector<Away> away_;
+  std::vector<MachineOrder> orders_;
+  size_t starts_ = 0;
+  size_t doubts_ = 0;
+  size_t mostInUpkeep_ = 0;
+};
+
+} // namespace vanillahatch::test
--- /dev/null
+++ b/test/instance_lease_test.cpp
@@ -0,0 +1,38 @@
+#define BOOST_TEST_MODULE instance_lease
+#include "vanillahatch/core/jobs/instance_lease.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+
+BOOST_AUTO_TEST_CASE(LeaseOfAnUnknownClockLapsesAfterTheLongestLease)
+{
+  const InstanceLease lease(Seconds(5), Seconds(100));
+  BOOST_TEST(!lease.HasLapsed(Seconds(105)));
+  // A clock that loses two percent needs longer for the same span.
+  BOOST_TEST(lease.HasLapsed(Millis(105400)));
+}
+
+BOOST_AUTO_TEST_CASE(LeaseLapsesOnTheSlowestPossibleClock)
+{
+  InstanceLease lease(Seconds(5), Seconds(100));
+  lease.Observe(Seconds(20), Seconds(100));
+  lease.Extend(Seconds(26));
+  BOOST_TEST(!lease.HasLapsed(Seconds(106)));
+  BOOST_TEST(lease.HasLapsed(Millis(106300)));
+}
+
+BOOST_AUTO_TEST_CASE(FirstAnswerStillAllowsForLeasesOfAnEarlierLeader)
+{
+  InstanceLease lease(Seconds(5), Seconds(100));
+  lease.Observe(Seconds(20), Seconds(101));
+  BOOST_TEST(!lease.HasLapsed(Seconds(106)));
+}
+
+BOOST_AUTO_TEST_CASE(OvertakenAnswerDoesNotTurnTheClockBack)
+{
+  InstanceLease lease(Seconds(5), Seconds(100));
+  lease.Observe(Seconds(30), Seconds(110));
+  lease.Observe(Seconds(25), Seconds(111));
+  BOOST_TEST(lease.ClockAt(Seconds(111)).Count() >= Seconds(30).Count());
+}
--- /dev/null
+++ b/test/job_order_test.cpp
@@ -0,0 +1,97 @@
+#define BOOST_TEST_MODULE job_order
+#include "vanillahatch/core/jobs/job_order.h"
+
+#include <algorithm>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <vector>
+
+using namespace vanillahatch;
+
+namespace {
+
+JobProgress MakeJob(Millis aArrivedAt, Millis aChain, uint64_t aOrder = 0)
+{
+  return { .arrivedAt_ = aArrivedAt,
+           .objective_ = aChain * 8 / 5 + Millis(600),
+           .remainingChain_ = aChain,
+           .order_ = aOrder };
+}
+
+// Plays jobs of 640 ms that arrive faster than `aServers` can serve them, and
+// returns the share that is in time.
+double ShareInTime(int aServers,
+                   Millis aGap,
+                   bool aFirstComeFirstServed,
+                   bool aEarliestDueFirst)
+{
+  constexpr Millis kWork = Millis(640);
+  constexpr int kJobs = 400;
+  std::vector<JobProgress> waiting;
+  std::vector<Millis> busyUntil(static_cast<size_t>(aServers));
+  int inTime = 0;
+  int arrived = 0;
+  for (Millis now; arrived < kJobs || !waiting.empty(); now = now + Millis(1)) {
+    while (arrived < kJobs && aGap * arrived <= now) {
+      waiting.push_back(MakeJob(now, kWork, static_cast<uint64_t>(arrived++)));
+    }
+    for (Millis& until : busyUntil) {
+      if (until > now || waiting.empty()) {
+        continue;
+      }
+      const auto best = std::min_element(
+        waiting.begin(), waiting.end(), [&](const auto& aL, const auto& aR) {
+          if (aFirstComeFirstServed) {
+            return aL.order_ < aR.order_;
+          }
+          if (aEarliestDueFirst) {
+            return aL.arrivedAt_ + aL.objective_ < aR.arrivedAt_ + aR.objective_;
+          }
+          return ComesBefore(RankJob(now, aL), RankJob(now, aR));
+        });
+      until = now + kWork;
+      inTime += until <= best->arrivedAt_ + best->objective_ ? 1 : 0;
+      waiting.erase(best);
+    }
+  }
+  return static_cast<double>(inTime) / kJobs;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(WhatCanBeInTimeComesBeforeWhatCannot)
+{
+  const Millis now = Seconds(10);
+  const JobUrgency late = RankJob(now, MakeJob(Seconds(8), Millis(640)));
+  const JobUrgency fresh = RankJob(now, MakeJob(Seconds(10), Millis(640)));
+  BOOST_TEST(ComesBefore(fresh, late));
+}
+
+BOOST_AUTO_TEST_CASE(BegunJobIsFinishedBeforeANewOneBegins)
+{
+  JobProgress begun = MakeJob(Seconds(10), Millis(640));
+  begun.isBegun_ = true;
+  const JobUrgency fresh =
+    RankJob(Seconds(10), MakeJob(Millis(9900), Millis(640)));
+  BOOST_TEST(ComesBefore(RankJob(Seconds(10), begun), fresh));
+}
+
+BOOST_AUTO_TEST_CASE(OverdueJobStillComesAtLast)
+{
+  const JobUrgency overdue = RankJob(Seconds(60), MakeJob({}, Millis(640)));
+  const JobUrgency late = RankJob(Seconds(60), MakeJob(Seconds(58), Millis(640)));
+  BOOST_TEST(ComesBefore(late, overdue));
+  BOOST_TEST((overdue.class_ == UrgencyClass::kOverdue));
+}
+
+// The load of a turn: a third more arrives than can be served.
+BOOST_AUTO_TEST_CASE(OverloadLeavesMostOfWhatFitsInTime)
+{
+  constexpr int kServers = 8;
+  constexpr Millis kGap = Millis(60); // 10.7 servers are asked for
+  const double fits = 8 / 10.67;
+  const double ours = ShareInTime(kServers, kGap, false, false);
+  BOOST_TEST(ours > 0.85 * fits);
+  BOOST_TEST(ours > 2 * ShareInTime(kServers, kGap, true, false));
+  BOOST_TEST(ours > 2 * ShareInTime(kServers, kGap, false, true));
+}
--- /dev/null
+++ b/test/job_store_test.cpp
@@ -0,0 +1,221 @@
+#define BOOST_TEST_MODULE job_store
+#include "vanillahatch/core/jobs/job_store.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+
+namespace {
+
+v1::JobChange Accept(const std::string& aId, uint32_t aTasks)
+{
+  v1::JobChange change;
+  v1::AcceptJob& job = *change.mutable_accept_job();
+  job.set_id(aId);
+  job.set_queue("drafts");
+  v1::StepSpec& step = *job.mutable_spec()->add_steps();
+  step.set_task_count(aTasks);
+  return change;
+}
+
+v1::JobChange PutInstance(const std::string& aId, int64_t aBorn)
+{
+  v1::JobChange change;
+  change.mutable_put_instance()->set_id(aId);
+  change.mutable_put_instance()->set_born_unix_ms(aBorn);
+  return change;
+}
+
+v1::JobChange Start(const std::string& aJob,
+                    uint32_t aIndex,
+                    uint32_t aRun,
+                    const std::string& aInstance)
+{
+  v1::JobChange change;
+  v1::RunStart& start = *change.mutable_run_start();
+  start.mutable_task()->set_job(aJob);
+  start.mutable_task()->set_index(aIndex);
+  start.set_run(aRun);
+  start.mutable_instance()->set_id(aInstance);
+  start.mutable_instance()->set_born_unix_ms(1);
+  return change;
+}
+
+v1::JobChange End(const std::string& aJob,
+                  uint32_t aIndex,
+                  uint32_t aRun,
+                  const std::string& aInstance,
+                  v1::RunOutcome aOutcome)
+{
+  v1::JobChange change;
+  v1::RunEnd& end = *change.mutable_run_end();
+  end.mutable_task()->set_job(aJob);
+  end.mutable_task()->set_index(aIndex);
+  end.set_run(aRun);
+  end.mutable_instance()->set_id(aInstance);
+  end.mutable_instance()->set_born_unix_ms(1);
+  end.set_outcome(aOutcome);
+  return change;
+}
+
+void Apply(JobStore& aStore, std::vector<v1::JobChange> aChanges)
+{
+  v1::JobChanges changes;
+  for (v1::JobChange& change : aChanges) {
+    *changes.add_changes() = std::move(change);
+  }
+  aStore.Apply(changes);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(SameJobSentAgainIsOneJob)
+{
+  JobStore store;
+  Apply(store, { Accept("j", 1), Accept("j", 1) });
+  BOOST_TEST(store.JobCount() == 1U);
+  BOOST_TEST(store.WaitingJobs("drafts") == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(JobIsCompletedWhenItsLastTaskIsDone)
+{
+  JobStore store;
+  Apply(store,
+        { Accept("j", 2),
+          PutInstance("a", 1),
+          Start("j", 0, 1, "a"),
+          Start("j", 1, 1, "a"),
+          End("j", 0, 1, "a", v1::RUN_DONE) });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
+  Apply(store, { End("j", 1, 1, "a", v1::RUN_DONE) });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_COMPLETED);
+  BOOST_TEST(store.OpenJobs().empty());
+}
+
+BOOST_AUTO_TEST_CASE(TaskThatIsTakenIsNotStartedASecondTime)
+{
+  JobStore store;
+  Apply(store,
+        { Accept("j", 1),
+          PutInstance("a", 1),
+          PutInstance("b", 1),
+          Start("j", 0, 1, "a"),
+          Start("j", 0, 2, "b") });
+  const auto ref = store.FindTask(End("j", 0, 1, "a", v1::RUN_DONE)
+                                    .run_end()
+                                    .task());
+  BOOST_TEST(JobStore::At(*ref).run_ == 1U);
+  BOOST_TEST(JobStore::At(*ref).instance_->key_.id_ == "a");
+}
+
+BOOST_AUTO_TEST_CASE(EndOfAnEarlierRunChangesNothing)
+{
+  JobStore store;
+  Apply(store,
+        { Accept("j", 1),
+          PutInstance("a", 1),
+          Start("j", 0, 1, "a"),
+          End("j", 0, 1, "a", v1::RUN_STOPPED),
+          Start("j", 0, 2, "a"),
+          End("j", 0, 1, "a", v1::RUN_DONE) });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
+}
+
+BOOST_AUTO_TEST_CASE(JobFailsAfterItsAttempts)
+{
+  JobStore store;
+  Apply(store, { Accept("j", 1), PutInstance("a", 1) });
+  for (uint32_t run = 1; run <= 3; ++run) {
+    BOOST_TEST(store.PhaseOf(*store.FindJob("j")) != v1::JOB_FAILED);
+    Apply(store,
+          { Start("j", 0, run, "a"), End("j", 0, run, "a", v1::RUN_FAILED) });
+  }
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_FAILED);
+}
+
+BOOST_AUTO_TEST_CASE(LostInstanceFreesItsTasks)
+{
+  JobStore store;
+  Apply(store,
+        { Accept("j", 1), PutInstance("a", 1), Start("j", 0, 1, "a") });
+  v1::JobChange gone;
+  gone.mutable_instance_gone()->mutable_key()->set_id("a");
+  gone.mutable_instance_gone()->mutable_key()->set_born_unix_ms(1);
+  Apply(store, { gone });
+  const Occurrence* occurrence =
+    JobStore::FindOccurrence(*store.FindJob("j"), 0);
+  BOOST_TEST(occurrence->steps_[0].pending_ == 1U);
+  BOOST_TEST(store.Instances().empty());
+}
+
+BOOST_AUTO_TEST_CASE(LateReportOfAnEndedIncarnationSaysNothing)
+{
+  JobStore store;
+  v1::JobChange gone;
+  gone.mutable_instance_gone()->mutable_key()->set_id("a");
+  gone.mutable_instance_gone()->mutable_key()->set_born_unix_ms(1);
+  gone.mutable_instance_gone()->set_final(true);
+  Apply(store, { PutInstance("a", 1), gone, PutInstance("a", 1) });
+  BOOST_TEST(store.Instances().empty());
+  Apply(store, { PutInstance("a", 2) });
+  BOOST_TEST(store.Instances().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(OlderConfigurationChangesNothing)
+{
+  JobStore store;
+  v1::JobChange newer;
+  newer.mutable_put_config()->set_version(7);
+  newer.mutable_put_config()->set_document("seven");
+  v1::JobChange older;
+  older.mutable_put_config()->set_version(6);
+  older.mutable_put_config()->set_document("six");
+  v1::JobChange same = newer;
+  same.mutable_put_config()->set_document("other");
+  Apply(store, { newer, older, same });
+  BOOST_TEST(store.Config().document() == "seven");
+}
+
+BOOST_AUTO_TEST_CASE(LongestPrefixNamesTheQueue)
+{
+  JobStore store;
+  v1::JobChange change;
+  v1::FleetDocument& config = *change.mutable_put_config();
+  config.set_version(1);
+  const auto add = [&](const std::string& aName, const std::string& aPrefix) {
+    v1::QueueSpec& queue = *config.add_queues();
+    queue.set_name(aName);
+    queue.set_host("h");
+    queue.set_path_prefix(aPrefix);
+  };
+  add("short", "/a/");
+  add("long", "/a/b/");
+  Apply(store, { change });
+  BOOST_TEST(store.FindQueueFor("h", "/a/b/1")->name() == "long");
+  BOOST_TEST(store.FindQueueFor("h", "/a/1")->name() == "short");
+  BOOST_TEST(store.FindQueueFor("h", "/b") == nullptr);
+  BOOST_TEST(store.FindQueueFor("other", "/a/1") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(SnapshotRestoresTheWholeState)
+{
+  JobStore store;
+  Apply(store,
+        { Accept("done", 1),
+          Accept("open", 3),
+          Accept("waits", 1),
+          PutInstance("a", 1),
+          Start("done", 0, 1, "a"),
+          End("done", 0, 1, "a", v1::RUN_DONE),
+          Start("open", 0, 1, "a"),
+          Start("open", 1, 1, "a"),
+          End("open", 1, 1, "a", v1::RUN_FAILED) });
+  JobStore restored;
+  BOOST_REQUIRE(restored.Restore(store.Snapshot()));
+  BOOST_TEST(restored.Snapshot() == store.Snapshot());
+  BOOST_TEST(restored.OpenJobs().size() == 2U);
+  BOOST_TEST(restored.WaitingJobs("drafts") == 1U);
+  BOOST_TEST(restored.PhaseOf(*restored.FindJob("done")) ==
+             v1::JOB_COMPLETED);
+  BOOST_TEST(restored.Instances().begin()->second->assigned_.size() == 1U);
+}
--- /dev/null
+++ b/test/platform_messages_test.cpp
@@ -0,0 +1,200 @@
+#define BOOST_TEST_MODULE platform_messages
+#include "platform/config_messages.h"
+#include "platform/job_messages.h"
+#include "platform/machine_client.h"
+#include "platform/runner_messages.h"
+#include "platform/settings.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+using namespace vanillahatch::platform;
+
+namespace {
+
+constexpr std::string_view kConfig =
+  R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/",)"
+  R"("timeout_ms":3000,"target_latency_ms":600,"priority":1,"service":"s",)"
+  R"("max_attempts":4,"stretch":1.6}],"services":[{"name":"s",)"
+  R"("enforces_capacity":true,"spare":false}],"limits":{}})";
+
+std::string Replaced(std::string aText,
+                     const std::string& aWhat,
+                     const std::string& aBy)
+{
+  const size_t at = aText.find(aWhat);
+  BOOST_REQUIRE(at != std::string::npos);
+  return aText.replace(at, aWhat.size(), aBy);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(JobIsDecodedWithTheDefaultsOfMissingFields)
+{
+  const auto job = DecodeJob(
+    R"({"spec":"t","steps":[{"count":4,"cpu":500,"mem_mb":256,)"
+    R"("estimate_ms":900},{"count":2,"after":[0],"long_running":true,)"
+    R"("may_miss":1,"fills":true}]})");
+  BOOST_REQUIRE(job.has_value());
+  BOOST_TEST(job.value().steps(0).task_count() == 4U);
+  BOOST_TEST(job.value().steps(0).need().cpu_millis() == 500U);
+  BOOST_TEST(!job.value().steps(0).lasting());
+  BOOST_TEST(job.value().steps(1).lasting());
+  BOOST_TEST(job.value().steps(1).best_effort());
+  BOOST_TEST(job.value().steps(1).max_unavailable() == 1U);
+  BOOST_TEST(job.value().steps(1).after_steps(0) == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(JobsThatCannotBeReadAreRefused)
+{
+  for (const std::string_view body :
+       { R"({)",
+         R"([])",
+         R"({"steps":[]})",
+         R"({"steps":[{"count":"4"}]})",
+         R"({"steps":[{"count":0}]})",
+         R"({"steps":[{"count":-1}]})",
+         R"({"steps":[{"count":1,"after":[0]}]})",
+         R"({"steps":[{"count":1,"after":["x"]}]})",
+         R"({"steps":[7]})" }) {
+    BOOST_TEST(!DecodeJob(body).has_value(), body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ConfigurationIsKeptAsItWasSent)
+{
+  const auto config = DecodeConfig(kConfig);
+  BOOST_REQUIRE(config.has_value());
+  BOOST_TEST(config.value().document() == kConfig);
+  BOOST_TEST(config.value().version() == 7U);
+  BOOST_TEST(config.value().queues(0).max_attempts() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(InvalidConfigurationsAreRefused)
+{
+  const std::string good(kConfig);
+  BOOST_TEST(!DecodeConfig(good.substr(0, good.size() / 2)).has_value());
+  BOOST_TEST(!DecodeConfig(Replaced(good, R"("service":"s")", R"("service":"x")"))
+                .has_value());
+  BOOST_TEST(!DecodeConfig(Replaced(good, "3000", "0")).has_value());
+  BOOST_TEST(!DecodeConfig(Replaced(good, "7", R"("7")")).has_value());
+  const std::string twice = Replaced(
+    good,
+    R"("stretch":1.6})",
+    R"("stretch":1.6},{"name":"q","host":"h","path_prefix":"/a/",)"
+    R"("timeout_ms":1,"service":"s"})");
+  BOOST_TEST(!DecodeConfig(twice).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ReportIsDecodedWithKindAndRack)
+{
+  const auto report = DecodeReport(
+    "i-1",
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","state":"ready",)"
+    R"("born":17,"capacity":{"cpu":16000,"mem_mb":1,"gpu":0},)"
+    R"("labels":["a","r1-3"],"machine":"m-1","clock_ms":482113,"seq":4})");
+  BOOST_REQUIRE(report.has_value());
+  const v1::InstanceRecord& record = report.value().report_.record_;
+  BOOST_TEST(record.address() == "10.0.0.9");
+  BOOST_TEST(record.port() == 8080U);
+  BOOST_TEST(record.rack() == "r1-3");
+  BOOST_TEST(record.born_unix_ms() == 17);
+  BOOST_TEST(report.value().clock_.Count() == 482113);
+}
+
+BOOST_AUTO_TEST_CASE(ReportsOfAnotherWriterNameNoInstance)
+{
+  for (const std::string_view body :
+       { R"(x)",
+         R"({})",
+         R"({"service":"s","address":"nowhere","state":"ready"})",
+         R"({"service":"s","address":"10.0.0.1:80","state":"asleep"})",
+         R"({"service":3,"address":"10.0.0.1:80","state":"ready"})" }) {
+    BOOST_TEST(!DecodeReport("i", body).has_value(), body);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ListingIsDecoded)
+{
+  const auto listing = DecodeListing(
+    R"({"clock_ms":4,"born":17,"running":[["ab.0.1.17",2,"cp",41,950]],)"
+    R"("ended":[[58,"ab.0.1.9",1,"failed",""],[59,"ab.0.1.8",1,"lapsed","x"]]})");
+  BOOST_REQUIRE(listing.has_value());
+  const InstanceListing& lists = listing.value();
+  BOOST_TEST(lists.running_[0].task_.index() == 17U);
+  BOOST_TEST(lists.running_[0].percent_ == 41U);
+  BOOST_TEST(lists.running_[0].load_ == 950U);
+  BOOST_TEST(lists.ended_[0].number_ == 58U);
+  BOOST_TEST((lists.ended_[0].outcome_ == v1::RUN_FAILED));
+  BOOST_TEST((lists.ended_[1].outcome_ == v1::RUN_STOPPED));
+  BOOST_TEST(!DecodeListing(R"({"running":[]})").has_value());
+  BOOST_TEST(
+    !DecodeListing(R"({"running":[["ab",1,"",1]],"ended":[]})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(RefusalsOfOrdersAreToldApart)
+{
+  const auto decode = [](unsigned aStatus, std::string aBody) {
+    HttpResponse response;
+    response.result(aStatus);
+    response.body() = std::move(aBody);
+    return DecodeOrderResult(response).status_;
+  };
+  BOOST_TEST((decode(200, "{}") == OrderStatus::kAccepted));
+  BOOST_TEST((decode(409, R"({"reason":"fence"})") == OrderStatus::kFenced));
+  BOOST_TEST((decode(409, R"({"reason":"room"})") == OrderStatus::kNoRoom));
+  BOOST_TEST((decode(409, R"({"reason":"late"})") ==
+              OrderStatus::kPastDeadline));
+  BOOST_TEST((decode(421, "") == OrderStatus::kOtherIncarnation));
+  BOOST_TEST((decode(503, "") == OrderStatus::kUnhealthy));
+  BOOST_TEST((decode(500, "") == OrderStatus::kUnknown));
+}
+
+BOOST_AUTO_TEST_CASE(MachinesThatCannotBeReadAreLeftOut)
+{
+  const auto page = DecodeMachines(
+    R"({"machines":[{"machine":"m","pool":"p","state":"up","id":"i"},)"
+    R"({"machine":7},"x"],"next_token":null})");
+  BOOST_REQUIRE(page.has_value());
+  BOOST_TEST(page.value().machines_.size() == 1U);
+  BOOST_TEST((page.value().machines_[0].state_ == MachineState::kUp));
+  BOOST_TEST(page.value().nextToken_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(SettingsOfTheTwoRolesAreRead)
+{
+  const auto settings = ParseNodeSettings(R"(
+node = "core-1"
+ip = "10.1.0.12"
+zone = "a"
+internal_ports = [7060,7075]
+seeds = ["10.1.0.12:8623","10.2.0.26:8623"]
+bootstrap = true
+data_dir = "/data/x"
+unknown = 7
+[listen]
+control = "10.1.0.12:8623"
+[bounds]
+grace_s = 6
+move_s = 1.5
+max_hold_ms = 10000
+far_x = 1.5
+[cloud]
+address = "10.200.0.107:8621"
+rate_per_s = 64.0
+)");
+  BOOST_REQUIRE(settings.has_value());
+  BOOST_TEST(settings.value().seeds_.size() == 2U);
+  BOOST_TEST(settings.value().firstInternalPort_ == 7060);
+  BOOST_TEST(settings.value().machineMove_.Count() == 1500);
+  BOOST_TEST(settings.value().longestLease_.Count() == 10000);
+  BOOST_TEST(settings.value().wrongRackFactor_ == 1.5);
+  BOOST_TEST(!settings.value().clients_.has_value());
+  BOOST_TEST(settings.value().control_->port_ == 8623);
+}
+
+BOOST_AUTO_TEST_CASE(SettingsWithoutAnAddressAreRefused)
+{
+  BOOST_TEST(!ParseNodeSettings("node = \"x\"").has_value());
+  BOOST_TEST(!ParseNodeSettings("node = [").has_value());
+}
