An instance that was idle keeps its lease; open questions are asked at once

Now a lease is renewed unless the latest listing went unanswered. The fake fleet answers listings as late as real ones, which shows this (TaskOnAnInstanceThatWasIdleKeepsItsLease failed first), and showed that a start in doubt waited up to 3 s for long polls; such questions are now asked beside the long poll.

--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -78,6 +78,8 @@
 
   // Reached under the present fencing token.
   bool contacted_ = false;
+  // Its latest listing was not answered.
+  bool isSilent_ = false;
   // Set aside for an operation on its machine.
   bool reserved_ = false;
   // Being emptied for an operation on its machine.
@@ -87,7 +89,8 @@
   bool closed_ = false;
   Millis lastBusyAt_;
   Millis avoidMoveUntil_; // an operation on its machine was refused
-  bool holdUnderWay_ = false;
+  bool holdUnderWay_ = false; // a listing that waits for an end
+  bool lookUnderWay_ = false; // a listing that is answered at once
   Millis nextHoldAt_;
   Millis lastAnswerAt_;
   Millis reportedAt_; // of its own accord
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -10,8 +10,6 @@
 
 // Longest wait of a listing; the platform's bound is 2,000 ms.
 constexpr Millis kLongPoll = Millis(1500);
-// Leases are renewed for so long without an answer.
-constexpr Millis kRenewUnanswered = Millis(1200);
 // After a stop that was not answered.
 constexpr Millis kStopRetry = Millis(300);
 // Between listings of an instance whose filling tasks are paced; the listed
@@ -34,9 +32,22 @@
   return saved != step.tasks_.end() ? saved->checkpoint_ : own.checkpoint_;
 }
 
+// A run of which the next listing decides what becomes of it.
+bool HasOpenQuestion(const InstanceView& aView)
+{
+  return std::any_of(
+    aView.Runs().begin(), aView.Runs().end(), [](const auto& aItem) {
+      const RunView& run = aItem.second;
+      const bool isSought =
+        run.phase_ == RunPhase::kInDoubt && !run.stopWanted_;
+      return !run.endProposed_ && (isSought || run.stoppedAt_);
+    });
+}
+
 Millis WaitFor(const InstanceView& aView)
 {
-  if (aView.Runs().empty() || !aView.contacted_) {
+  if (aView.Runs().empty() || !aView.contacted_ || aView.isSilent_ ||
+      HasOpenQuestion(aView)) {
     return {};
   }
   return NeedsPacing(aView) ? kPacingPoll : kLongPoll;
@@ -175,22 +186,25 @@
     const bool hasNews = cursor > view.confirmedCursor_;
     const bool waitsForLog = view.proposedCursor_ > cursor;
     const bool isWanted = hasRuns || hasNews || !view.contacted_;
-    if (view.holdUnderWay_ || waitsForLog || !isWanted ||
-        aNow < view.nextHoldAt_) {
+    const Millis wait = WaitFor(view);
+    // A long poll may be under way while something has to be known now.
+    const bool isUnderWay = wait > Millis() || !HasOpenQuestion(view)
+                              ? view.holdUnderWay_ || view.lookUnderWay_
+                              : view.lookUnderWay_;
+    if (isUnderWay || waitsForLog || !isWanted || aNow < view.nextHoldAt_) {
       continue;
     }
     HoldOrder order{ .target_ = TargetOf(view),
                      .endCursor_ = cursor,
-                     .wait_ = WaitFor(view) };
+                     .wait_ = wait };
     // An instance that does not answer may still hear: renewing its lease would
     // keep its tasks from ever being started elsewhere.
-    const bool isHeard = aNow - view.lastAnswerAt_ <= kRenewUnanswered;
-    if (view.Lease().IsClockKnown() && hasRuns && isHeard) {
+    if (view.Lease().IsClockKnown() && hasRuns && !view.isSilent_) {
       const Millis deadline = view.Lease().ClockAt(aNow) + options_.lease_;
       view.Lease().Extend(deadline);
       order.deadline_ = deadline;
     }
-    view.holdUnderWay_ = true;
+    (wait > Millis() ? view.holdUnderWay_ : view.lookUnderWay_) = true;
     view.confirmedCursor_ = cursor;
     actions_.push_back(std::move(order));
   }
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -140,7 +140,7 @@
   if (view == nullptr) {
     return;
   }
-  view->holdUnderWay_ = false;
+  (aOrder.wait_ > Millis() ? view->holdUnderWay_ : view->lookUnderWay_) = false;
   if (aResult.status_ == OrderStatus::kFenced) {
     deposed_ = true;
     return;
@@ -154,6 +154,7 @@
     return;
   }
   if (aResult.status_ != OrderStatus::kAccepted) {
+    view->isSilent_ = true;
     view->nextHoldAt_ = aNow + kListingRetry;
     view->confirmedCursor_ = 0;
     view->avoidUntil_ = aNow + kAvoidAfterSilence;
@@ -163,6 +164,7 @@
     view->contacted_ = true;
     trace_.onInstance_(aOrder.target_.instance_, "in contact");
   }
+  view->isSilent_ = false;
   view->lastAnswerAt_ = aNow;
   view->nextHoldAt_ = aNow + kListingGap;
   if (aResult.clock_) {
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -174,6 +174,18 @@
   BOOST_TEST(a.running_.empty());
 }
 
+// Trials on Ryggstein lost lasting tasks 1.5 s after their start: the lease of
+// an instance that had been idle was not renewed.
+BOOST_AUTO_TEST_CASE(TaskOnAnInstanceThatWasIdleKeepsItsLease)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Seconds(20));
+  world_.Submit("j1", "drafts", { FleetWorld::LastingStep(2, 1) });
+  world_.RunFor(Seconds(30));
+  BOOST_TEST(a.running_.size() == 2U);
+  BOOST_TEST(a.startsSeen_ == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(LastingTaskIsRestartedHoweverItEnds)
 {
   FakeInstance& a = world_.Add("a", "layout");
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -51,6 +51,7 @@
   void Lead(uint64_t aFence)
   {
     fence_ = aFence;
+    holds_.clear();
     scheduler_ = std::make_unique<FleetScheduler>(
       store_,
       FleetSchedulerOptions{ .fencingToken_ = aFence },
@@ -166,6 +167,7 @@
       for (auto& [id, instance] : instances_) {
         Advance(instance);
       }
+      AnswerHolds();
       FinishMachines();
       scheduler_->Tick(now_, now_);
       Perform();
@@ -216,6 +218,12 @@
   bool machinesAnswer_ = true;
 
 private:
+  struct HeldListing
+  {
+    HoldOrder order_;
+    Millis sentAt_;
+    Millis answersAt_;
+  };
   struct Away
   {
     std::string id_;
@@ -361,6 +369,38 @@
     std::erase_if(instance->ended_, [&](const EndedTask& aEnded) {
       return aEnded.number_ <= aOrder.endCursor_;
     });
+    holds_.push_back({ .order_ = aOrder,
+                       .sentAt_ = now_,
+                       .answersAt_ = now_ + aOrder.wait_ });
+    AnswerHolds();
+  }
+
+  // Listings wait for an end, as the real ones do.
+  void AnswerHolds()
+  {
+    for (size_t i = 0; i < holds_.size();) {
+      const FakeInstance* instance = Reach(holds_[i].order_.target_);
+      const bool isDue = instance == nullptr || !instance->ended_.empty() ||
+                         now_ >= holds_[i].answersAt_;
+      if (!isDue) {
+        ++i;
+        continue;
+      }
+      const HeldListing held = holds_[i];
+      holds_.erase(holds_.begin() + static_cast<std::ptrdiff_t>(i));
+      Answer(held);
+    }
+  }
+
+  void Answer(const HeldListing& aHeld)
+  {
+    const HoldOrder& aOrder = aHeld.order_;
+    const FakeInstance* instance = Reach(aOrder.target_);
+    if (instance == nullptr) {
+      scheduler_->OnListing(
+        now_, aOrder, aHeld.sentAt_, { .status_ = OrderStatus::kUnknown }, {});
+      return;
+    }
     InstanceListing listing{ .ended_ = instance->ended_,
                              .bornUnixMs_ =
                                instance->record_.born_unix_ms() };
@@ -370,7 +410,7 @@
     }
     scheduler_->OnListing(now_,
                           aOrder,
-                          now_ - Millis(1),
+                          aHeld.sentAt_ - Millis(1),
                           { .status_ = OrderStatus::kAccepted,
                             .clock_ = now_ + instance->clockOffset_ },
                           listing);
@@ -452,6 +492,7 @@
   std::unique_ptr<FleetScheduler> scheduler_;
   std::map<std::string, FakeInstance> instances_;
   std::vector<Away> away_;
+  std::vector<HeldListing> holds_;
   std::vector<MachineOrder> orders_;
   size_t starts_ = 0;
   size_t doubts_ = 0;
