--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -60,7 +60,7 @@
   bool mayFound_ = true;
   // True if replicas of other names may join too.
   bool openMembership_ = false;
-  uint64_t seed_ = 0;                 // must differ from start to start
+  uint64_t seed_ = 0; // must differ from start to start
   LogTiming timing_;
   size_t maxUncommitted_ = 4096;       // entries; more are refused
   size_t maxMessageBytes_ = 256 << 10; // of entries in one message
--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -70,7 +70,9 @@
   void OnCommitted(Millis aNow, uint64_t aNumber);
   // An instance's own report, after its record was put into the store.
   void OnReport(Millis aNow, const InstanceKey& aKey, Millis aClock);
-  void OnStart(Millis aNow, const StartOrder& aOrder, const OrderResult& aResult);
+  void OnStart(Millis aNow,
+               const StartOrder& aOrder,
+               const OrderResult& aResult);
   void OnStop(Millis aNow, const StopOrder& aOrder, const OrderResult& aResult);
   void OnPace(const PaceOrder& aOrder, const OrderResult& aResult);
   void OnListing(Millis aNow,
@@ -141,9 +143,7 @@
     kNow,  // it could not be reached, and may report again
     kGood, // this incarnation is over
   };
-  void ProposeGone(InstanceView& aView,
-                   GoneFor aFor,
-                   std::string_view aReason);
+  void ProposeGone(InstanceView& aView, GoneFor aFor, std::string_view aReason);
 
   // fleet_scheduler_runs.cpp
   void TakeEnds(Millis aNow,
@@ -225,9 +225,9 @@
   std::unordered_map<uint64_t, Arrival> arrivals_;
   uint64_t syncedChanges_ = 0; // of the store's instances
   uint64_t firstOwnOrder_ = 0; // jobs from here on arrived under this leader
-  std::map<std::string, Demand> demands_;   // by service
-  std::map<std::string, Waiting> waiting_;  // by service, in this round
-  std::map<std::string, Room> rooms_;       // by service, in this round
+  std::map<std::string, Demand> demands_;  // by service
+  std::map<std::string, Waiting> waiting_; // by service, in this round
+  std::map<std::string, Room> rooms_;      // by service, in this round
   MachineBook machines_;
   std::map<std::string, Millis> refusedUntil_; // by machine
   bool listUnderWay_ = false;
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -40,11 +40,11 @@
   Millis nextStopAt_;
   std::optional<Millis> stoppedAt_; // when a stop was answered
   bool endProposed_ = false;
-  uint32_t percent_ = 100;     // as listed
-  uint32_t load_ = 0;          // as listed
-  uint32_t pacedTo_ = 100;     // as ordered last
+  uint32_t percent_ = 100; // as listed
+  uint32_t load_ = 0;      // as listed
+  uint32_t pacedTo_ = 100; // as ordered last
   bool paceUnderWay_ = false;
-  uint64_t seenInListing_ = 0; // number of the latest that showed it
+  uint64_t seenInListing_ = 0;        // number of the latest that showed it
   std::optional<Millis> atWorkSince_; // listed at full percent
 };
 
@@ -88,12 +88,12 @@
   // Its pool ebbs: no new work for now, so that its machine can go.
   bool closed_ = false;
   Millis lastBusyAt_;
-  Millis avoidMoveUntil_; // an operation on its machine was refused
+  Millis avoidMoveUntil_;     // an operation on its machine was refused
   bool holdUnderWay_ = false; // a listing that waits for an end
   bool lookUnderWay_ = false; // a listing that is answered at once
   Millis nextHoldAt_;
   Millis lastAnswerAt_;
-  Millis reportedAt_; // of its own accord
+  Millis reportedAt_;            // of its own accord
   uint64_t listings_ = 0;        // that were taken in
   uint64_t confirmedCursor_ = 0; // that it was told last
   uint64_t proposedCursor_ = 0;  // of ends that are on their way to the log
--- a/include/vanillahatch/core/jobs/orders.h
+++ b/include/vanillahatch/core/jobs/orders.h
@@ -73,9 +73,9 @@
 enum class OrderStatus
 {
   kAccepted,
-  kFenced,           // a higher fencing token was seen there
-  kRunTooOld,        // that run or a later one was stopped or ended there
-  kPastDeadline,     // of the order
+  kFenced,       // a higher fencing token was seen there
+  kRunTooOld,    // that run or a later one was stopped or ended there
+  kPastDeadline, // of the order
   kNoRoom,
   kNoTicket,
   kUnhealthy,        // the instance has done nothing
@@ -132,7 +132,7 @@
 {
   kAccepted,
   kFenced,
-  kBusy,      // not up, or leaving
+  kBusy, // not up, or leaving
   kNotOfWave,
   kRefused,
   kThrottled, // nothing was done
@@ -157,8 +157,7 @@
 
 // Asks for the list of all machines.
 struct MachineListOrder
-{
-};
+{};
 
 struct Proposal
 {
--- a/src/control/control_replica.cpp
+++ b/src/control/control_replica.cpp
@@ -28,9 +28,8 @@
       reply.ParseFromString(aResult.reply_);
       return reply;
     case ProposalStatus::kNotLeader:
-      return Refusal(v1::CHANGE_NOT_LEADER,
-                     "this replica does not lead",
-                     aResult.leader_);
+      return Refusal(
+        v1::CHANGE_NOT_LEADER, "this replica does not lead", aResult.leader_);
     case ProposalStatus::kOverloaded:
       return Refusal(
         v1::CHANGE_UNAVAILABLE, "overloaded or stopping", aResult.leader_);
--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -202,7 +202,8 @@
 
 void ControlLog::ResetElectionTimer()
 {
-  SetElectionTimer(options_.timing_.minElectionTimeout_, options_.timing_.maxElectionTimeout_);
+  SetElectionTimer(options_.timing_.minElectionTimeout_,
+                   options_.timing_.maxElectionTimeout_);
 }
 
 void ControlLog::SetElectionTimer(Millis aMin, Millis aMax)
--- a/src/core/control_log_election.cpp
+++ b/src/core/control_log_election.cpp
@@ -126,8 +126,8 @@
   // While a leader is heard nobody is helped to replace it, so a replica that
   // was cut off and comes back does not disturb the others.
   const bool hearsLeader =
-    IsLeader() ||
-    (heardLeader_ && now_ - leaderHeardAt_ < options_.timing_.minElectionTimeout_);
+    IsLeader() || (heardLeader_ && now_ - leaderHeardAt_ <
+                                     options_.timing_.minElectionTimeout_);
   if (!isPreVote && aMessage.term() > term_) {
     BecomeFollower(aMessage.term(), {});
   }
--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -53,15 +53,15 @@
   if (!options_.mayFound_ || options_.replicas_.front() != self_.name()) {
     return;
   }
-  const bool allBlank = std::all_of(options_.replicas_.begin(),
-                                    options_.replicas_.end(),
-                                    [&](const std::string& aName) {
-                                      const auto it = blanks_.find(aName);
-                                      return aName == self_.name() ||
-                                             (it != blanks_.end() &&
-                                              now_ - it->second.second <=
-                                                options_.timing_.minElectionTimeout_);
-                                    });
+  const bool allBlank = std::all_of(
+    options_.replicas_.begin(),
+    options_.replicas_.end(),
+    [&](const std::string& aName) {
+      const auto it = blanks_.find(aName);
+      return aName == self_.name() ||
+             (it != blanks_.end() &&
+              now_ - it->second.second <= options_.timing_.minElectionTimeout_);
+    });
   if (allBlank) {
     Found();
   }
@@ -135,7 +135,8 @@
     }
     return;
   }
-  const bool isKnownName = options_.openMembership_ || std::find(options_.replicas_.begin(),
+  const bool isKnownName = options_.openMembership_ ||
+                           std::find(options_.replicas_.begin(),
                                      options_.replicas_.end(),
                                      from.name()) != options_.replicas_.end();
   if (!IsLeader() || !isKnownName || from.name() == self_.name()) {
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -90,7 +90,8 @@
     return;
   }
   heartbeatAt_ = now_ + options_.timing_.heartbeat_;
-  if (learner_ && now_ - learnerHeardAt_ > options_.timing_.maxElectionTimeout_) {
+  if (learner_ &&
+      now_ - learnerHeardAt_ > options_.timing_.maxElectionTimeout_) {
     learner_.reset();
     RefreshProgress();
   }
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -80,7 +80,8 @@
 {
   return { .instance_ = aView.Record().key_,
            .endpoint_ = { .address_ = aView.Facts().address(),
-                          .port_ = static_cast<uint16_t>(aView.Facts().port()) },
+                          .port_ =
+                            static_cast<uint16_t>(aView.Facts().port()) },
            .fencingToken_ = options_.fencingToken_ };
 }
 
@@ -220,10 +221,8 @@
     run->stopUnderWay_ = true;
     run->nextStopAt_ = aNow + kStopRetry;
   }
-  actions_.push_back(StopOrder{ .target_ = TargetOf(aView),
-                                .ref_ = aTask,
-                                .task_ = aName,
-                                .run_ = aRun });
+  actions_.push_back(StopOrder{
+    .target_ = TargetOf(aView), .ref_ = aTask, .task_ = aName, .run_ = aRun });
 }
 
 // Runs of jobs that have ended otherwise, and runs in doubt.
--- a/src/core/jobs/fleet_scheduler_machines.cpp
+++ b/src/core/jobs/fleet_scheduler_machines.cpp
@@ -101,8 +101,7 @@
           *view, GoneFor::kGood, aOrder.wave_ != 0 ? "upkeep" : "moved");
       }
       if (aOrder.wave_ != 0) {
-        v1::UpkeepBegun& begun =
-          *round_.add_changes()->mutable_upkeep_begun();
+        v1::UpkeepBegun& begun = *round_.add_changes()->mutable_upkeep_begun();
         begun.set_wave(aOrder.wave_);
         begun.set_machine(aOrder.machine_);
       }
@@ -167,8 +166,8 @@
       (isLasting ? pool.lasting_ : pool.wanted_) +=
         run.need_.cpu_millis() / kMillisOfCore;
     }
-    const bool isSilent = aNow - view.lastAnswerAt_ > options_.lease_ / 2 &&
-                          !view.Runs().empty();
+    const bool isSilent =
+      aNow - view.lastAnswerAt_ > options_.lease_ / 2 && !view.Runs().empty();
     if (view.evacuating_ || isSilent) {
       continue;
     }
@@ -204,9 +203,8 @@
                           machine.state_ == MachineState::kUp &&
                           machines_.FindOp(name) == nullptr && !isRefused;
     if (isAtRest) {
-      it->second.idle_.push_back({ .machine_ = name,
-                                   .idleFor_ = kListEvery,
-                                   .cores_ = coresOfMachine });
+      it->second.idle_.push_back(
+        { .machine_ = name, .idleFor_ = kListEvery, .cores_ = coresOfMachine });
     }
   }
   for (const auto& [service, waiting] : waiting_) {
@@ -255,8 +253,7 @@
   const Task& task = JobStore::At(aTask);
   InstanceView* view =
     task.instance_ != nullptr ? FindView(task.instance_->key_) : nullptr;
-  RunView* run =
-    view != nullptr ? view->FindRun(aTask, task.run_) : nullptr;
+  RunView* run = view != nullptr ? view->FindRun(aTask, task.run_) : nullptr;
   return run != nullptr && run->phase_ == RunPhase::kListed &&
          run->atWorkSince_ && !run->stopWanted_ && !run->endProposed_ &&
          !view->goneProposed_ && aNow - view->lastAnswerAt_ <= kFreshListing;
@@ -299,8 +296,8 @@
   consolidatedAt_ = aNow;
   std::map<std::string, std::vector<InstanceView*>> hosts;
   for (auto& [key, view] : views_) {
-    const bool isHost = view.LastingRuns() > 0 && !view.Facts().draining() &&
-                        !view.goneProposed_;
+    const bool isHost =
+      view.LastingRuns() > 0 && !view.Facts().draining() && !view.goneProposed_;
     if (isHost) {
       hosts[view.Facts().service()].push_back(&view);
     }
@@ -362,8 +359,7 @@
     const auto room =
       std::find_if(rooms.begin(), rooms.end(), [&](const Room& aRoom) {
         const auto held = aRoom.bySteps_.find({ task.job_, task.step_ });
-        const uint32_t count =
-          held != aRoom.bySteps_.end() ? held->second : 0;
+        const uint32_t count = held != aRoom.bySteps_.end() ? held->second : 0;
         return aRoom.cpuMillis_ >= run.need_.cpu_millis() &&
                aRoom.memoryMb_ >= run.need_.memory_mb() &&
                (spec.max_per_instance() == 0 ||
@@ -400,17 +396,14 @@
       continue;
     }
     const auto listed = machines_.Machines().find(machine);
-    const bool isUp =
-      view != nullptr ? !view->Facts().draining()
-                      : listed != machines_.Machines().end() &&
-                          listed->second.state_ == MachineState::kUp;
+    const bool isUp = view != nullptr
+                        ? !view->Facts().draining()
+                        : listed != machines_.Machines().end() &&
+                            listed->second.state_ == MachineState::kUp;
     if (isUp && machines_.InUpkeep(number) < aWave.order_.max_concurrent()) {
-      const std::string pool = view != nullptr ? view->Facts().service()
-                                               : listed->second.pool_;
-      Operate(aNow,
-              { .machine_ = machine, .wave_ = number },
-              pool,
-              "upkeep");
+      const std::string pool =
+        view != nullptr ? view->Facts().service() : listed->second.pool_;
+      Operate(aNow, { .machine_ = machine, .wave_ = number }, pool, "upkeep");
     }
   }
   std::sort(busy.begin(), busy.end(), [](auto* aLeft, auto* aRight) {
--- a/src/core/jobs/fleet_scheduler_placing.cpp
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -26,7 +26,8 @@
   if (since < 0) {
     return 0;
   }
-  const int64_t interval = std::max<int64_t>(aJob.spec_.repeat_interval_ms(), 1);
+  const int64_t interval =
+    std::max<int64_t>(aJob.spec_.repeat_interval_ms(), 1);
   const int64_t due = since / interval + 1;
   return static_cast<uint32_t>(
     std::min<int64_t>(due, aJob.spec_.repeat_count()));
@@ -74,8 +75,8 @@
     const Millis chain = RemainingChain(aJob, nullptr);
     arrival.at_ = aNow;
     arrival.objective_ =
-      target + Millis(static_cast<int64_t>(
-                 stretch * static_cast<double>(chain.Count())));
+      target + Millis(static_cast<int64_t>(stretch *
+                                           static_cast<double>(chain.Count())));
     arrival.remainingChain_ = chain;
   }
   const uint32_t stepsDone =
@@ -110,10 +111,9 @@
     if (!hasPending || !JobStore::IsStepReady(aJob, occurrence, step)) {
       continue;
     }
-    aOut.push_back({ .first_ = { .job_ = &aJob,
-                                 .occurrence_ = aOccurrence,
-                                 .step_ = step },
-                     .urgency_ = UrgencyOf(aNow, aJob, occurrence) });
+    aOut.push_back(
+      { .first_ = { .job_ = &aJob, .occurrence_ = aOccurrence, .step_ = step },
+        .urgency_ = UrgencyOf(aNow, aJob, occurrence) });
   }
 }
 
@@ -245,8 +245,7 @@
   const Job& job = *aCandidate.first_.job_;
   const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.first_);
   Waiting& waiting = waiting_[store_.ServiceOf(job)];
-  const double cores =
-    aTasks * OccupiedBy(spec).cpu_millis() / kMillisOfCore;
+  const double cores = aTasks * OccupiedBy(spec).cpu_millis() / kMillisOfCore;
   waiting.cores_ += cores;
   waiting.coreMillis_ +=
     cores * static_cast<double>(times_.Expect(job.queue_, spec).Count());
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -236,9 +236,8 @@
     if (ended.outcome_ == v1::RUN_DONE) {
       aView.failuresInRow_ = 0;
       if (JobStore::At(*ref).checkpoint_.empty()) {
-        times_.Learn(ref->job_->queue_,
-                     JobStore::SpecOf(*ref),
-                     aNow - run->orderedAt_);
+        times_.Learn(
+          ref->job_->queue_, JobStore::SpecOf(*ref), aNow - run->orderedAt_);
       }
     } else if (ended.outcome_ == v1::RUN_FAILED &&
                ++aView.failuresInRow_ >= kSuspiciousFailures) {
@@ -258,11 +257,8 @@
     if (run == nullptr) {
       // Of an earlier leader or an earlier life of the task: nobody waits
       // for it.
-      SendStop(aNow,
-               aView,
-               ref.value_or(TaskRef{}),
-               running.task_,
-               running.run_);
+      SendStop(
+        aNow, aView, ref.value_or(TaskRef{}), running.task_, running.run_);
       continue;
     }
     run->seenInListing_ = aView.listings_;
@@ -282,9 +278,7 @@
 }
 
 // Runs that should be there and are in neither list.
-void FleetScheduler::FindLost(Millis aNow,
-                              InstanceView& aView,
-                              Millis aSentAt)
+void FleetScheduler::FindLost(Millis aNow, InstanceView& aView, Millis aSentAt)
 {
   for (auto& [task, run] : aView.Runs()) {
     const bool isMissing = run.phase_ != RunPhase::kProposed &&
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -88,8 +88,9 @@
 
 bool InstanceView::IsUsable(Millis aNow) const
 {
-  return contacted_ && !reserved_ && !evacuating_ && !closed_ && !goneProposed_ && !Facts().draining() &&
-         lease_.IsClockKnown() && aNow >= avoidUntil_;
+  return contacted_ && !reserved_ && !evacuating_ && !closed_ &&
+         !goneProposed_ && !Facts().draining() && lease_.IsClockKnown() &&
+         aNow >= avoidUntil_;
 }
 
 } // namespace vanillahatch
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -313,8 +313,7 @@
   }
   const Task& task = At(*ref);
   const bool isCurrent = task.phase_ == TaskPhase::kAssigned &&
-                         task.run_ == aEnd.run() &&
-                         task.instance_ == instance;
+                         task.run_ == aEnd.run() && task.instance_ == instance;
   if (isCurrent) {
     FinishRun(*ref, aEnd.outcome(), aEnd.checkpoint());
   }
@@ -419,8 +418,7 @@
 
 bool JobStore::HasDeparted(const InstanceKey& aKey) const
 {
-  return std::find(departed_.begin(), departed_.end(), aKey) !=
-         departed_.end();
+  return std::find(departed_.begin(), departed_.end(), aKey) != departed_.end();
 }
 
 void JobStore::RememberDeparted(const InstanceKey& aKey)
--- a/src/core/jobs/machine_book.cpp
+++ b/src/core/jobs/machine_book.cpp
@@ -11,8 +11,8 @@
 
 bool MachineBook::MayBeBack(const MachineOp& aOp, Millis aAt) const
 {
-  const Millis least = aOp.order_.pool_.empty() ? options_.leastUpkeep_
-                                                : options_.leastMove_;
+  const Millis least =
+    aOp.order_.pool_.empty() ? options_.leastUpkeep_ : options_.leastMove_;
   return aOp.phase_ == MachineOpPhase::kAccepted && aAt - aOp.since_ >= least;
 }
 
@@ -50,8 +50,7 @@
 {
   const MachineOp* held = FindOp(aMachine);
   const bool isFormer =
-    held != nullptr &&
-    (held->former_ == aInstance || !MayBeBack(*held, aNow));
+    held != nullptr && (held->former_ == aInstance || !MayBeBack(*held, aNow));
   if (aMachine.empty() || isFormer) {
     return;
   }
--- a/src/core/jobs/pacing.cpp
+++ b/src/core/jobs/pacing.cpp
@@ -60,15 +60,13 @@
   const uint64_t strain = Strain(aView);
   for (const auto& [task, run] : aView.Runs()) {
     const bool isFiller = JobStore::SpecOf(task).best_effort() &&
-                          run.phase_ == RunPhase::kListed &&
-                          !run.paceUnderWay_;
+                          run.phase_ == RunPhase::kListed && !run.paceUnderWay_;
     if (!isFiller) {
       continue;
     }
     const uint32_t share = NextShare(run.pacedTo_, strain);
     if (share != run.pacedTo_) {
-      changes.push_back(
-        { .task_ = task, .run_ = run.run_, .percent_ = share });
+      changes.push_back({ .task_ = task, .run_ = run.run_, .percent_ = share });
     }
   }
   return changes;
--- a/src/core/jobs/pool_follower.cpp
+++ b/src/core/jobs/pool_follower.cpp
@@ -63,11 +63,10 @@
     if (&pool == &aTaker || !pool.CanGive(aOptions)) {
       continue;
     }
-    const bool isBetter =
-      best == nullptr ||
-      (best->pool_->isSpare_ && !pool.pool_->isSpare_) ||
-      (best->pool_->isSpare_ == pool.pool_->isSpare_ &&
-       pool.Shortage(aOptions) < best->Shortage(aOptions));
+    const bool isBetter = best == nullptr ||
+                          (best->pool_->isSpare_ && !pool.pool_->isSpare_) ||
+                          (best->pool_->isSpare_ == pool.pool_->isSpare_ &&
+                           pool.Shortage(aOptions) < best->Shortage(aOptions));
     if (isBetter) {
       best = &pool;
     }
@@ -75,9 +74,7 @@
   return best;
 }
 
-void Give(Balance& aGiver,
-          Balance& aTaker,
-          std::vector<PoolMove>& aMoves)
+void Give(Balance& aGiver, Balance& aTaker, std::vector<PoolMove>& aMoves)
 {
   const IdleMachine machine = aGiver.Take();
   aTaker.capacity_ += machine.cores_;
@@ -118,11 +115,11 @@
 {
   std::vector<Balance> pools;
   for (const PoolLoad& pool : aPools) {
-    Balance& balance = pools.emplace_back(
-      Balance{ .pool_ = &pool,
-               .capacity_ = pool.capacity_,
-               .machines_ = pool.machineCount_,
-               .idle_ = pool.idle_ });
+    Balance& balance =
+      pools.emplace_back(Balance{ .pool_ = &pool,
+                                  .capacity_ = pool.capacity_,
+                                  .machines_ = pool.machineCount_,
+                                  .idle_ = pool.idle_ });
     std::sort(balance.idle_.begin(),
               balance.idle_.end(),
               [](const IdleMachine& aLeft, const IdleMachine& aRight) {
--- a/src/gateway/job_gateway.cpp
+++ b/src/gateway/job_gateway.cpp
@@ -139,23 +139,22 @@
   const ScopeGuard ended([&] { contexts_.erase(&call->context_); });
   v1::JobService::Stub& stub = StubOf(aReplica);
   const grpc::Status status = co_await AwaitCall([&](auto aDone) {
-    stub.async()->Members(&call->context_,
-                          &call->membersRequest_,
-                          &call->members_,
-                          [call, aDone](grpc::Status aStatus) {
-                            aDone(std::move(aStatus));
-                          });
+    stub.async()->Members(
+      &call->context_,
+      &call->membersRequest_,
+      &call->members_,
+      [call, aDone](grpc::Status aStatus) { aDone(std::move(aStatus)); });
   });
   if (!status.ok()) {
     finder_.OnSilence(aReplica);
     co_return;
   }
-  finder_.OnAnswer(clock_.Now(),
-                   aReplica,
-                   call->members_.leader(),
-                   call->members_.in_force(),
-                   { call->members_.members().begin(),
-                     call->members_.members().end() });
+  finder_.OnAnswer(
+    clock_.Now(),
+    aReplica,
+    call->members_.leader(),
+    call->members_.in_force(),
+    { call->members_.members().begin(), call->members_.members().end() });
 }
 
 asio::awaitable<std::optional<v1::JobReply>> JobGateway::Attempt(
--- a/src/gateway/job_gateway.h
+++ b/src/gateway/job_gateway.h
@@ -32,8 +32,8 @@
 {
   JobCallKind kind_ = JobCallKind::kShow;
   v1::JobPlace place_;
-  v1::JobSpec spec_;  // of a submission
-  Millis waitsFor_;   // how long the caller waits
+  v1::JobSpec spec_; // of a submission
+  Millis waitsFor_;  // how long the caller waits
 };
 
 struct JobGatewayOptions
@@ -67,10 +67,8 @@
   v1::JobService::Stub& StubOf(const std::string& aReplica);
   boost::asio::awaitable<void> WatchLeader();
   boost::asio::awaitable<void> AskMembers(std::string aReplica);
-  boost::asio::awaitable<std::optional<v1::JobReply>> Attempt(
-    const JobCall& aCall,
-    const std::string& aReplica,
-    Millis aTimeout);
+  boost::asio::awaitable<std::optional<v1::JobReply>>
+  Attempt(const JobCall& aCall, const std::string& aReplica, Millis aTimeout);
   boost::asio::awaitable<void> Pause(Millis aSpan);
   void LogReadiness();
 
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -53,8 +53,8 @@
 }
 
 LogReplica::LogReplica(LogReplicaOptions aOptions,
-                               ReplicatedState& aState,
-                               const Clock& aClock)
+                       ReplicatedState& aState,
+                       const Clock& aClock)
   : options_(std::move(aOptions))
   , state_(aState)
   , clock_(aClock)
@@ -87,8 +87,7 @@
   auto contents = store_.Load();
   const bool isLost = !contents;
   if (isLost) {
-    LogWarning(Event::kLogDiskLost,
-               { { "reason", contents.error().detail_ } });
+    LogWarning(Event::kLogDiskLost, { { "reason", contents.error().detail_ } });
     if (const auto created = store_.Create(); !created) {
       LogError(Event::kLogDiskFailed,
                { { "detail", created.error().detail_ } });
@@ -230,8 +229,7 @@
 
 void LogReplica::Handle(ProposalEvent& aEvent)
 {
-  const auto position =
-    log_->Propose(clock_.Now(), std::move(aEvent.payload_));
+  const auto position = log_->Propose(clock_.Now(), std::move(aEvent.payload_));
   if (position) {
     waiting_[position.value().index_] = {
       .term_ = position.value().term_,
@@ -392,8 +390,8 @@
     return isDue;
   });
   for (const Done& done : failed) {
-    done({ .status_ = ProposalStatus::kUnknown,
-           .leader_ = log_->LeaderName() });
+    done(
+      { .status_ = ProposalStatus::kUnknown, .leader_ = log_->LeaderName() });
   }
 }
 
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -42,9 +42,9 @@
 enum class ProposalStatus
 {
   kCommitted,
-  kNotLeader, // nothing was or will be committed; `leader_` may know
+  kNotLeader,  // nothing was or will be committed; `leader_` may know
   kOverloaded, // nothing was or will be committed
-  kUnknown,   // it may have been committed
+  kUnknown,    // it may have been committed
 };
 
 struct ProposalResult
--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -35,16 +35,15 @@
   }
 }
 
-asio::awaitable<ControlReply> FleetControl::PutConfig(
-  v1::FleetDocument aConfig)
+asio::awaitable<ControlReply> FleetControl::PutConfig(v1::FleetDocument aConfig)
 {
   const uint64_t version = aConfig.version();
   v1::JobChanges changes;
   *changes.add_changes()->mutable_put_config() = std::move(aConfig);
   const ControlReply reply = co_await Commit(std::move(changes));
-  LogInfo(Event::kConfigDecided,
-          { { "version", version },
-            { "outcome", static_cast<int>(reply.status_) } });
+  LogInfo(
+    Event::kConfigDecided,
+    { { "version", version }, { "outcome", static_cast<int>(reply.status_) } });
   driver_.Wake();
   co_return reply;
 }
@@ -69,8 +68,7 @@
   *changes.add_changes()->mutable_start_wave() = std::move(aWave);
   const ControlReply reply = co_await Commit(std::move(changes));
   LogInfo(Event::kWaveDecided,
-          { { "wave", wave },
-            { "outcome", static_cast<int>(reply.status_) } });
+          { { "wave", wave }, { "outcome", static_cast<int>(reply.status_) } });
   driver_.Wake();
   co_return reply;
 }
@@ -81,9 +79,8 @@
   if (reply.status_ != ControlStatus::kOk) {
     co_return reply;
   }
-  const bool isKnown = store_.With([&](const JobStore& aStore) {
-    return aStore.Waves().contains(aWave);
-  });
+  const bool isKnown = store_.With(
+    [&](const JobStore& aStore) { return aStore.Waves().contains(aWave); });
   if (!isKnown) {
     reply.status_ = ControlStatus::kNotFound;
     co_return reply;
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -95,8 +95,7 @@
       aScheduler.Tick(aNow, clock_.UnixNow());
     });
     asio::steady_timer gap(io_, std::chrono::milliseconds(kRoundGap.Count()));
-    co_await gap.async_wait(
-      asio::redirect_error(asio::use_awaitable, ignored));
+    co_await gap.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   }
 }
 
@@ -120,7 +119,8 @@
   lanes_.clear();
   term_ = term;
   if (term == 0) {
-    LogInfo(Event::kSchedulerStopped, { { "leader", replica_.Status().leader_ } });
+    LogInfo(Event::kSchedulerStopped,
+            { { "leader", replica_.Status().leader_ } });
     return;
   }
   store_.With([&](JobStore& aStore) {
@@ -192,9 +192,9 @@
           [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
             const Millis sentAt = clock_.Now();
             const OrderResult result = co_await instances_.Start(aOrder);
-            metrics_.Observe("vh_start_milliseconds",
-                             static_cast<double>(
-                               (clock_.Now() - sentAt).Count()));
+            metrics_.Observe(
+              "vh_start_milliseconds",
+              static_cast<double>((clock_.Now() - sentAt).Count()));
             if (result.status_ != OrderStatus::kAccepted) {
               LogWarning(Event::kStartRefused,
                          { { "task", TextOf(aOrder.task_) },
@@ -297,9 +297,9 @@
       auto machines = co_await machines_.List();
       if (generation == generation_) {
         Feed([&](FleetScheduler& aScheduler, Millis) {
-          aScheduler.OnMachines(
-            askedAt,
-            machines ? std::move(*machines) : std::vector<MachineView>());
+          aScheduler.OnMachines(askedAt,
+                                machines ? std::move(*machines)
+                                         : std::vector<MachineView>());
         });
       }
     },
@@ -366,9 +366,8 @@
       // What was once said to drain does not come back in this life.
       fresh.set_draining(fresh.draining() || known->record_.draining());
     }
-    const bool isNew =
-      known == nullptr ||
-      fresh.SerializeAsString() != known->record_.SerializeAsString();
+    const bool isNew = known == nullptr || fresh.SerializeAsString() !=
+                                             known->record_.SerializeAsString();
     if (isNew) {
       *changes.add_changes()->mutable_put_instance() = fresh;
     }
@@ -417,9 +416,8 @@
                   { "fence", aOrder.target_.fencingToken_ } });
       },
     .onEnd_ =
-      [this](const TaskRef&,
-             const EndedTask& aEnded,
-             const InstanceKey& aInstance) {
+      [this](
+        const TaskRef&, const EndedTask& aEnded, const InstanceKey& aInstance) {
         metrics_.Count("vh_ends_total");
         LogInfo(Event::kRunEnded,
                 { { "task", TextOf(aEnded.task_) },
--- a/src/scheduler/job_service.cpp
+++ b/src/scheduler/job_service.cpp
@@ -34,7 +34,9 @@
   return job != nullptr && job->queue_ == aPlace.queue_->name() ? job : nullptr;
 }
 
-void Refuse(v1::JobReply& aReply, v1::JobCallStatus aStatus, std::string aDetail)
+void Refuse(v1::JobReply& aReply,
+            v1::JobCallStatus aStatus,
+            std::string aDetail)
 {
   aReply.set_status(aStatus);
   aReply.set_detail(std::move(aDetail));
@@ -176,9 +178,8 @@
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
   const v1::JobPlace place = aRequest->place();
   if (replica_.IsLeader()) {
-    store_.With([&](const JobStore& aStore) {
-      AnswerState(aStore, place, *aReply);
-    });
+    store_.With(
+      [&](const JobStore& aStore) { AnswerState(aStore, place, *aReply); });
     const bool isPositive =
       aReply->status() == v1::JOB_CALL_OK && !aReply->is_count();
     if (isPositive) {
@@ -187,12 +188,10 @@
     }
     aReply->Clear();
   }
-  Commit({},
-         reactor,
-         aReply,
-         [place](const JobStore& aStore, v1::JobReply& aOut) {
-           AnswerState(aStore, place, aOut);
-         });
+  Commit(
+    {}, reactor, aReply, [place](const JobStore& aStore, v1::JobReply& aOut) {
+      AnswerState(aStore, place, aOut);
+    });
   return reactor;
 }
 
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -2,6 +2,7 @@
 
 #include "vanillahatch/core/bounded_ring.h"
 
+#include <atomic>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
@@ -9,7 +10,6 @@
 #include <log4cplus/logger.h>
 #include <log4cplus/loggingmacros.h>
 #include <log4cplus/spi/loggingevent.h>
-#include <atomic>
 #include <memory>
 #include <thread>
 
@@ -68,13 +68,13 @@
       }
       const uint64_t dropped = dropped_;
       if (dropped != reported && ring_.Size() < kQueueLines / 2) {
-        Append({ .level_ = log4cplus::WARN_LOG_LEVEL,
-                 .at_ = log4cplus::helpers::now(),
-                 .text_ = "event=" +
-                          std::to_string(static_cast<int>(
-                            Event::kLogLinesDropped)) +
-                          " name=log-lines-dropped lines=" +
-                          std::to_string(dropped - reported) });
+        Append(
+          { .level_ = log4cplus::WARN_LOG_LEVEL,
+            .at_ = log4cplus::helpers::now(),
+            .text_ = "event=" +
+                     std::to_string(static_cast<int>(Event::kLogLinesDropped)) +
+                     " name=log-lines-dropped lines=" +
+                     std::to_string(dropped - reported) });
         reported = dropped;
       }
     }
--- a/test/demand_test.cpp
+++ b/test/demand_test.cpp
@@ -50,7 +50,6 @@
 {
   Demand demand;
   demand.Add(Seconds(10), 50000); // 50 core-seconds at once
-  const double foretold =
-    demand.ForecastCores(Millis(10300), Seconds(2));
+  const double foretold = demand.ForecastCores(Millis(10300), Seconds(2));
   BOOST_TEST(foretold < 400.0);
 }
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -222,9 +222,8 @@
   }
   world.RunFor(Seconds(1));
   for (int i = 0; i < 30; ++i) {
-    world.Submit("j" + std::to_string(i),
-                 "drafts",
-                 { FleetWorld::StepOf(6, 1000, 1000) });
+    world.Submit(
+      "j" + std::to_string(i), "drafts", { FleetWorld::StepOf(6, 1000, 1000) });
   }
   world.RunFor(Seconds(4));
   size_t moved = 0;
@@ -248,9 +247,8 @@
   world.Submit("kept", "archive", { FleetWorld::LastingStep(6, 1) });
   world.RunFor(Seconds(1));
   for (int i = 0; i < 30; ++i) {
-    world.Submit("j" + std::to_string(i),
-                 "drafts",
-                 { FleetWorld::StepOf(6, 1000, 1000) });
+    world.Submit(
+      "j" + std::to_string(i), "drafts", { FleetWorld::StepOf(6, 1000, 1000) });
   }
   world.RunFor(Seconds(4));
   BOOST_TEST(world.MachineOrders().empty());
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -29,10 +29,10 @@
   std::vector<EndedTask> ended_;
   std::map<std::string, uint32_t> highestEnded_; // run by task
   uint64_t lastEnd_ = 0;
-  bool answers_ = true;         // false: cut off, but running on
+  bool answers_ = true;            // false: cut off, but running on
   bool losesStartAnswers_ = false; // carries starts out, answers nothing
-  std::deque<StartOrder> late_; // carried out by `CarryOutLate`
-  bool holdsStartsBack_ = false; // starts go to `late_`, unanswered
+  std::deque<StartOrder> late_;    // carried out by `CarryOutLate`
+  bool holdsStartsBack_ = false;   // starts go to `late_`, unanswered
   uint32_t startsSeen_ = 0;
 };
 
@@ -59,9 +59,8 @@
         .onStart_ = [this](const StartOrder&) { ++starts_; },
         .onEnd_ = [](const TaskRef&, const EndedTask&, const InstanceKey&) {},
         .onInstance_ = [](const InstanceKey&, std::string_view) {},
-        .onDoubt_ = [this](const TaskRef&,
-                           uint32_t,
-                           std::string_view) { ++doubts_; },
+        .onDoubt_ =
+          [this](const TaskRef&, uint32_t, std::string_view) { ++doubts_; },
         .onMachine_ = [this](const MachineOrder& aOrder,
                              std::string_view) { orders_.push_back(aOrder); },
         .onPool_ = [](const PoolLoad&) {},
@@ -286,18 +285,16 @@
     aInstance.running_.push_back(
       { .task_ = aOrder.task_,
         .run_ = aOrder.run_,
-        .endsAt_ = spec.lasting()
-                     ? Millis::Max()
-                     : now_ + Millis(spec.estimated_run_ms()) });
+        .endsAt_ = spec.lasting() ? Millis::Max()
+                                  : now_ + Millis(spec.estimated_run_ms()) });
     return { .status_ = OrderStatus::kAccepted, .clock_ = clock };
   }
 
   FakeInstance* Reach(const OrderTarget& aTarget)
   {
     const auto it = instances_.find(aTarget.instance_.id_);
-    const bool isThere =
-      it != instances_.end() && it->second.answers_ &&
-      ToKey(it->second.record_) == aTarget.instance_;
+    const bool isThere = it != instances_.end() && it->second.answers_ &&
+                         ToKey(it->second.record_) == aTarget.instance_;
     return isThere ? &it->second : nullptr;
   }
 
@@ -339,8 +336,8 @@
     if (instance != nullptr) {
       uint32_t& highest = instance->highestEnded_[KeyOf(aOrder.task_)];
       std::erase_if(instance->running_, [&](const FakeInstance::Run& aRun) {
-        const bool isIt = KeyOf(aRun.task_) == KeyOf(aOrder.task_) &&
-                          aRun.run_ == aOrder.run_;
+        const bool isIt =
+          KeyOf(aRun.task_) == KeyOf(aOrder.task_) && aRun.run_ == aOrder.run_;
         if (isIt) {
           End(*instance, aRun, v1::RUN_STOPPED, "stopped");
         }
@@ -361,17 +358,15 @@
         now_, aOrder, now_, { .status_ = OrderStatus::kUnknown }, {});
       return;
     }
-    instance->fence_ =
-      std::max(instance->fence_, aOrder.target_.fencingToken_);
+    instance->fence_ = std::max(instance->fence_, aOrder.target_.fencingToken_);
     if (aOrder.deadline_) {
       instance->deadline_ = std::max(instance->deadline_, *aOrder.deadline_);
     }
     std::erase_if(instance->ended_, [&](const EndedTask& aEnded) {
       return aEnded.number_ <= aOrder.endCursor_;
     });
-    holds_.push_back({ .order_ = aOrder,
-                       .sentAt_ = now_,
-                       .answersAt_ = now_ + aOrder.wait_ });
+    holds_.push_back(
+      { .order_ = aOrder, .sentAt_ = now_, .answersAt_ = now_ + aOrder.wait_ });
     AnswerHolds();
   }
 
@@ -402,8 +397,7 @@
       return;
     }
     InstanceListing listing{ .ended_ = instance->ended_,
-                             .bornUnixMs_ =
-                               instance->record_.born_unix_ms() };
+                             .bornUnixMs_ = instance->record_.born_unix_ms() };
     for (const FakeInstance::Run& run : instance->running_) {
       listing.running_.push_back(
         { .task_ = run.task_, .run_ = run.run_, .percent_ = 100 });
@@ -429,10 +423,9 @@
     }
     const std::string id = aOrder.machine_.substr(2);
     const auto it = instances_.find(id);
-    const std::string pool =
-      aOrder.pool_.empty() && it != instances_.end()
-        ? it->second.record_.service()
-        : aOrder.pool_;
+    const std::string pool = aOrder.pool_.empty() && it != instances_.end()
+                               ? it->second.record_.service()
+                               : aOrder.pool_;
     constexpr Millis kAwayFor = Seconds(2);
     away_.push_back({ .id_ = id,
                       .pool_ = pool,
@@ -442,8 +435,8 @@
       it->second.running_.clear();
       it->second.answers_ = false;
     }
-    const auto inUpkeep = std::count_if(
-      away_.begin(), away_.end(), [](const Away& aAway) {
+    const auto inUpkeep =
+      std::count_if(away_.begin(), away_.end(), [](const Away& aAway) {
         return aAway.isUpkeep_;
       });
     mostInUpkeep_ = std::max(mostInUpkeep_, static_cast<size_t>(inUpkeep));
--- a/test/job_order_test.cpp
+++ b/test/job_order_test.cpp
@@ -45,7 +45,8 @@
             return aL.order_ < aR.order_;
           }
           if (aEarliestDueFirst) {
-            return aL.arrivedAt_ + aL.objective_ < aR.arrivedAt_ + aR.objective_;
+            return aL.arrivedAt_ + aL.objective_ <
+                   aR.arrivedAt_ + aR.objective_;
           }
           return ComesBefore(RankJob(now, aL), RankJob(now, aR));
         });
@@ -79,7 +80,8 @@
 BOOST_AUTO_TEST_CASE(OverdueJobStillComesAtLast)
 {
   const JobUrgency overdue = RankJob(Seconds(60), MakeJob({}, Millis(640)));
-  const JobUrgency late = RankJob(Seconds(60), MakeJob(Seconds(58), Millis(640)));
+  const JobUrgency late =
+    RankJob(Seconds(60), MakeJob(Seconds(58), Millis(640)));
   BOOST_TEST(ComesBefore(late, overdue));
   BOOST_TEST((overdue.class_ == UrgencyClass::kOverdue));
 }
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -101,9 +101,8 @@
           PutInstance("b", 1),
           Start("j", 0, 1, "a"),
           Start("j", 0, 2, "b") });
-  const auto ref = store.FindTask(End("j", 0, 1, "a", v1::RUN_DONE)
-                                    .run_end()
-                                    .task());
+  const auto ref =
+    store.FindTask(End("j", 0, 1, "a", v1::RUN_DONE).run_end().task());
   BOOST_TEST(JobStore::At(*ref).run_ == 1U);
   BOOST_TEST(JobStore::At(*ref).instance_->key_.id_ == "a");
 }
@@ -136,8 +135,7 @@
 BOOST_AUTO_TEST_CASE(LostInstanceFreesItsTasks)
 {
   JobStore store;
-  Apply(store,
-        { Accept("j", 1), PutInstance("a", 1), Start("j", 0, 1, "a") });
+  Apply(store, { Accept("j", 1), PutInstance("a", 1), Start("j", 0, 1, "a") });
   v1::JobChange gone;
   gone.mutable_instance_gone()->mutable_key()->set_id("a");
   gone.mutable_instance_gone()->mutable_key()->set_born_unix_ms(1);
@@ -215,7 +213,6 @@
   BOOST_TEST(restored.Snapshot() == store.Snapshot());
   BOOST_TEST(restored.OpenJobs().size() == 2U);
   BOOST_TEST(restored.WaitingJobs("drafts") == 1U);
-  BOOST_TEST(restored.PhaseOf(*restored.FindJob("done")) ==
-             v1::JOB_COMPLETED);
+  BOOST_TEST(restored.PhaseOf(*restored.FindJob("done")) == v1::JOB_COMPLETED);
   BOOST_TEST(restored.Instances().begin()->second->assigned_.size() == 1U);
 }
--- a/test/machine_book_test.cpp
+++ b/test/machine_book_test.cpp
@@ -13,10 +13,9 @@
 MachineBook InUpkeep()
 {
   MachineBook book;
-  book.TakeList(Seconds(1),
-                { { .machine_ = "m",
-                    .pool_ = "p",
-                    .state_ = MachineState::kUp } });
+  book.TakeList(
+    Seconds(1),
+    { { .machine_ = "m", .pool_ = "p", .state_ = MachineState::kUp } });
   book.Begin(Seconds(2), { .machine_ = "m", .wave_ = 1 }, "p", kFormer);
   book.FindOp("m")->phase_ = MachineOpPhase::kAccepted;
   return book;
@@ -52,29 +51,26 @@
 BOOST_AUTO_TEST_CASE(ListThatLagsDoesNotEndTheUpkeep)
 {
   MachineBook book = InUpkeep();
-  book.TakeList(Millis(2500),
-                { { .machine_ = "m",
-                    .pool_ = "p",
-                    .state_ = MachineState::kUp } });
+  book.TakeList(
+    Millis(2500),
+    { { .machine_ = "m", .pool_ = "p", .state_ = MachineState::kUp } });
   BOOST_TEST(book.InUpkeep(1) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(ListFromBeforeAnOperationDoesNotEndIt)
 {
   MachineBook book = InUpkeep();
-  book.TakeList(Millis(1500),
-                { { .machine_ = "m",
-                    .pool_ = "p",
-                    .state_ = MachineState::kUp } });
+  book.TakeList(
+    Millis(1500),
+    { { .machine_ = "m", .pool_ = "p", .state_ = MachineState::kUp } });
   BOOST_TEST(book.InUpkeep(1) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(UpkeepThatAnEarlierLeaderBeganIsCounted)
 {
   MachineBook book;
-  book.TakeList(Seconds(1),
-                { { .machine_ = "m",
-                    .pool_ = "p",
-                    .state_ = MachineState::kUpkeep } });
+  book.TakeList(
+    Seconds(1),
+    { { .machine_ = "m", .pool_ = "p", .state_ = MachineState::kUpkeep } });
   BOOST_TEST(book.InUpkeep(1) == 1U);
 }
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -74,15 +74,16 @@
 {
   const std::string good(kConfig);
   BOOST_TEST(!DecodeConfig(good.substr(0, good.size() / 2)).has_value());
-  BOOST_TEST(!DecodeConfig(Replaced(good, R"("service":"s")", R"("service":"x")"))
-                .has_value());
+  BOOST_TEST(
+    !DecodeConfig(Replaced(good, R"("service":"s")", R"("service":"x")"))
+       .has_value());
   BOOST_TEST(!DecodeConfig(Replaced(good, "3000", "0")).has_value());
   BOOST_TEST(!DecodeConfig(Replaced(good, "7", R"("7")")).has_value());
-  const std::string twice = Replaced(
-    good,
-    R"("stretch":1.6})",
-    R"("stretch":1.6},{"name":"q","host":"h","path_prefix":"/a/",)"
-    R"("timeout_ms":1,"service":"s"})");
+  const std::string twice =
+    Replaced(good,
+             R"("stretch":1.6})",
+             R"("stretch":1.6},{"name":"q","host":"h","path_prefix":"/a/",)"
+             R"("timeout_ms":1,"service":"s"})");
   BOOST_TEST(!DecodeConfig(twice).has_value());
 }
 
@@ -143,8 +144,8 @@
   BOOST_TEST((decode(200, "{}") == OrderStatus::kAccepted));
   BOOST_TEST((decode(409, R"({"reason":"fence"})") == OrderStatus::kFenced));
   BOOST_TEST((decode(409, R"({"reason":"room"})") == OrderStatus::kNoRoom));
-  BOOST_TEST((decode(409, R"({"reason":"late"})") ==
-              OrderStatus::kPastDeadline));
+  BOOST_TEST(
+    (decode(409, R"({"reason":"late"})") == OrderStatus::kPastDeadline));
   BOOST_TEST((decode(421, "") == OrderStatus::kOtherIncarnation));
   BOOST_TEST((decode(503, "") == OrderStatus::kUnhealthy));
   BOOST_TEST((decode(500, "") == OrderStatus::kUnknown));
--- a/test/pool_follower_test.cpp
+++ b/test/pool_follower_test.cpp
@@ -56,8 +56,7 @@
 
 BOOST_AUTO_TEST_CASE(ExpectedDemandMovesMachinesBeforeThereIsAQueue)
 {
-  std::vector<PoolLoad> pools = { MakePool("a", 2, 0),
-                                  MakePool("rest", 0, 8) };
+  std::vector<PoolLoad> pools = { MakePool("a", 2, 0), MakePool("rest", 0, 8) };
   pools[1].isSpare_ = true;
   pools[0].expected_ = 100;
   BOOST_TEST(MovesTo(FollowDemand(pools, {}), "a") > 4U);
@@ -65,8 +64,7 @@
 
 BOOST_AUTO_TEST_CASE(MachinesThatNobodyNeedsGoToRest)
 {
-  std::vector<PoolLoad> pools = { MakePool("a", 8, 8),
-                                  MakePool("rest", 0, 0) };
+  std::vector<PoolLoad> pools = { MakePool("a", 8, 8), MakePool("rest", 0, 0) };
   pools[1].isSpare_ = true;
   const PoolDecision decision = FollowDemand(pools, {});
   BOOST_TEST(MovesTo(decision, "rest") >= 4U);
@@ -75,8 +73,7 @@
 
 BOOST_AUTO_TEST_CASE(MachineThatWasBusyAMomentAgoDoesNotRest)
 {
-  std::vector<PoolLoad> pools = { MakePool("a", 8, 8),
-                                  MakePool("rest", 0, 0) };
+  std::vector<PoolLoad> pools = { MakePool("a", 8, 8), MakePool("rest", 0, 0) };
   pools[1].isSpare_ = true;
   for (IdleMachine& machine : pools[0].idle_) {
     machine.idleFor_ = Millis(200);
--- /dev/null
+++ b/test/process/fake_platform.py
@@ -0,0 +1,166 @@
+"""A small stand-in for the users' platform: runners that take orders over
+HTTP, an API for machines, and the settings files of the processes."""
+
+import http.client
+import http.server
+import json
+import socketserver
+import threading
+import time
+
+
+class Server(socketserver.ThreadingMixIn, http.server.HTTPServer):
+    daemon_threads = True
+    request_queue_size = 128
+
+    def handle_error(self, request, client_address):
+        pass  # A caller that went away is no matter.
+
+
+def serve(address, answer):
+    """`answer(method, path, headers, body)` returns status and JSON."""
+
+    class Handler(http.server.BaseHTTPRequestHandler):
+        protocol_version = "HTTP/1.1"
+
+        def reply(self):
+            length = int(self.headers.get("Content-Length") or 0)
+            text = self.rfile.read(length)
+            body = json.loads(text) if text else {}
+            status, out = answer(self.command, self.path, self.headers, body)
+            data = json.dumps(out).encode()
+            self.send_response(status)
+            self.send_header("Content-Type", "application/json")
+            self.send_header("Content-Length", str(len(data)))
+            self.end_headers()
+            self.wfile.write(data)
+
+        do_GET = do_POST = do_DELETE = reply
+
+        def log_message(self, *arguments):
+            pass
+
+    server = Server(address, Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+def call(address, method, path, body=None, headers=None, timeout=3):
+    """Status, headers and parsed body; follows no redirect."""
+    connection = http.client.HTTPConnection(*address, timeout=timeout)
+    try:
+        text = body if isinstance(body, (str, type(None))) else json.dumps(body)
+        connection.request(method, path, text, headers or {})
+        response = connection.getresponse()
+        data = response.read()
+        try:
+            parsed = json.loads(data) if data else {}
+        except ValueError:
+            parsed = data.decode(errors="replace")
+        return response.status, response.headers, parsed
+    finally:
+        connection.close()
+
+
+class Runner:
+    """Runs tasks for `run_s` and keeps what it was told to start."""
+
+    def __init__(self, name, service, address, run_s=0.3):
+        self.name = name
+        self.service = service
+        self.run_s = run_s
+        self.born = int(time.time() * 1000)
+        self.lock = threading.Condition()
+        self.running = {}
+        self.ended = []
+        self.started = []
+        self.fence = 0
+        self.sequence = 0
+        self.number = 0
+        self.server = serve((address, 0), self.answer)
+        self.address = self.server.server_address
+
+    def clock(self):
+        return int(time.monotonic() * 1000) + 5000
+
+    def report(self, control):
+        """One heartbeat; true if it was acknowledged."""
+        self.sequence += 1
+        body = {"service": self.service, "state": "ready", "seq": self.sequence,
+                "address": "%s:%d" % self.address, "zone": "z", "version": "v",
+                "slots": 8, "born": self.born, "machine": "m-" + self.name,
+                "capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0},
+                "labels": ["a", "r1"], "clock_ms": self.clock()}
+        path = "/api/instances/%s/heartbeat" % self.name
+        try:
+            for _ in range(3):
+                status, headers, _ = call(control, "POST", path, body)
+                if status != 307:
+                    return status == 200
+                host = headers["Location"].split("/")[2].split(":")
+                control = (host[0], int(host[1]))
+        except OSError:
+            pass
+        return False
+
+    def settle(self):
+        now = time.monotonic()
+        for task, (run, end) in list(self.running.items()):
+            if now >= end:
+                self.end(task, run, "done")
+
+    def end(self, task, run, how):
+        del self.running[task]
+        self.number += 1
+        self.ended.append([self.number, task, run, how, ""])
+        self.lock.notify_all()
+
+    def answer(self, method, path, headers, body):
+        with self.lock:
+            token = body.get("fencing_token", 0)
+            if token < self.fence:
+                return 409, {"clock_ms": self.clock(), "reason": "fence"}
+            self.fence = token
+            if path == "/api/run-start":
+                self.started.append((body["task"], body["run"]))
+                self.running[body["task"]] = (body["run"],
+                                              time.monotonic() + self.run_s)
+            elif path == "/api/run-stop":
+                run = self.running.get(body["task"])
+                if run and run[0] == body["run"]:
+                    self.end(body["task"], body["run"], "stopped")
+            elif path == "/api/hold":
+                self.ended = [row for row in self.ended
+                              if row[0] > body["ack_cursor"]]
+                until = time.monotonic() + body.get("wait_ms", 0) / 1000
+                self.settle()
+                while not self.ended and time.monotonic() < until:
+                    self.lock.wait(0.02)
+                    self.settle()
+                rows = [[task, run, "", 100]
+                        for task, (run, _) in self.running.items()]
+                return 200, {"clock_ms": self.clock(), "born": self.born,
+                             "running": rows, "ended": self.ended}
+            return 200, {"clock_ms": self.clock()}
+
+
+SETTINGS = """
+node = "{node}"
+ip = "{ip}"
+zone = "z"
+internal_ports = [{internal},{internal_end}]
+seeds = [{seeds}]
+bootstrap = {bootstrap}
+data_dir = "{data}"
+[listen]
+{listen}
+[bounds]
+grace_s = 6
+max_hold_ms = 10000
+move_s = 1.5
+maintenance_s = 2
+[cloud]
+address = "{cloud}"
+rate_per_s = 64.0
+duty_per_s = 64.0
+"""
