--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -36,6 +36,7 @@
   Millis since_; // of the phase
   Millis orderedAt_;
   bool stopWanted_ = false;
+  bool stopKeepsBudget_ = false; // the stop waits while others are away
   bool stopUnderWay_ = false;
   Millis nextStopAt_;
   std::optional<Millis> stoppedAt_; // when a stop was answered
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -240,7 +240,11 @@
       const bool isDue = run.stopWanted_ && isOrdered && !run.stopUnderWay_ &&
                          !run.stoppedAt_ && !run.endProposed_ &&
                          aNow >= run.nextStopAt_;
-      if (isDue) {
+      // An earlier try may have failed, and another task of its step may have
+      // been lost since.
+      const bool isAllowed = !run.stopKeepsBudget_ || !task.job_->IsOpen() ||
+                             MayInterrupt(aNow, task);
+      if (isDue && isAllowed) {
         SendStop(aNow, view, task, JobStore::NameOf(task), run.run_);
       }
     }
--- a/src/core/jobs/fleet_scheduler_machines.cpp
+++ b/src/core/jobs/fleet_scheduler_machines.cpp
@@ -282,6 +282,7 @@
                            !run.stopWanted_ && !run.endProposed_;
     if (isMovable && (leavesAnyway || MayInterrupt(aNow, task))) {
       run.stopWanted_ = true;
+      run.stopKeepsBudget_ = !leavesAnyway;
     }
   }
 }
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -292,6 +292,43 @@
   BOOST_TEST(world.MostInUpkeep() <= 2U);
 }
 
+// Hunted once on Ryggstein (scale-1, seed 226818292845) and not traced: a stop
+// that is sent again must still fit the budget.
+BOOST_AUTO_TEST_CASE(StopThatFailedIsNotSentAgainWhileAnotherTaskIsAway)
+{
+  FleetWorld world;
+  world.Configure({ { "meter", false } }, { { "archive", "meter" } });
+  for (int i = 0; i < 2; ++i) {
+    world.Add("m" + std::to_string(i), "meter", 2);
+  }
+  world.RunFor(Millis(500));
+  const Job& job =
+    world.Submit("kept", "archive", { FleetWorld::LastingStep(2, 1) });
+  world.RunFor(Seconds(2));
+  FakeInstance& emptied = world.At("m0");
+  FakeInstance& other = world.At("m1");
+  BOOST_REQUIRE(emptied.running_.size() == 1U);
+  BOOST_REQUIRE(other.running_.size() == 1U);
+  emptied.refusesStops_ = true;
+  v1::JobChanges changes;
+  v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+  wave.set_wave(1);
+  wave.set_max_concurrent(1);
+  wave.add_machines("m-m0");
+  world.Store().Apply(changes);
+  world.RunFor(Seconds(1));
+  // The other task fails and finds no room elsewhere; stops are heard again.
+  other.record_.set_draining(true);
+  world.Report(other);
+  world.RunFor(Millis(600));
+  BOOST_REQUIRE(other.running_.empty());
+  emptied.refusesStops_ = false;
+  world.RunFor(Seconds(2));
+  v1::TaskName kept =
+    emptied.running_.empty() ? FirstTask(job) : emptied.running_[0].task_;
+  BOOST_TEST(world.RunningCopies(kept) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(UnansweredMachineOrderIsRepeatedUntilItIsAnswered)
 {
   FleetWorld world;
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -32,7 +32,8 @@
   bool answers_ = true;            // false: cut off, but running on
   bool losesStartAnswers_ = false; // carries starts out, answers nothing
   std::deque<StartOrder> late_;    // carried out by `CarryOutLate`
-  bool holdsStartsBack_ = false;   // starts go to `late_`, unanswered
+  bool refusesStops_ = false;    // answers nothing to a stop, and does nothing
+  bool holdsStartsBack_ = false; // starts go to `late_`, unanswered
   uint32_t startsSeen_ = 0;
 };
 
@@ -333,7 +334,7 @@
   {
     FakeInstance* instance = Reach(aOrder.target_);
     OrderResult result{ .status_ = OrderStatus::kUnknown };
-    if (instance != nullptr) {
+    if (instance != nullptr && !instance->refusesStops_) {
       uint32_t& highest = instance->highestEnded_[KeyOf(aOrder.task_)];
       std::erase_if(instance->running_, [&](const FakeInstance::Run& aRun) {
         const bool isIt =
