Finished jobs are forgotten after the time that their state is shown

Cause: nothing proposed ForgetJob, so a leader refused jobs after 60,000 of them. The leader looks every 5 s and forgets what has been settled, with no run left, for the platform's span. A change of leader keeps jobs longer, never shorter. Test: FinishedJobIsShownForItsTimeAndThenForgotten (120 s kept, gone 15 s later).

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -35,6 +35,8 @@
   // How long a start may be under way; a later one is refused by its
   // instance.
   Millis startWithin_ = Millis(1500);
+  // A finished job's state is shown for so long.
+  Millis showFinishedFor_ = Seconds(120);
   PoolFollowerOptions pools_;
   MachineBookOptions machines_;
 };
@@ -135,6 +137,7 @@
   void RenewLeases(Millis aNow);
   void WatchLapses(Millis aNow);
   void StopUnwanted(Millis aNow);
+  void ForgetFinished(Millis aNow);
   uint64_t Propose(v1::JobChanges aChanges, Pending aPending);
   OrderTarget TargetOf(const InstanceView& aView) const;
   InstanceView* FindView(const InstanceKey& aKey);
@@ -223,6 +226,9 @@
   RunTimes times_;
   // Of open jobs, by their order of acceptance.
   std::unordered_map<uint64_t, Arrival> arrivals_;
+  // When finished jobs were first seen so, by their order of acceptance.
+  std::unordered_map<uint64_t, Millis> settledAt_;
+  Millis lookedForSettledAt_;
   uint64_t syncedChanges_ = 0; // of the store's instances
   uint64_t firstOwnOrder_ = 0; // jobs from here on arrived under this leader
   std::map<std::string, Demand> demands_;  // by service
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -141,6 +141,8 @@
   // Jobs that are neither complete, failed nor cancelled, oldest first.
   const std::map<uint64_t, Job*>& OpenJobs() const { return open_; }
   size_t JobCount() const { return jobs_.size(); }
+  // Jobs that are closed and of which nothing may run any more.
+  std::vector<const Job*> SettledJobs() const;
   // Open jobs of the queue of which no task has started.
   uint64_t WaitingJobs(std::string_view aQueue) const;
   // Whose instances run the job's tasks.
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -10,6 +10,8 @@
 
 // Longest wait of a listing; the platform's bound is 2,000 ms.
 constexpr Millis kLongPoll = Millis(1500);
+// Between looks for jobs whose state need not be shown any more.
+constexpr Millis kLookForSettledEvery = Seconds(5);
 // After a stop that was not answered.
 constexpr Millis kStopRetry = Millis(300);
 // Between listings of an instance whose filling tasks are paced; the listed
@@ -141,6 +143,7 @@
   FollowPools(aNow);
   RepeatUnclear(aNow);
   AskForMachines(aNow);
+  ForgetFinished(aNow);
   RenewLeases(aNow);
   if (round_.changes_size() > 0) {
     Propose(std::exchange(round_, {}), std::exchange(roundPending_, {}));
@@ -251,6 +254,27 @@
   }
 }
 
+// The time counts from when this leader first saw the job settled, so a change
+// of leader keeps jobs longer, never shorter.
+void FleetScheduler::ForgetFinished(Millis aNow)
+{
+  if (aNow - lookedForSettledAt_ < kLookForSettledEvery) {
+    return;
+  }
+  lookedForSettledAt_ = aNow;
+  std::unordered_map<uint64_t, Millis> settledAt;
+  for (const Job* job : store_.SettledJobs()) {
+    const auto known = settledAt_.find(job->order_);
+    const Millis since = known != settledAt_.end() ? known->second : aNow;
+    if (aNow - since < options_.showFinishedFor_ + kLookForSettledEvery) {
+      settledAt.emplace(job->order_, since);
+    } else {
+      round_.add_changes()->mutable_forget_job()->set_id(job->id_);
+    }
+  }
+  settledAt_ = std::move(settledAt);
+}
+
 void FleetScheduler::OnReport(Millis aNow,
                               const InstanceKey& aKey,
                               Millis aClock)
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -120,6 +120,26 @@
   return it != jobs_.end() ? it->second.get() : nullptr;
 }
 
+std::vector<const Job*> JobStore::SettledJobs() const
+{
+  const auto runsNothing = [](const Job& aJob) {
+    return std::all_of(
+      aJob.occurrences_.begin(), aJob.occurrences_.end(), [](auto& aItem) {
+        return std::all_of(
+          aItem.second.steps_.begin(),
+          aItem.second.steps_.end(),
+          [](const Step& aStep) { return aStep.assigned_ == 0; });
+      });
+  };
+  std::vector<const Job*> settled;
+  for (const auto& [id, job] : jobs_) {
+    if (!job->IsOpen() && runsNothing(*job)) {
+      settled.push_back(job.get());
+    }
+  }
+  return settled;
+}
+
 v1::JobPhase JobStore::PhaseOf(const Job& aJob) const
 {
   if (aJob.cancelled_) {
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -128,6 +128,7 @@
       aStore,
       FleetSchedulerOptions{ .fencingToken_ = term,
                              .lease_ = options_.lease_,
+                             .showFinishedFor_ = options_.showFinishedFor_,
                              .machines_ = options_.machines_ },
       MakeTrace(),
       clock_.Now());
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -16,6 +16,7 @@
 struct FleetDriverOptions
 {
   Millis lease_ = Seconds(5);
+  Millis showFinishedFor_ = Seconds(120);
   MachineBookOptions machines_;
 };
 
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -160,6 +160,18 @@
   BOOST_TEST(a.startsSeen_ == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(FinishedJobIsShownForItsTimeAndThenForgotten)
+{
+  world_.Add("a", "layout");
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500) });
+  BOOST_REQUIRE(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+  world_.RunFor(Seconds(120));
+  BOOST_TEST(world_.Store().JobCount() == 1U);
+  world_.RunFor(Seconds(15));
+  BOOST_TEST(world_.Store().JobCount() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(CancelledJobIsStopped)
 {
   FakeInstance& a = world_.Add("a", "layout");
