--- a/src/core/jobs/fleet_scheduler_machines.cpp
+++ b/src/core/jobs/fleet_scheduler_machines.cpp
@@ -352,7 +352,9 @@
     }
     rooms.push_back(std::move(room));
   }
-  for (const auto& [task, run] : aView.Runs()) {
+  for (const auto& item : aView.Runs()) {
+    const TaskRef& task = item.first;
+    const RunView& run = item.second;
     const v1::StepSpec& spec = JobStore::SpecOf(task);
     if (!spec.lasting()) {
       continue;
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -121,7 +121,7 @@
   peers_.reset();
 }
 
-void LogReplica::Propose(std::string aPayload, Done aDone)
+void LogReplica::Propose(std::string aPayload, const Done& aDone)
 {
   Input input =
     ProposalEvent{ .payload_ = std::move(aPayload), .done_ = aDone };
@@ -132,7 +132,7 @@
 
 void LogReplica::RunAt(Millis aDueAt,
                        std::function<void()> aWork,
-                       std::function<void()> aRefused)
+                       const std::function<void()>& aRefused)
 {
   Input input = WorkEvent{ .dueAt_ = aDueAt,
                            .work_ = std::move(aWork),
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -109,11 +109,11 @@
   v1::LogService::CallbackService& Service() { return service_; }
 
   // `aDone` is called once, on a thread of the replica's choice.
-  void Propose(std::string aPayload, Done aDone);
+  void Propose(std::string aPayload, const Done& aDone);
   // Runs on the replica's thread, or here with `aRefused` if it is stopping.
   void RunAt(Millis aDueAt,
              std::function<void()> aWork,
-             std::function<void()> aRefused);
+             const std::function<void()>& aRefused);
 
   // The names that a replica which is no member yet asks to be let in.
   void SetReplicas(std::vector<std::string> aNames);
--- a/src/scheduler/await_proposal.h
+++ b/src/scheduler/await_proposal.h
@@ -17,9 +17,10 @@
 {
   namespace asio = boost::asio;
   const auto executor = co_await asio::this_coro::executor;
-  auto initiate = [&aReplica, executor](auto aHandler, std::string aBytes) {
+  auto initiate = [&aReplica, executor](auto aHandler,
+                                        const std::string& aBytes) {
     auto handler = std::make_shared<decltype(aHandler)>(std::move(aHandler));
-    aReplica.Propose(std::move(aBytes),
+    aReplica.Propose(aBytes,
                      [handler, executor](const ProposalResult& aResult) {
                        asio::post(executor, [handler, aResult]() mutable {
                          std::move (*handler)(aResult);
--- a/src/scheduler/job_service.cpp
+++ b/src/scheduler/job_service.cpp
@@ -176,7 +176,7 @@
   v1::JobReply* aReply)
 {
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
-  const v1::JobPlace place = aRequest->place();
+  const v1::JobPlace& place = aRequest->place();
   if (replica_.IsLeader()) {
     store_.With(
       [&](const JobStore& aStore) { AnswerState(aStore, place, *aReply); });
