Pools and upkeep in files of their own; lint of the fake fleet

fleet_scheduler_machines.cpp held two jobs (464 lines): what pools have and want, and operations with waves of upkeep.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -196,7 +196,7 @@
                     uint32_t aRun);
   void NoteWaiting(const Candidate& aCandidate, uint32_t aTasks);
 
-  // fleet_scheduler_machines.cpp
+  // fleet_scheduler_upkeep.cpp and fleet_scheduler_pools.cpp
   void AskForMachines(Millis aNow);
   InstanceView* FindOnMachine(const std::string& aMachine);
   void Operate(Millis aNow,
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -447,7 +447,9 @@
   void Perform(MachineListOrder& /*aOrder*/)
   {
     std::vector<MachineView> machines;
-    for (const auto& [id, instance] : instances_) {
+    for (const auto& item : instances_) {
+      const std::string& id = item.first;
+      const FakeInstance& instance = item.second;
       const bool isAway =
         std::any_of(away_.begin(), away_.end(), [&](const Away& aAway) {
           return aAway.id_ == id;
