Rounds that touch only what changed

Ruled out: HTTP and gRPC alone: rounds took 0.45 s of each second. Change: instances keep counts and a summary of their runs, machines and queues are indexed, rooms are measured once a round, a long backlog is ranked only so often. Conclusion: rounds are no longer the first cost; the calls are next.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -107,6 +107,9 @@
   {
     TaskRef first_;
     JobUrgency urgency_;
+    std::string_view service_; // of the step's queue; in the store
+    Resources need_;           // of each task
+    Millis expectedRun_;       // of each task
   };
 
   // What the order of a job depends on.
@@ -122,7 +125,9 @@
   {
     std::vector<InstanceView*> views_;
     // Needs that found no room in this round; larger ones will not either.
-    std::vector<v1::Resources> refused_;
+    std::vector<Resources> refused_;
+
+    bool IsHopeless(const Resources& aNeed) const;
   };
 
   // Work of one service that waits for room.
@@ -140,6 +145,7 @@
   void ForgetFinished(Millis aNow);
   uint64_t Propose(v1::JobChanges aChanges, Pending aPending);
   OrderTarget TargetOf(const InstanceView& aView) const;
+  const RunSummary& SummaryOf(const InstanceView& aView) const;
   InstanceView* FindView(const InstanceKey& aKey);
   enum class GoneFor
   {
@@ -170,7 +176,8 @@
 
   // fleet_scheduler_placing.cpp
   void PlaceTasks(Millis aNow);
-  std::vector<Candidate> Candidates(Millis aNow);
+  // Ranks what waits; a long backlog only so often.
+  void RankBacklog(Millis aNow);
   void CollectFrom(Millis aNow,
                    Job& aJob,
                    uint32_t aOccurrence,
@@ -178,18 +185,18 @@
   // The job is seen for the first time.
   void NoteArrival(Millis aNow, const Job& aJob);
   Millis RemainingChain(const Job& aJob, const Occurrence* aOccurrence) const;
-  Room& RoomOf(Millis aNow, const std::string& aService);
+  void MeasureRooms(Millis aNow);
   JobUrgency UrgencyOf(Millis aNow,
                        const Job& aJob,
                        const Occurrence* aOccurrence);
   // Null if no instance has room; `aRack` empty: any.
-  InstanceView* Choose(Millis aNow,
-                       const std::string& aService,
+  InstanceView* Choose(Room& aRoom,
+                       const Resources& aNeed,
                        const TaskRef& aTask,
                        std::string_view aRack);
   // Place what they can of the step, and note what waits.
-  void PlaceStep(Millis aNow, const Candidate& aCandidate);
-  void PlaceGang(Millis aNow, const Candidate& aCandidate);
+  void PlaceStep(Millis aNow, const Candidate& aCandidate, Room& aRoom);
+  void PlaceGang(Millis aNow, const Candidate& aCandidate, Room& aRoom);
   void ProposeStart(Millis aNow,
                     InstanceView& aView,
                     const TaskRef& aTask,
@@ -220,6 +227,9 @@
   FleetSchedulerOptions options_;
   SchedulerTrace trace_;
   std::map<InstanceKey, InstanceView> views_;
+  // Into `views_`, by machine. The former instance of a machine may be held
+  // for a moment beside the present one.
+  std::unordered_multimap<std::string, InstanceView*> onMachine_;
   std::map<uint64_t, Pending> pending_;
   std::set<TaskRef> proposed_; // starts on their way into the log
   uint64_t nextNumber_ = 1;
@@ -231,14 +241,19 @@
   Millis lookedForSettledAt_;
   uint64_t syncedChanges_ = 0; // of the store's instances
   uint64_t firstOwnOrder_ = 0; // jobs from here on arrived under this leader
-  std::map<std::string, Demand> demands_;  // by service
-  std::map<std::string, Waiting> waiting_; // by service, in this round
-  std::map<std::string, Room> rooms_;      // by service, in this round
+  std::map<std::string, Demand> demands_; // by service
+  std::vector<Candidate> backlog_;        // in order
+  Millis rankedAt_;
+  uint64_t rankedConfig_ = 0; // version
+  // By service, in this round.
+  std::map<std::string, Waiting, std::less<>> waiting_;
+  std::map<std::string, Room, std::less<>> rooms_;
   MachineBook machines_;
   std::map<std::string, Millis> refusedUntil_; // by machine
   bool listUnderWay_ = false;
   Millis listAskedAt_;
   Millis followedAt_;
+  Millis servedWavesAt_;
   Millis poolsTracedAt_;
   Millis unixNow_;
   size_t startsOfRound_ = 0;
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -14,6 +14,7 @@
 
 #include "vanillahatch/core/jobs/instance_lease.h"
 #include "vanillahatch/core/jobs/orders.h"
+#include "vanillahatch/core/resources.h"
 
 #include <map>
 
@@ -31,7 +32,6 @@
 struct RunView
 {
   uint32_t run_ = 0;
-  v1::Resources need_; // that it occupies on the instance
   RunPhase phase_ = RunPhase::kProposed;
   Millis since_; // of the phase
   Millis orderedAt_;
@@ -47,6 +47,19 @@
   bool paceUnderWay_ = false;
   uint64_t seenInListing_ = 0;        // number of the latest that showed it
   std::optional<Millis> atWorkSince_; // listed at full percent
+  // Of the task's step; set by `InstanceView::AddRun`.
+  Resources need_; // that it occupies on the instance
+  bool isLasting_ = false;
+  bool isServing_ = false; // lasting, with a target for its response times
+  bool isFilling_ = false; // works in what others leave unused
+};
+
+// What a round has to know of the runs of one instance.
+struct RunSummary
+{
+  // The next listing decides what becomes of a run.
+  bool hasOpenQuestion_ = false;
+  bool hasUnwanted_ = false; // a run is to be stopped, or its job has closed
 };
 
 class InstanceView
@@ -54,23 +67,40 @@
 public:
   InstanceView(Instance& aInstance, Millis aLongestLease, Millis aNow);
 
+  // The record was changed in the log.
+  void RefreshFacts();
+
   Instance& Record() { return *instance_; }
   const Instance& Record() const { return *instance_; }
   const v1::InstanceRecord& Facts() const { return instance_->record_; }
   InstanceLease& Lease() { return lease_; }
   const InstanceLease& Lease() const { return lease_; }
 
-  std::map<TaskRef, RunView>& Runs() { return runs_; }
+  std::map<TaskRef, RunView>& Runs()
+  {
+    isSummaryValid_ = false;
+    return runs_;
+  }
   const std::map<TaskRef, RunView>& Runs() const { return runs_; }
+  bool HasRuns() const { return !runs_.empty(); }
   RunView* FindRun(const TaskRef& aTask, uint32_t aRun);
   RunView& AddRun(const TaskRef& aTask, RunView aRun);
   void RemoveRun(const TaskRef& aTask);
 
   // Room that is taken or promised; what is being stopped still counts.
-  const v1::Resources& Used() const { return used_; }
-  bool HasRoomFor(const v1::Resources& aNeed) const;
-  // Runs of tasks that last.
-  uint32_t LastingRuns() const;
+  const Resources& Used() const { return used_; }
+  const Resources& Capacity() const { return capacity_; }
+  bool HasRoomFor(const Resources& aNeed) const;
+  // Runs of tasks that last, and what they take of the room.
+  uint32_t LastingRuns() const { return lastingRuns_; }
+  const Resources& UsedByLasting() const { return usedByLasting_; }
+  // True if tasks that fill work beside tasks that serve.
+  bool MixesFillingAndServing() const
+  {
+    return fillingRuns_ > 0 && servingRuns_ > 0;
+  }
+  // `aJobClosings` of the store: a closed job changes what is wanted.
+  const RunSummary& Summary(uint64_t aJobClosings) const;
   // Runs of one step there.
   uint32_t CountOf(const TaskRef& aAnyOfStep) const;
 
@@ -106,10 +136,19 @@
   Instance* instance_;
   InstanceLease lease_;
   std::map<TaskRef, RunView> runs_;
-  v1::Resources used_;
+  Resources capacity_;
+  Resources used_;
+  Resources usedByLasting_;
+  uint32_t lastingRuns_ = 0;
+  uint32_t servingRuns_ = 0;
+  uint32_t fillingRuns_ = 0;
+  // Any access that may change a run makes the summary stale.
+  mutable bool isSummaryValid_ = false;
+  mutable uint64_t summarizedClosings_ = 0;
+  mutable RunSummary summary_;
 };
 
 // What a task takes of its instance's capacity.
-v1::Resources OccupiedBy(const v1::StepSpec& aStep);
+Resources OccupiedBy(const v1::StepSpec& aStep);
 
 } // namespace vanillahatch
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -160,6 +160,8 @@
   bool HasDeparted(const InstanceKey& aKey) const;
   // Grows whenever an instance is put, changed or removed.
   uint64_t InstanceChanges() const { return instanceChanges_; }
+  // Grows whenever a job closes, for whatever reason.
+  uint64_t JobClosings() const { return jobClosings_; }
   const std::map<uint64_t, Wave>& Waves() const { return waves_; }
 
   // Null if that occurrence has not begun.
@@ -180,6 +182,7 @@
 private:
   void ApplyOne(const v1::JobChange& aChange);
   void PutConfig(const v1::FleetDocument& aConfig);
+  void IndexQueues();
   void Accept(const v1::AcceptJob& aJob);
   void Cancel(const v1::CancelJob& aJob);
   void Start(const v1::RunStart& aStart);
@@ -201,6 +204,9 @@
   bool ReadJob(const v1::JobState& aState);
 
   v1::FleetDocument config_;
+  // Into `config_`, whose queues can be hundreds.
+  std::unordered_map<std::string_view, const v1::QueueSpec*> queues_; // by name
+  std::unordered_multimap<std::string_view, const v1::QueueSpec*> queuesOfHost_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_;
   std::map<uint64_t, Job*> open_;
   std::map<std::string, uint64_t, std::less<>> waiting_; // by queue
@@ -208,6 +214,7 @@
   std::map<uint64_t, Wave> waves_;
   std::deque<InstanceKey> departed_; // the latest ones
   uint64_t instanceChanges_ = 0;
+  uint64_t jobClosings_ = 0;
   uint64_t nextOrder_ = 1;
 };
 
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -34,22 +34,10 @@
   return saved != step.tasks_.end() ? saved->checkpoint_ : own.checkpoint_;
 }
 
-// A run of which the next listing decides what becomes of it.
-bool HasOpenQuestion(const InstanceView& aView)
+Millis WaitFor(const InstanceView& aView, const RunSummary& aRuns)
 {
-  return std::any_of(
-    aView.Runs().begin(), aView.Runs().end(), [](const auto& aItem) {
-      const RunView& run = aItem.second;
-      const bool isSought =
-        run.phase_ == RunPhase::kInDoubt && !run.stopWanted_;
-      return !run.endProposed_ && (isSought || run.stoppedAt_);
-    });
-}
-
-Millis WaitFor(const InstanceView& aView)
-{
-  if (aView.Runs().empty() || !aView.contacted_ || aView.isSilent_ ||
-      HasOpenQuestion(aView)) {
+  if (!aView.HasRuns() || !aView.contacted_ || aView.isSilent_ ||
+      aRuns.hasOpenQuestion_) {
     return {};
   }
   return NeedsPacing(aView) ? kPacingPoll : kLongPoll;
@@ -78,6 +66,11 @@
   return it != views_.end() ? &it->second : nullptr;
 }
 
+const RunSummary& FleetScheduler::SummaryOf(const InstanceView& aView) const
+{
+  return aView.Summary(store_.JobClosings());
+}
+
 OrderTarget FleetScheduler::TargetOf(const InstanceView& aView) const
 {
   return { .instance_ = aView.Record().key_,
@@ -100,7 +93,8 @@
     return store_.FindInstance(aItem.first) != &aItem.second.Record();
   });
   for (const auto& [key, instance] : store_.Instances()) {
-    if (views_.contains(key)) {
+    if (InstanceView* known = FindView(key)) {
+      known->RefreshFacts();
       continue;
     }
     InstanceView& view =
@@ -108,7 +102,6 @@
     for (const TaskRef& task : instance->assigned_) {
       view.AddRun(task,
                   { .run_ = JobStore::At(task).run_,
-                    .need_ = OccupiedBy(JobStore::SpecOf(task)),
                     .phase_ = RunPhase::kInDoubt,
                     .since_ = aNow,
                     .orderedAt_ = aNow });
@@ -116,6 +109,10 @@
     machines_.OnInstance(
       aNow, view.Facts().machine(), view.Facts().service(), key);
   }
+  onMachine_.clear();
+  for (auto& [key, view] : views_) {
+    onMachine_.emplace(view.Facts().machine(), &view);
+  }
 }
 
 uint64_t FleetScheduler::Propose(v1::JobChanges aChanges, Pending aPending)
@@ -171,8 +168,8 @@
     const bool isSilent = aNow - view.lastAnswerAt_ > options_.lease_ &&
                           aNow - view.reportedAt_ > options_.lease_;
     const bool isCutOff =
-      !view.Runs().empty() && aNow - view.lastAnswerAt_ > options_.lease_;
-    const bool isDead = view.Runs().empty() && isSilent && !view.contacted_;
+      view.HasRuns() && aNow - view.lastAnswerAt_ > options_.lease_;
+    const bool isDead = !view.HasRuns() && isSilent && !view.contacted_;
     if ((isCutOff || isDead) && view.Lease().HasLapsed(aNow)) {
       ProposeGone(view, GoneFor::kNow, "lease lapsed");
     }
@@ -183,16 +180,17 @@
 {
   for (auto& [key, view] : views_) {
     const uint64_t cursor = view.Facts().end_cursor();
-    const bool hasRuns = !view.Runs().empty();
+    const bool hasRuns = view.HasRuns();
     if (hasRuns) {
       view.lastBusyAt_ = aNow;
     }
     const bool hasNews = cursor > view.confirmedCursor_;
     const bool waitsForLog = view.proposedCursor_ > cursor;
     const bool isWanted = hasRuns || hasNews || !view.contacted_;
-    const Millis wait = WaitFor(view);
+    const RunSummary& runs = SummaryOf(view);
+    const Millis wait = WaitFor(view, runs);
     // A long poll may be under way while something has to be known now.
-    const bool isUnderWay = wait > Millis() || !HasOpenQuestion(view)
+    const bool isUnderWay = wait > Millis() || !runs.hasOpenQuestion_
                               ? view.holdUnderWay_ || view.lookUnderWay_
                               : view.lookUnderWay_;
     if (isUnderWay || waitsForLog || !isWanted || aNow < view.nextHoldAt_) {
@@ -232,7 +230,7 @@
 void FleetScheduler::StopUnwanted(Millis aNow)
 {
   for (auto& [key, view] : views_) {
-    if (!view.contacted_) {
+    if (!view.contacted_ || !SummaryOf(view).hasUnwanted_) {
       continue;
     }
     for (auto& [task, run] : view.Runs()) {
--- a/src/core/jobs/fleet_scheduler_placing.cpp
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -15,6 +15,10 @@
 // Closed jobs whose arrival may still be remembered.
 constexpr size_t kForgetSeen = 256;
 constexpr double kMillisOfCore = 1000.0;
+// Ranking costs about 1 us for each candidate; this keeps it below a twentieth
+// of a core, however long the backlog is.
+constexpr int64_t kRankedEachMilli = 50; // candidates
+constexpr Millis kRankAtLeastEvery = Millis(60);
 
 // How many of the job's occurrences have become due.
 uint32_t DueOccurrences(const Job& aJob, Millis aUnixNow)
@@ -44,7 +48,7 @@
   for (const v1::StepSpec& step : aJob.spec_.steps()) {
     if (!step.lasting()) {
       work += static_cast<double>(step.task_count()) *
-              OccupiedBy(step).cpu_millis() / kMillisOfCore *
+              static_cast<double>(OccupiedBy(step).milliCpus_) / kMillisOfCore *
               static_cast<double>(times_.Expect(aJob.queue_, step).Count());
     }
   }
@@ -111,114 +115,118 @@
     if (!hasPending || !JobStore::IsStepReady(aJob, occurrence, step)) {
       continue;
     }
+    const v1::StepSpec& spec = aJob.spec_.steps(i);
     aOut.push_back(
       { .first_ = { .job_ = &aJob, .occurrence_ = aOccurrence, .step_ = step },
-        .urgency_ = UrgencyOf(aNow, aJob, occurrence) });
+        .urgency_ = UrgencyOf(aNow, aJob, occurrence),
+        .service_ = store_.ServiceOf(aJob),
+        .need_ = OccupiedBy(spec),
+        .expectedRun_ = times_.Expect(aJob.queue_, spec) });
   }
 }
 
-std::vector<FleetScheduler::Candidate> FleetScheduler::Candidates(Millis aNow)
+void FleetScheduler::RankBacklog(Millis aNow)
 {
+  const auto length = static_cast<int64_t>(backlog_.size());
+  const Millis every =
+    std::min(Millis(length / kRankedEachMilli), kRankAtLeastEvery);
+  if (aNow - rankedAt_ < every && rankedConfig_ == store_.Config().version()) {
+    return;
+  }
+  rankedAt_ = aNow;
+  rankedConfig_ = store_.Config().version();
   const auto& open = store_.OpenJobs();
   if (arrivals_.size() > 2 * open.size() + kForgetSeen) {
     std::erase_if(arrivals_, [&](const auto& aItem) {
       return !open.contains(aItem.first);
     });
   }
-  std::vector<Candidate> candidates;
+  backlog_.clear();
   for (const auto& [order, job] : open) {
     const uint32_t due = DueOccurrences(*job, unixNow_);
     for (uint32_t number = 0; number < due; ++number) {
-      CollectFrom(aNow, *job, number, candidates);
+      CollectFrom(aNow, *job, number, backlog_);
     }
   }
-  std::sort(candidates.begin(),
-            candidates.end(),
+  std::sort(backlog_.begin(),
+            backlog_.end(),
             [](const Candidate& aLeft, const Candidate& aRight) {
               return ComesBefore(aLeft.urgency_, aRight.urgency_);
             });
-  return candidates;
+}
+
+bool FleetScheduler::Room::IsHopeless(const Resources& aNeed) const
+{
+  return std::any_of(refused_.begin(), refused_.end(), [&](auto& aLess) {
+    return aLess.FitsInto(aNeed);
+  });
 }
 
 // Best fit: the instance that keeps the least room, so that wide tasks still
 // find some and others run empty. Tasks that last gather on few instances,
 // since a machine that carries one cannot move.
-InstanceView* FleetScheduler::Choose(Millis aNow,
-                                     const std::string& aService,
+InstanceView* FleetScheduler::Choose(Room& aRoom,
+                                     const Resources& aNeed,
                                      const TaskRef& aTask,
                                      std::string_view aRack)
 {
   const v1::StepSpec& step = JobStore::SpecOf(aTask);
-  const v1::Resources need = OccupiedBy(step);
-  Room& room = RoomOf(aNow, aService);
-  const bool isHopeless =
-    std::any_of(room.refused_.begin(), room.refused_.end(), [&](auto& aLess) {
-      return need.cpu_millis() >= aLess.cpu_millis() &&
-             need.memory_mb() >= aLess.memory_mb() &&
-             need.gpus() >= aLess.gpus();
-    });
-  if (isHopeless) {
+  const bool isLasting = step.lasting();
+  const std::string& label = step.required_label();
+  if (aRoom.IsHopeless(aNeed)) {
     return nullptr;
   }
+  Resources besideLasting = aNeed;
+  besideLasting.milliCpus_ += isLasting ? 0 : kKeptForLasting;
   InstanceView* best = nullptr;
-  uint32_t bestLeft = 0;
+  int64_t bestLeft = 0;
   uint32_t bestGathered = 0;
   bool hasRoom = false;
-  for (InstanceView* candidate : room.views_) {
-    InstanceView& view = *candidate;
-    const v1::InstanceRecord& facts = view.Facts();
-    v1::Resources wanted = need;
-    if (!step.lasting() && view.LastingRuns() > 0) {
-      wanted.set_cpu_millis(wanted.cpu_millis() + kKeptForLasting);
-    }
-    if (!view.HasRoomFor(wanted)) {
+  for (InstanceView* candidate : aRoom.views_) {
+    const InstanceView& view = *candidate;
+    if (!view.HasRoomFor(view.LastingRuns() > 0 ? besideLasting : aNeed)) {
       continue;
     }
     hasRoom = true;
-    if (!aRack.empty() && facts.rack() != aRack) {
+    if (!aRack.empty() && view.Facts().rack() != aRack) {
       continue;
     }
-    const auto& labels = facts.labels();
+    const auto& labels = view.Facts().labels();
     const bool isLabelled =
-      step.required_label().empty() ||
-      std::find(labels.begin(), labels.end(), step.required_label()) !=
-        labels.end();
+      label.empty() ||
+      std::find(labels.begin(), labels.end(), label) != labels.end();
     const bool isApart = step.max_per_instance() == 0 ||
                          view.CountOf(aTask) < step.max_per_instance();
     if (!isLabelled || !isApart) {
       continue;
     }
-    const uint32_t left = facts.capacity().cpu_millis() -
-                          view.Used().cpu_millis() - need.cpu_millis();
-    const uint32_t gathered = step.lasting() ? view.LastingRuns() : 0;
+    const int64_t left =
+      view.Capacity().milliCpus_ - view.Used().milliCpus_ - aNeed.milliCpus_;
+    const uint32_t gathered = isLasting ? view.LastingRuns() : 0;
     const bool isBetter =
       best == nullptr || gathered > bestGathered ||
       (gathered == bestGathered &&
-       (step.lasting() && gathered == 0 ? left > bestLeft : left < bestLeft));
+       (isLasting && gathered == 0 ? left > bestLeft : left < bestLeft));
     if (isBetter) {
-      best = &view;
+      best = candidate;
       bestLeft = left;
       bestGathered = gathered;
     }
   }
   if (!hasRoom) {
-    room.refused_.push_back(need);
+    aRoom.refused_.push_back(aNeed);
   }
   return best;
 }
 
-FleetScheduler::Room& FleetScheduler::RoomOf(Millis aNow,
-                                             const std::string& aService)
+void FleetScheduler::MeasureRooms(Millis aNow)
 {
-  auto [it, isNew] = rooms_.try_emplace(aService);
-  if (isNew) {
-    for (auto& [key, view] : views_) {
-      if (view.Facts().service() == aService && view.IsUsable(aNow)) {
-        it->second.views_.push_back(&view);
-      }
+  rooms_.clear();
+  for (auto& [key, view] : views_) {
+    if (view.IsUsable(aNow)) {
+      rooms_[view.Facts().service()].views_.push_back(&view);
     }
   }
-  return it->second;
 }
 
 void FleetScheduler::ProposeStart(Millis aNow,
@@ -227,10 +235,7 @@
                                   uint32_t aRun)
 {
   aView.AddRun(aTask,
-               { .run_ = aRun,
-                 .need_ = OccupiedBy(JobStore::SpecOf(aTask)),
-                 .phase_ = RunPhase::kProposed,
-                 .since_ = aNow });
+               { .run_ = aRun, .phase_ = RunPhase::kProposed, .since_ = aNow });
   v1::RunStart& start = *round_.add_changes()->mutable_run_start();
   *start.mutable_task() = JobStore::NameOf(aTask);
   start.set_run(aRun);
@@ -242,19 +247,22 @@
 
 void FleetScheduler::NoteWaiting(const Candidate& aCandidate, uint32_t aTasks)
 {
-  const Job& job = *aCandidate.first_.job_;
-  const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.first_);
-  Waiting& waiting = waiting_[store_.ServiceOf(job)];
-  const double cores = aTasks * OccupiedBy(spec).cpu_millis() / kMillisOfCore;
+  const auto it = waiting_.find(aCandidate.service_);
+  Waiting& waiting = it != waiting_.end()
+                       ? it->second
+                       : waiting_[std::string(aCandidate.service_)];
+  const double cores =
+    aTasks * static_cast<double>(aCandidate.need_.milliCpus_) / kMillisOfCore;
   waiting.cores_ += cores;
   waiting.coreMillis_ +=
-    cores * static_cast<double>(times_.Expect(job.queue_, spec).Count());
+    cores * static_cast<double>(aCandidate.expectedRun_.Count());
 }
 
-void FleetScheduler::PlaceStep(Millis aNow, const Candidate& aCandidate)
+void FleetScheduler::PlaceStep(Millis aNow,
+                               const Candidate& aCandidate,
+                               Room& aRoom)
 {
   Job& job = *aCandidate.first_.job_;
-  const std::string& service = store_.ServiceOf(job);
   const Occurrence* occurrence =
     JobStore::FindOccurrence(job, aCandidate.first_.occurrence_);
   const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.first_);
@@ -273,8 +281,8 @@
     if (startsOfRound_ < kMaxStartsARound) {
       view = spec.data_rack().empty()
                ? nullptr
-               : Choose(aNow, service, task, spec.data_rack());
-      view = view != nullptr ? view : Choose(aNow, service, task, {});
+               : Choose(aRoom, aCandidate.need_, task, spec.data_rack());
+      view = view != nullptr ? view : Choose(aRoom, aCandidate.need_, task, {});
     }
     if (view == nullptr) {
       NoteWaiting(aCandidate, spec.task_count() - i);
@@ -286,10 +294,11 @@
 
 // All members at once under one run number, or none; on one rack if the step
 // asks for it and a rack has room.
-void FleetScheduler::PlaceGang(Millis aNow, const Candidate& aCandidate)
+void FleetScheduler::PlaceGang(Millis aNow,
+                               const Candidate& aCandidate,
+                               Room& aRoom)
 {
   Job& job = *aCandidate.first_.job_;
-  const std::string& service = store_.ServiceOf(job);
   const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.first_);
   const Occurrence* occurrence =
     JobStore::FindOccurrence(job, aCandidate.first_.occurrence_);
@@ -318,16 +327,16 @@
     for (uint32_t i = 0; i < spec.task_count(); ++i) {
       TaskRef task = aCandidate.first_;
       task.index_ = i;
-      InstanceView* view = Choose(aNow, service, task, *rack);
+      InstanceView* view = Choose(aRoom, aCandidate.need_, task, *rack);
       if (view == nullptr) {
         break;
       }
-      view->AddRun(task, { .run_ = run, .need_ = OccupiedBy(spec) });
+      view->AddRun(task, { .run_ = run });
       placed.emplace_back(view, task);
     }
     for (const auto& [view, task] : placed) {
       view->RemoveRun(task);
-      RoomOf(aNow, service).refused_.clear();
+      aRoom.refused_.clear();
     }
     if (placed.size() == spec.task_count()) {
       for (const auto& [view, task] : placed) {
@@ -343,12 +352,34 @@
 {
   startsOfRound_ = 0;
   waiting_.clear();
-  rooms_.clear();
-  for (const Candidate& candidate : Candidates(aNow)) {
-    if (JobStore::SpecOf(candidate.first_).gang()) {
-      PlaceGang(aNow, candidate);
+  RankBacklog(aNow);
+  if (backlog_.empty()) {
+    return;
+  }
+  MeasureRooms(aNow);
+  for (const Candidate& candidate : backlog_) {
+    const TaskRef& first = candidate.first_;
+    if (!first.job_->IsOpen()) {
+      continue; // It was closed since the backlog was ranked.
+    }
+    const Occurrence* occurrence =
+      JobStore::FindOccurrence(*first.job_, first.occurrence_);
+    const v1::StepSpec& spec = JobStore::SpecOf(first);
+    const uint32_t pending = occurrence != nullptr
+                               ? occurrence->steps_[first.step_].pending_
+                               : spec.task_count();
+    const auto room = rooms_.find(candidate.service_);
+    const bool isHopeless =
+      room == rooms_.end() || room->second.IsHopeless(candidate.need_);
+    if (pending == 0) {
+      continue;
+    }
+    if (isHopeless) {
+      NoteWaiting(candidate, pending);
+    } else if (spec.gang()) {
+      PlaceGang(aNow, candidate, room->second);
     } else {
-      PlaceStep(aNow, candidate);
+      PlaceStep(aNow, candidate, room->second);
     }
   }
 }
--- a/src/core/jobs/fleet_scheduler_pools.cpp
+++ b/src/core/jobs/fleet_scheduler_pools.cpp
@@ -41,13 +41,12 @@
     PoolLoad& pool = it->second;
     const double cores = view.Facts().capacity().cpu_millis() / kMillisOfCore;
     coresOfMachine = std::max(coresOfMachine, cores);
-    for (const auto& [task, run] : view.Runs()) {
-      const bool isLasting = JobStore::SpecOf(task).lasting();
-      (isLasting ? pool.lasting_ : pool.wanted_) +=
-        run.need_.cpu_millis() / kMillisOfCore;
-    }
+    const int64_t lasting = view.UsedByLasting().milliCpus_;
+    pool.lasting_ += static_cast<double>(lasting) / kMillisOfCore;
+    pool.wanted_ +=
+      static_cast<double>(view.Used().milliCpus_ - lasting) / kMillisOfCore;
     const bool isSilent =
-      aNow - view.lastAnswerAt_ > options_.lease_ / 2 && !view.Runs().empty();
+      aNow - view.lastAnswerAt_ > options_.lease_ / 2 && view.HasRuns();
     if (view.evacuating_ || isSilent) {
       continue;
     }
@@ -55,7 +54,7 @@
     ++pool.machineCount_;
     const bool isMovable = aNow >= view.avoidMoveUntil_ && view.contacted_ &&
                            !view.Facts().machine().empty();
-    if (isMovable && view.Runs().empty()) {
+    if (isMovable && !view.HasRuns()) {
       pool.idle_.push_back({ .machine_ = view.Facts().machine(),
                              .idleFor_ = aNow - view.lastBusyAt_,
                              .cores_ = cores });
@@ -63,7 +62,8 @@
       pool.busy_.push_back(
         { .machine_ = view.Facts().machine(),
           .cores_ = cores,
-          .usedCores_ = view.Used().cpu_millis() / kMillisOfCore });
+          .usedCores_ =
+            static_cast<double>(view.Used().milliCpus_) / kMillisOfCore });
     }
   }
   for (const auto& [name, op] : machines_.Ops()) {
@@ -171,8 +171,7 @@
   struct Room
   {
     const InstanceView* view_ = nullptr;
-    int64_t cpuMillis_ = 0;
-    int64_t memoryMb_ = 0;
+    Resources left_;
     std::map<std::pair<const Job*, uint32_t>, uint32_t> bySteps_;
   };
   std::vector<Room> rooms;
@@ -181,12 +180,9 @@
       continue;
     }
     Room room{ .view_ = host,
-               .cpuMillis_ = host->Facts().capacity().cpu_millis(),
-               .memoryMb_ = host->Facts().capacity().memory_mb() };
+               .left_ = host->Capacity() - host->UsedByLasting() };
     for (const auto& [task, run] : host->Runs()) {
-      if (JobStore::SpecOf(task).lasting()) {
-        room.cpuMillis_ -= run.need_.cpu_millis();
-        room.memoryMb_ -= run.need_.memory_mb();
+      if (run.isLasting_) {
         ++room.bySteps_[{ task.job_, task.step_ }];
       }
     }
@@ -196,23 +192,21 @@
     const TaskRef& task = item.first;
     const RunView& run = item.second;
     const v1::StepSpec& spec = JobStore::SpecOf(task);
-    if (!spec.lasting()) {
+    if (!run.isLasting_) {
       continue;
     }
     const auto room =
       std::find_if(rooms.begin(), rooms.end(), [&](const Room& aRoom) {
         const auto held = aRoom.bySteps_.find({ task.job_, task.step_ });
         const uint32_t count = held != aRoom.bySteps_.end() ? held->second : 0;
-        return aRoom.cpuMillis_ >= run.need_.cpu_millis() &&
-               aRoom.memoryMb_ >= run.need_.memory_mb() &&
+        return run.need_.FitsInto(aRoom.left_) &&
                (spec.max_per_instance() == 0 ||
                 count < spec.max_per_instance());
       });
     if (room == rooms.end()) {
       return false;
     }
-    room->cpuMillis_ -= run.need_.cpu_millis();
-    room->memoryMb_ -= run.need_.memory_mb();
+    room->left_ = room->left_ - run.need_;
     ++room->bySteps_[{ task.job_, task.step_ }];
   }
   return true;
--- a/src/core/jobs/fleet_scheduler_upkeep.cpp
+++ b/src/core/jobs/fleet_scheduler_upkeep.cpp
@@ -16,6 +16,8 @@
 // Machines that are emptied for upkeep at the same time, while they carry
 // work: few, so that the pools keep their room.
 constexpr size_t kMostEvacuating = 3;
+// Between looks at the machines of a wave; an upkeep takes seconds.
+constexpr Millis kServeWavesEvery = Millis(50);
 // A healthy instance answers a listing at least this often; what was listed
 // longer ago may have ended since.
 constexpr Millis kFreshListing = Seconds(2);
@@ -46,12 +48,11 @@
 
 InstanceView* FleetScheduler::FindOnMachine(const std::string& aMachine)
 {
-  for (auto& [key, view] : views_) {
-    if (view.Facts().machine() == aMachine && !view.goneProposed_) {
-      return &view;
-    }
-  }
-  return nullptr;
+  const auto [first, last] = onMachine_.equal_range(aMachine);
+  const auto it = std::find_if(first, last, [](const auto& aItem) {
+    return !aItem.second->goneProposed_;
+  });
+  return it != last ? it->second : nullptr;
 }
 
 void FleetScheduler::Operate(Millis aNow,
@@ -162,8 +163,7 @@
 {
   const bool leavesAnyway = aView.Facts().draining();
   for (auto& [task, run] : aView.Runs()) {
-    const bool isMovable = JobStore::SpecOf(task).lasting() &&
-                           run.phase_ == RunPhase::kListed &&
+    const bool isMovable = run.isLasting_ && run.phase_ == RunPhase::kListed &&
                            !run.stopWanted_ && !run.endProposed_;
     if (isMovable && (leavesAnyway || MayInterrupt(aNow, task))) {
       run.stopWanted_ = true;
@@ -187,7 +187,7 @@
       continue;
     }
     InstanceView* view = FindOnMachine(machine);
-    if (view != nullptr && !view->Runs().empty()) {
+    if (view != nullptr && view->HasRuns()) {
       busy.push_back(view);
       evacuating += view->evacuating_ ? 1 : 0;
       continue;
@@ -222,9 +222,12 @@
   if (!machines_.IsListed()) {
     return; // Machines that an earlier leader took down are not known yet.
   }
-  for (const auto& [number, wave] : store_.Waves()) {
-    if (!IsWaveCompleted(number)) {
-      ServeWave(aNow, wave);
+  if (aNow - servedWavesAt_ >= kServeWavesEvery) {
+    servedWavesAt_ = aNow;
+    for (const auto& [number, wave] : store_.Waves()) {
+      if (!IsWaveCompleted(number)) {
+        ServeWave(aNow, wave);
+      }
     }
   }
   Consolidate(aNow);
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -4,11 +4,22 @@
 
 namespace vanillahatch {
 
-v1::Resources OccupiedBy(const v1::StepSpec& aStep)
+namespace {
+
+Resources FromMessage(const v1::Resources& aAmount)
 {
-  v1::Resources need = aStep.need();
+  return { .milliCpus_ = aAmount.cpu_millis(),
+           .memoryMb_ = aAmount.memory_mb(),
+           .accelerators_ = aAmount.gpus() };
+}
+
+} // namespace
+
+Resources OccupiedBy(const v1::StepSpec& aStep)
+{
+  Resources need = FromMessage(aStep.need());
   if (aStep.best_effort()) {
-    need.set_cpu_millis(0);
+    need.milliCpus_ = 0;
   }
   return need;
 }
@@ -23,21 +34,41 @@
   , proposedCursor_(aInstance.record_.end_cursor())
   , instance_(&aInstance)
   , lease_(aLongestLease, aNow)
+  , capacity_(FromMessage(aInstance.record_.capacity()))
 {
 }
 
+void InstanceView::RefreshFacts()
+{
+  capacity_ = FromMessage(Facts().capacity());
+}
+
 RunView* InstanceView::FindRun(const TaskRef& aTask, uint32_t aRun)
 {
   const auto it = runs_.find(aTask);
-  return it != runs_.end() && it->second.run_ == aRun ? &it->second : nullptr;
+  if (it == runs_.end() || it->second.run_ != aRun) {
+    return nullptr;
+  }
+  isSummaryValid_ = false;
+  return &it->second;
 }
 
 RunView& InstanceView::AddRun(const TaskRef& aTask, RunView aRun)
 {
   RemoveRun(aTask);
-  used_.set_cpu_millis(used_.cpu_millis() + aRun.need_.cpu_millis());
-  used_.set_memory_mb(used_.memory_mb() + aRun.need_.memory_mb());
-  used_.set_gpus(used_.gpus() + aRun.need_.gpus());
+  const v1::StepSpec& step = JobStore::SpecOf(aTask);
+  aRun.need_ = OccupiedBy(step);
+  aRun.isLasting_ = step.lasting();
+  aRun.isServing_ = step.tail_target_ms() > 0;
+  aRun.isFilling_ = step.best_effort();
+  used_ = used_ + aRun.need_;
+  if (aRun.isLasting_) {
+    usedByLasting_ = usedByLasting_ + aRun.need_;
+  }
+  lastingRuns_ += aRun.isLasting_ ? 1 : 0;
+  servingRuns_ += aRun.isServing_ ? 1 : 0;
+  fillingRuns_ += aRun.isFilling_ ? 1 : 0;
+  isSummaryValid_ = false;
   return runs_.emplace(aTask, std::move(aRun)).first->second;
 }
 
@@ -47,27 +78,38 @@
   if (it == runs_.end()) {
     return;
   }
-  const v1::Resources& need = it->second.need_;
-  used_.set_cpu_millis(used_.cpu_millis() - need.cpu_millis());
-  used_.set_memory_mb(used_.memory_mb() - need.memory_mb());
-  used_.set_gpus(used_.gpus() - need.gpus());
+  const RunView& run = it->second;
+  used_ = used_ - run.need_;
+  if (run.isLasting_) {
+    usedByLasting_ = usedByLasting_ - run.need_;
+  }
+  lastingRuns_ -= run.isLasting_ ? 1 : 0;
+  servingRuns_ -= run.isServing_ ? 1 : 0;
+  fillingRuns_ -= run.isFilling_ ? 1 : 0;
+  isSummaryValid_ = false;
   runs_.erase(it);
 }
 
-bool InstanceView::HasRoomFor(const v1::Resources& aNeed) const
+bool InstanceView::HasRoomFor(const Resources& aNeed) const
 {
-  const v1::Resources& capacity = Facts().capacity();
-  return used_.cpu_millis() + aNeed.cpu_millis() <= capacity.cpu_millis() &&
-         used_.memory_mb() + aNeed.memory_mb() <= capacity.memory_mb() &&
-         used_.gpus() + aNeed.gpus() <= capacity.gpus();
+  return (used_ + aNeed).FitsInto(capacity_);
 }
 
-uint32_t InstanceView::LastingRuns() const
+const RunSummary& InstanceView::Summary(uint64_t aJobClosings) const
 {
-  return static_cast<uint32_t>(
-    std::count_if(runs_.begin(), runs_.end(), [](const auto& aItem) {
-      return JobStore::SpecOf(aItem.first).lasting();
-    }));
+  if (isSummaryValid_ && summarizedClosings_ == aJobClosings) {
+    return summary_;
+  }
+  isSummaryValid_ = true;
+  summarizedClosings_ = aJobClosings;
+  summary_ = {};
+  for (const auto& [task, run] : runs_) {
+    const bool isSought = run.phase_ == RunPhase::kInDoubt && !run.stopWanted_;
+    const bool isOpen = !run.endProposed_ && (isSought || run.stoppedAt_);
+    summary_.hasOpenQuestion_ |= isOpen;
+    summary_.hasUnwanted_ |= run.stopWanted_ || !task.job_->IsOpen();
+  }
+  return summary_;
 }
 
 uint32_t InstanceView::CountOf(const TaskRef& aAnyOfStep) const
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -77,25 +77,34 @@
 {
   if (aConfig.version() > config_.version()) {
     config_ = aConfig;
+    IndexQueues();
+  }
+}
+
+void JobStore::IndexQueues()
+{
+  queues_.clear();
+  queuesOfHost_.clear();
+  for (const v1::QueueSpec& queue : config_.queues()) {
+    queues_.try_emplace(queue.name(), &queue);
+    queuesOfHost_.emplace(queue.host(), &queue);
   }
 }
 
 const v1::QueueSpec* JobStore::FindQueue(std::string_view aName) const
 {
-  const auto& queues = config_.queues();
-  const auto it = std::find_if(queues.begin(), queues.end(), [&](auto& aQueue) {
-    return aQueue.name() == aName;
-  });
-  return it != queues.end() ? &*it : nullptr;
+  const auto it = queues_.find(aName);
+  return it != queues_.end() ? it->second : nullptr;
 }
 
 const v1::QueueSpec* JobStore::FindQueueFor(std::string_view aHost,
                                             std::string_view aPath) const
 {
   const v1::QueueSpec* best = nullptr;
-  for (const v1::QueueSpec& queue : config_.queues()) {
-    const bool fits =
-      queue.host() == aHost && aPath.starts_with(queue.path_prefix());
+  const auto [first, last] = queuesOfHost_.equal_range(aHost);
+  for (auto it = first; it != last; ++it) {
+    const v1::QueueSpec& queue = *it->second;
+    const bool fits = aPath.starts_with(queue.path_prefix());
     if (fits && (best == nullptr ||
                  queue.path_prefix().size() > best->path_prefix().size())) {
       best = &queue;
@@ -198,6 +207,7 @@
 
 void JobStore::Close(Job& aJob)
 {
+  ++jobClosings_;
   open_.erase(aJob.order_);
   if (!aJob.started_) {
     --waiting_[aJob.queue_];
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -157,6 +157,7 @@
   }
   fresh.instanceChanges_ = instanceChanges_ + 1;
   *this = std::move(fresh);
+  IndexQueues();
   return true;
 }
 
--- a/src/core/jobs/pacing.cpp
+++ b/src/core/jobs/pacing.cpp
@@ -42,13 +42,7 @@
 
 bool NeedsPacing(const InstanceView& aView)
 {
-  bool hasServing = false;
-  bool hasFiller = false;
-  for (const auto& [task, run] : aView.Runs()) {
-    hasServing |= JobStore::SpecOf(task).tail_target_ms() > 0;
-    hasFiller |= JobStore::SpecOf(task).best_effort();
-  }
-  return hasServing && hasFiller;
+  return aView.MixesFillingAndServing();
 }
 
 std::vector<PaceChange> PaceFillers(const InstanceView& aView)
