Leader that was told of a higher token stops; fewer wake-ups for logs and orders

Cause of the first: a refused fencing token set a flag that nobody read, so a leader that was replaced went on giving orders until its log noticed. The scheduler now decides nothing more, and the driver ends it for that term (event 643). Test: LeaderThatWasToldOfAHigherTokenOrdersNothingMore. Cause of the second: the same profile as before; a thread was woken for each log line, each order looked at its connection first and went through the serializer in pieces. Log lines are gathered for 25 ms, requests go out as one buffer, and the gap between entries is for each follower, so that a larger core costs the leader no more.

--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -50,8 +50,8 @@
   // After an election that nobody won, candidates try again sooner.
   Millis minRetry_ = Millis(200);
   Millis maxRetry_ = Millis(700);
-  // Between messages with entries to one follower; entries that come in
-  // between go together. The first one after a pause goes at once.
+  // For each follower: between messages with entries to one of them. Entries
+  // that come in between go together; the first one after a pause goes at once.
   Millis appendGap_;
 };
 
@@ -222,6 +222,7 @@
   void SendAppend(Progress& aProgress);
   void SendHeartbeat(Progress& aProgress);
   void SendSnapshot(Progress& aProgress);
+  Millis AppendGap() const;
   bool HasPending(const Progress& aProgress) const;
   void SendPending();
   // When a follower may get the entries that wait for it.
--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -68,6 +68,7 @@
   kSchedulerStarted = 640,
   kSchedulerStopped = 641,
   kProposalFailed = 642,
+  kSchedulerDeposed = 643,
   kLeaderFound = 650,
   kLeaderLost = 651,
   kSettingsReloaded = 652,
--- a/include/vanillahatch/shell/http_client.h
+++ b/include/vanillahatch/shell/http_client.h
@@ -53,6 +53,10 @@
 struct HttpClientOptions
 {
   Millis idleAge_ = Seconds(15); // after which a connection is not reused
+  // A connection that was used this short a time ago is taken as open without
+  // a look. If its peer has closed it since, the exchange ends as kUnknown
+  // instead of kNotSent.
+  Millis freshFor_;
 };
 
 class HttpClient
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -128,19 +128,23 @@
 void ControlLog::SendPending()
 {
   for (Progress& progress : progress_) {
-    if (HasPending(progress) &&
-        now_ - progress.sentAt_ >= options_.timing_.appendGap_) {
+    if (HasPending(progress) && now_ - progress.sentAt_ >= AppendGap()) {
       SendAppend(progress);
     }
   }
 }
 
+Millis ControlLog::AppendGap() const
+{
+  return options_.timing_.appendGap_ * static_cast<int64_t>(progress_.size());
+}
+
 Millis ControlLog::NextAppendAt() const
 {
   Millis next = Millis::Max();
   for (const Progress& progress : progress_) {
     if (HasPending(progress)) {
-      next = std::min(next, progress.sentAt_ + options_.timing_.appendGap_);
+      next = std::min(next, progress.sentAt_ + AppendGap());
     }
   }
   return next;
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -131,6 +131,9 @@
 
 void FleetScheduler::Tick(Millis aNow, Millis aUnixNow)
 {
+  if (deposed_) {
+    return; // Another replica leads; whatever is decided here is overtaken.
+  }
   unixNow_ = aUnixNow;
   SyncViews(aNow);
   WatchLapses(aNow);
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -110,7 +110,9 @@
 
 void FleetDriver::CheckLeadership()
 {
-  const uint64_t term = replica_.LeaderTerm();
+  // An instance has shown that a later term exists, before the log did.
+  const uint64_t leaderTerm = replica_.LeaderTerm();
+  const uint64_t term = leaderTerm != deposedTerm_ ? leaderTerm : 0;
   if (term == term_ && (term == 0 || scheduler_ != nullptr)) {
     return;
   }
@@ -150,6 +152,12 @@
     aEvent(*scheduler_, clock_.Now());
     actions = scheduler_->Take();
   });
+  if (scheduler_->IsDeposed() && deposedTerm_ != term_) {
+    deposedTerm_ = term_;
+    LogWarning(Event::kSchedulerDeposed, { { "fence", term_ } });
+    Wake();
+    return; // What it decided in this event is overtaken.
+  }
   Perform(std::move(actions));
 }
 
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -83,7 +83,8 @@
   bool woken_ = false;
   Millis closedIdleAt_;
   std::unique_ptr<FleetScheduler> scheduler_;
-  uint64_t term_ = 0; // of the scheduler
+  uint64_t term_ = 0;        // of the scheduler
+  uint64_t deposedTerm_ = 0; // in which an instance refused our token
   // Grows with each scheduler, so that answers to an earlier one are dropped.
   uint64_t generation_ = 0;
   std::map<InstanceKey, Lane> lanes_;
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -66,6 +66,7 @@
   EventEntry{ Event::kSchedulerStarted, "scheduler-started" },
   EventEntry{ Event::kSchedulerStopped, "scheduler-stopped" },
   EventEntry{ Event::kProposalFailed, "proposal-failed" },
+  EventEntry{ Event::kSchedulerDeposed, "scheduler-deposed" },
   EventEntry{ Event::kLeaderFound, "leader-found" },
   EventEntry{ Event::kLeaderLost, "leader-lost" },
   EventEntry{ Event::kSettingsReloaded, "settings-reloaded" },
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -6,6 +6,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/this_coro.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
 
@@ -18,6 +19,7 @@
 
 namespace {
 
+constexpr size_t kRequestHeaderBytes = 512; // about, for one allocation
 constexpr uint64_t kMaxAnswerBytes = 64ULL << 20U;
 
 ExchangeResult Failed(ExchangeVerdict aVerdict, std::string aDetail)
@@ -40,6 +42,22 @@
   return error == asio::error::would_block;
 }
 
+// The whole request as one buffer: it goes out in one write, and a request of
+// ours is too small for a copy to matter.
+std::string ToBytes(const HttpRequest& aRequest)
+{
+  std::string bytes;
+  bytes.reserve(kRequestHeaderBytes + aRequest.body().size());
+  bytes.append(aRequest.method_string()).append(" ");
+  bytes.append(aRequest.target()).append(" HTTP/1.1\r\n");
+  for (const auto& field : aRequest) {
+    bytes.append(field.name_string()).append(": ");
+    bytes.append(field.value()).append("\r\n");
+  }
+  bytes.append("\r\n").append(aRequest.body());
+  return bytes;
+}
+
 // An answer that ends with the connection cannot be told from a truncated one.
 bool IsDelimited(const http::response_parser<http::string_body>& aParser)
 {
@@ -64,13 +82,18 @@
   if (it == idle_.end()) {
     return nullptr;
   }
-  const auto oldest = std::chrono::steady_clock::now() -
-                      std::chrono::milliseconds(options_.idleAge_.Count());
+  const auto now = std::chrono::steady_clock::now();
+  const auto oldest =
+    now - std::chrono::milliseconds(options_.idleAge_.Count());
+  const auto fresh =
+    now - std::chrono::milliseconds(options_.freshFor_.Count());
   std::vector<Idle>& idle = it->second;
   while (!idle.empty()) {
     const Idle candidate = std::move(idle.back());
     idle.pop_back();
-    if (candidate.since_ >= oldest && IsUsable(*candidate.stream_)) {
+    const bool isFresh = candidate.since_ >= fresh;
+    if (isFresh ||
+        (candidate.since_ >= oldest && IsUsable(*candidate.stream_))) {
       return candidate.stream_;
     }
   }
@@ -139,8 +162,10 @@
   }
   aAbort->stream_ = stream;
   stream->expires_after(std::chrono::milliseconds(aTimeout.Count()));
-  co_await http::async_write(
-    *stream, aRequest, asio::redirect_error(asio::use_awaitable, error));
+  const std::string bytes = ToBytes(aRequest);
+  co_await asio::async_write(*stream,
+                             asio::buffer(bytes),
+                             asio::redirect_error(asio::use_awaitable, error));
   if (error) {
     // Part of the request may be on its way.
     co_return Failed(ExchangeVerdict::kUnknown, error.message());
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -3,6 +3,7 @@
 #include "vanillahatch/core/bounded_ring.h"
 
 #include <atomic>
+#include <iostream>
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
@@ -18,6 +19,9 @@
 namespace {
 
 constexpr unsigned kQueueLines = 8192;
+// Lines that come within this time are written together, so that a busy
+// program is not woken for each.
+constexpr Millis kGatherFor = Millis(25);
 constexpr const char* kPattern = "%D{%Y-%m-%dT%H:%M:%S.%q}Z %p %m%n";
 
 struct Line
@@ -60,12 +64,18 @@
   {
     uint64_t reported = 0;
     for (;;) {
-      const std::optional<Line> line = ring_.PopFor(kIdleWait);
-      if (line) {
-        Append(*line);
-      } else if (ring_.Closed()) {
+      std::optional<Line> line = ring_.PopFor(kIdleWait);
+      if (!line && ring_.Closed()) {
         return;
       }
+      if (!ring_.Closed()) {
+        std::this_thread::sleep_for(
+          std::chrono::milliseconds(kGatherFor.Count()));
+      }
+      for (; line; line = ring_.PopFor(Millis(0))) {
+        Append(*line);
+      }
+      Flush();
       const uint64_t dropped = dropped_;
       if (dropped != reported && ring_.Size() < kQueueLines / 2) {
         Append(
@@ -96,6 +106,13 @@
     sink_->doAppend(event);
   }
 
+  // Appenders write through these two, without a flush of their own.
+  static void Flush()
+  {
+    std::cout.flush();
+    std::cerr.flush();
+  }
+
   static constexpr Millis kIdleWait = Seconds(60);
 
   log4cplus::SharedAppenderPtr sink_;
@@ -155,7 +172,7 @@
   log4cplus::SharedAppenderPtr sink;
   if (aFolder.empty()) {
     sink = new log4cplus::ConsoleAppender(
-      aConsole == LogConsole::kStandardError, true);
+      aConsole == LogConsole::kStandardError, false);
   } else {
     std::filesystem::create_directories(aFolder);
     const auto file = aFolder / (std::string(aNode) + ".log");
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -143,6 +143,21 @@
   BOOST_TEST(a.fence_ == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(LeaderThatWasToldOfAHigherTokenOrdersNothingMore)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  FakeInstance& b = world_.Add("b", "layout");
+  world_.RunFor(Millis(100));
+  a.fence_ = 9; // of a later leader, which this one knows nothing of
+  world_.Submit("j1", "drafts", { FleetWorld::StepOf(20, 1000, 3000) });
+  world_.RunFor(Millis(300));
+  BOOST_TEST(world_.Scheduler().IsDeposed());
+  const uint32_t seen = b.startsSeen_;
+  world_.Submit("j2", "drafts", { FleetWorld::StepOf(2, 1000, 3000) });
+  world_.RunFor(Seconds(2));
+  BOOST_TEST(b.startsSeen_ == seen);
+}
+
 BOOST_AUTO_TEST_CASE(StartThatAnEarlierLeaderLoggedButNeverSentRunsLater)
 {
   FakeInstance& a = world_.Add("a", "layout");
