The leader hands orders to its followers in batches

Ruled out: a scheduler per service on several replicas: it needs a lease per service in the log and two owners for machines that move; relays need neither, since every order carries the leader's fencing token and a deadline.

--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -69,6 +69,8 @@
   kSchedulerStopped = 641,
   kProposalFailed = 642,
   kSchedulerDeposed = 643,
+  kRelayOpened = 644,
+  kRelayClosed = 645,
   kLeaderFound = 650,
   kLeaderLost = 651,
   kSettingsReloaded = 652,
--- /dev/null
+++ b/src/scheduler/order_relay_host.h
@@ -0,0 +1,34 @@
+// Carries out orders that the leader hands to this replica, and sends their
+// outcomes back on the same stream.
+//
+// It decides nothing: an order carries the leader's fencing token, so one that
+// comes late or from a leader that was replaced is refused by its instance.
+//
+//   OrderRelayHost relay(io, instances);
+//   server: register relay
+#pragma once
+
+#include "scheduler/ports.h"
+
+#include "relay.grpc.pb.h"
+#include <boost/asio/io_context.hpp>
+
+namespace vanillahatch {
+
+class OrderRelayHost : public v1::OrderRelay::CallbackService
+{
+public:
+  // `aInstances` is used on the thread of `aIo` only.
+  OrderRelayHost(boost::asio::io_context& aIo, InstancePort& aInstances);
+
+  grpc::ServerBidiReactor<v1::RelayedOrders, v1::RelayedOutcomes>* Relay(
+    grpc::CallbackServerContext* aContext) override;
+
+private:
+  class Stream;
+
+  boost::asio::io_context& io_;
+  InstancePort& instances_;
+};
+
+} // namespace vanillahatch
--- /dev/null
+++ b/src/scheduler/relay_messages.cpp
@@ -0,0 +1,180 @@
+#include "scheduler/relay_messages.h"
+
+namespace vanillahatch {
+
+namespace {
+
+v1::RelayedOrder MakeOrder(const OrderTarget& aTarget, v1::RelayedKind aKind)
+{
+  v1::RelayedOrder order;
+  order.set_kind(aKind);
+  *order.mutable_instance() = ToMessage(aTarget.instance_);
+  order.set_address(aTarget.endpoint_.address_);
+  order.set_port(aTarget.endpoint_.port_);
+  order.set_fencing_token(aTarget.fencingToken_);
+  return order;
+}
+
+template<class RunOrder>
+v1::RelayedOrder MakeRunOrder(const RunOrder& aOrder, v1::RelayedKind aKind)
+{
+  v1::RelayedOrder order = MakeOrder(aOrder.target_, aKind);
+  *order.mutable_run()->mutable_task() = aOrder.task_;
+  order.mutable_run()->set_run(aOrder.run_);
+  return order;
+}
+
+OrderTarget TargetOf(const v1::RelayedOrder& aOrder)
+{
+  return { .instance_ = ToKey(aOrder.instance()),
+           .endpoint_ = { .address_ = aOrder.address(),
+                          .port_ = static_cast<uint16_t>(aOrder.port()) },
+           .fencingToken_ = aOrder.fencing_token() };
+}
+
+OrderStatus ToStatus(uint32_t aStatus)
+{
+  const auto last = static_cast<uint32_t>(OrderStatus::kUnknown);
+  return aStatus <= last ? static_cast<OrderStatus>(aStatus)
+                         : OrderStatus::kUnknown;
+}
+
+void AddListing(const InstanceListing& aListing, v1::RelayedListing& aOut)
+{
+  aOut.set_born_unix_ms(aListing.bornUnixMs_);
+  for (const RunningTask& running : aListing.running_) {
+    v1::ListedRun& row = *aOut.add_running();
+    *row.mutable_task() = running.task_;
+    row.set_run(running.run_);
+    row.set_checkpoint(running.checkpoint_);
+    row.set_percent(running.percent_);
+    row.set_load(running.load_);
+  }
+  for (const EndedTask& ended : aListing.ended_) {
+    v1::ListedEnd& row = *aOut.add_ended();
+    row.set_number(ended.number_);
+    *row.mutable_task() = ended.task_;
+    row.set_run(ended.run_);
+    row.set_outcome(ended.outcome_);
+    row.set_reason(ended.reason_);
+    row.set_checkpoint(ended.checkpoint_);
+  }
+}
+
+InstanceListing ToListing(const v1::RelayedListing& aListing)
+{
+  InstanceListing listing{ .bornUnixMs_ = aListing.born_unix_ms() };
+  for (const v1::ListedRun& row : aListing.running()) {
+    listing.running_.push_back({ .task_ = row.task(),
+                                 .run_ = row.run(),
+                                 .checkpoint_ = row.checkpoint(),
+                                 .percent_ = row.percent(),
+                                 .load_ = row.load() });
+  }
+  for (const v1::ListedEnd& row : aListing.ended()) {
+    listing.ended_.push_back({ .number_ = row.number(),
+                               .task_ = row.task(),
+                               .run_ = row.run(),
+                               .outcome_ = row.outcome(),
+                               .reason_ = row.reason(),
+                               .checkpoint_ = row.checkpoint() });
+  }
+  return listing;
+}
+
+} // namespace
+
+v1::RelayedOrder ToRelayed(const StartOrder& aOrder)
+{
+  v1::RelayedOrder order = MakeRunOrder(aOrder, v1::RELAYED_START);
+  order.mutable_run()->set_text(aOrder.text_);
+  order.mutable_run()->set_checkpoint(aOrder.checkpoint_);
+  order.mutable_run()->set_ticket(aOrder.ticket_);
+  order.mutable_run()->set_deadline_ms(aOrder.deadline_.Count());
+  return order;
+}
+
+v1::RelayedOrder ToRelayed(const StopOrder& aOrder)
+{
+  return MakeRunOrder(aOrder, v1::RELAYED_STOP);
+}
+
+v1::RelayedOrder ToRelayed(const PaceOrder& aOrder)
+{
+  v1::RelayedOrder order = MakeRunOrder(aOrder, v1::RELAYED_PACE);
+  order.mutable_run()->set_percent(aOrder.percent_);
+  return order;
+}
+
+v1::RelayedOrder ToRelayed(const HoldOrder& aOrder)
+{
+  v1::RelayedOrder order = MakeOrder(aOrder.target_, v1::RELAYED_HOLD);
+  v1::RelayedHold& hold = *order.mutable_hold();
+  if (aOrder.deadline_) {
+    hold.set_deadline_ms(aOrder.deadline_->Count());
+  }
+  hold.set_end_cursor(aOrder.endCursor_);
+  hold.set_wait_ms(aOrder.wait_.Count());
+  return order;
+}
+
+StartOrder ToStart(const v1::RelayedOrder& aOrder)
+{
+  return { .target_ = TargetOf(aOrder),
+           .task_ = aOrder.run().task(),
+           .run_ = aOrder.run().run(),
+           .text_ = aOrder.run().text(),
+           .checkpoint_ = aOrder.run().checkpoint(),
+           .ticket_ = aOrder.run().ticket(),
+           .deadline_ = Millis(aOrder.run().deadline_ms()) };
+}
+
+StopOrder ToStop(const v1::RelayedOrder& aOrder)
+{
+  return { .target_ = TargetOf(aOrder),
+           .task_ = aOrder.run().task(),
+           .run_ = aOrder.run().run() };
+}
+
+PaceOrder ToPace(const v1::RelayedOrder& aOrder)
+{
+  return { .target_ = TargetOf(aOrder),
+           .task_ = aOrder.run().task(),
+           .run_ = aOrder.run().run(),
+           .percent_ = aOrder.run().percent() };
+}
+
+HoldOrder ToHold(const v1::RelayedOrder& aOrder)
+{
+  HoldOrder order{ .target_ = TargetOf(aOrder),
+                   .endCursor_ = aOrder.hold().end_cursor(),
+                   .wait_ = Millis(aOrder.hold().wait_ms()) };
+  if (aOrder.hold().has_deadline_ms()) {
+    order.deadline_ = Millis(aOrder.hold().deadline_ms());
+  }
+  return order;
+}
+
+v1::RelayedOutcome ToOutcome(uint64_t aNumber, const ListingReply& aReply)
+{
+  v1::RelayedOutcome outcome;
+  outcome.set_number(aNumber);
+  outcome.set_status(static_cast<uint32_t>(aReply.result_.status_));
+  if (aReply.result_.clock_) {
+    outcome.set_clock_ms(aReply.result_.clock_->Count());
+  }
+  AddListing(aReply.listing_, *outcome.mutable_listing());
+  return outcome;
+}
+
+ListingReply FromOutcome(const v1::RelayedOutcome& aOutcome)
+{
+  ListingReply reply{ .listing_ = ToListing(aOutcome.listing()) };
+  reply.result_.status_ = ToStatus(aOutcome.status());
+  if (aOutcome.has_clock_ms()) {
+    reply.result_.clock_ = Millis(aOutcome.clock_ms());
+  }
+  return reply;
+}
+
+} // namespace vanillahatch
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -67,6 +67,8 @@
   EventEntry{ Event::kSchedulerStopped, "scheduler-stopped" },
   EventEntry{ Event::kProposalFailed, "proposal-failed" },
   EventEntry{ Event::kSchedulerDeposed, "scheduler-deposed" },
+  EventEntry{ Event::kRelayOpened, "relay-opened" },
+  EventEntry{ Event::kRelayClosed, "relay-closed" },
   EventEntry{ Event::kLeaderFound, "leader-found" },
   EventEntry{ Event::kLeaderLost, "leader-lost" },
   EventEntry{ Event::kSettingsReloaded, "settings-reloaded" },
