--- /dev/null
+++ b/test/order_relays_test.cpp
@@ -0,0 +1,266 @@
+#define BOOST_TEST_MODULE order_relays
+#include "scheduler/order_relays.h"
+
+#include "scheduler/order_relay_host.h"
+#include "vanillahatch/shell/rpc.h"
+#include "vanillahatch/shell/system_clock.h"
+
+#include <array>
+#include <boost/asio.hpp>
+#include <boost/test/unit_test.hpp>
+#include <thread>
+
+using namespace vanillahatch;
+namespace asio = boost::asio;
+using tcp = asio::ip::tcp;
+
+namespace {
+
+constexpr const char* kLoopback = "127.0.0.1";
+
+// Counts what it is told, and answers every order, or none.
+class FakeInstances : public InstancePort
+{
+public:
+  asio::awaitable<OrderResult> Start(StartOrder aOrder) override
+  {
+    started_.push_back(std::move(aOrder));
+    co_return co_await Answer();
+  }
+  asio::awaitable<OrderResult> Stop(StopOrder /*aOrder*/) override
+  {
+    co_return co_await Answer();
+  }
+  asio::awaitable<OrderResult> Pace(PaceOrder /*aOrder*/) override
+  {
+    co_return co_await Answer();
+  }
+  asio::awaitable<ListingReply> Hold(HoldOrder aOrder) override
+  {
+    held_.push_back(std::move(aOrder));
+    ListingReply reply{ .listing_ = listing_ };
+    reply.result_ = co_await Answer();
+    co_return reply;
+  }
+  void CloseIdle() override {}
+
+  bool answers_ = true;
+  std::vector<StartOrder> started_;
+  std::vector<HoldOrder> held_;
+  InstanceListing listing_;
+
+private:
+  asio::awaitable<OrderResult> Answer()
+  {
+    if (!answers_) {
+      asio::steady_timer never(co_await asio::this_coro::executor,
+                               std::chrono::hours(1));
+      co_await never.async_wait(asio::use_awaitable);
+    }
+    co_return OrderResult{ .status_ = OrderStatus::kAccepted,
+                           .clock_ = Millis(77) };
+  }
+};
+
+uint16_t FreePort()
+{
+  asio::io_context io;
+  return tcp::acceptor(io, { asio::ip::make_address(kLoopback), 0 })
+    .local_endpoint()
+    .port();
+}
+
+// Another replica: its own thread, instances and server.
+class Relay
+{
+public:
+  Relay()
+    : endpoint_({ .address_ = kLoopback, .port_ = FreePort() })
+    , work_(io_.get_executor())
+    , host_(io_, instances_)
+    , server_(StartServer(endpoint_, host_))
+    , thread_([this] { io_.run(); })
+  {
+  }
+  ~Relay()
+  {
+    Stop();
+    io_.stop();
+    thread_.join();
+  }
+  Relay(const Relay&) = delete;
+  Relay& operator=(const Relay&) = delete;
+
+  void Stop()
+  {
+    if (server_) {
+      server_->Shutdown(std::chrono::system_clock::now());
+      server_.reset();
+    }
+  }
+
+  FakeInstances instances_;
+  const Endpoint endpoint_;
+
+private:
+  asio::io_context io_;
+  asio::executor_work_guard<asio::io_context::executor_type> work_;
+  OrderRelayHost host_;
+  std::unique_ptr<grpc::Server> server_;
+  std::thread thread_;
+};
+
+StartOrder MakeStart()
+{
+  StartOrder order{ .run_ = 3, .text_ = "spec", .deadline_ = Millis(900) };
+  order.target_.instance_ = { .id_ = "i-1", .bornUnixMs_ = 5 };
+  order.target_.fencingToken_ = 8;
+  order.task_.set_job("j");
+  order.task_.set_index(4);
+  return order;
+}
+
+struct LeaderFixture
+{
+  template<class Holds>
+  bool RunUntil(Holds aHolds)
+  {
+    const auto until =
+      std::chrono::steady_clock::now() + std::chrono::seconds(20);
+    while (!aHolds() && std::chrono::steady_clock::now() < until) {
+      io_.restart();
+      io_.run_for(std::chrono::milliseconds(5));
+    }
+    return aHolds();
+  }
+
+  void Connect()
+  {
+    relays_.KeepConnected([] { return std::set<std::string>{ "other" }; });
+    BOOST_REQUIRE(RunUntil([this] { return relays_.Usable() == 1; }));
+  }
+
+  // The status, once there is one.
+  std::shared_ptr<std::optional<OrderResult>> Start()
+  {
+    auto result = std::make_shared<std::optional<OrderResult>>();
+    asio::co_spawn(
+      io_,
+      [this, result]() -> asio::awaitable<void> {
+        *result = co_await relays_.Start(MakeStart());
+      },
+      asio::detached);
+    return result;
+  }
+
+  SystemClock clock_;
+  Relay relay_;
+  asio::io_context io_;
+  FakeInstances direct_;
+  OrderRelays relays_{ io_,
+                       direct_,
+                       clock_,
+                       { .resolver_ = [this](const std::string&) {
+                         return std::optional(relay_.endpoint_);
+                       } } };
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(Relaying, LeaderFixture)
+
+BOOST_AUTO_TEST_CASE(OrdersAreGivenDirectlyWhileNoRelayIsHeard)
+{
+  const auto result = Start();
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_TEST(direct_.started_.size() == 1U);
+  BOOST_CHECK((*result)->status_ == OrderStatus::kAccepted);
+}
+
+BOOST_AUTO_TEST_CASE(RelayCarriesOutTheWholeOrder)
+{
+  Connect();
+  const auto result = Start();
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_TEST(direct_.started_.empty());
+  BOOST_CHECK((*result)->status_ == OrderStatus::kAccepted);
+  BOOST_CHECK((*result)->clock_ == Millis(77));
+  BOOST_REQUIRE(relay_.instances_.started_.size() == 1U);
+  const StartOrder& order = relay_.instances_.started_.front();
+  BOOST_TEST(order.target_.fencingToken_ == 8U);
+  BOOST_TEST(order.target_.instance_.bornUnixMs_ == 5);
+  BOOST_TEST(order.task_.index() == 4U);
+  BOOST_TEST(order.run_ == 3U);
+  BOOST_TEST(order.text_ == "spec");
+  BOOST_CHECK(order.deadline_ == Millis(900));
+}
+
+BOOST_AUTO_TEST_CASE(ListingComesBackAsTheInstanceGaveIt)
+{
+  v1::TaskName task;
+  task.set_job("j");
+  relay_.instances_.listing_ = {
+    .running_ = { { .task_ = task, .run_ = 2, .percent_ = 40, .load_ = 9 } },
+    .ended_ = { { .number_ = 6,
+                  .task_ = task,
+                  .run_ = 1,
+                  .outcome_ = v1::RUN_FAILED,
+                  .reason_ = "failed",
+                  .checkpoint_ = "c" } },
+    .bornUnixMs_ = 5
+  };
+  Connect();
+  std::optional<ListingReply> reply;
+  asio::co_spawn(
+    io_,
+    [&]() -> asio::awaitable<void> {
+      HoldOrder order{ .deadline_ = Millis(70), .endCursor_ = 5 };
+      order.target_.instance_.id_ = "i-1";
+      reply = co_await relays_.Hold(order);
+    },
+    asio::detached);
+  BOOST_REQUIRE(RunUntil([&] { return reply.has_value(); }));
+  BOOST_TEST(reply->listing_.bornUnixMs_ == 5);
+  BOOST_REQUIRE(reply->listing_.running_.size() == 1U);
+  BOOST_TEST(reply->listing_.running_[0].percent_ == 40U);
+  BOOST_TEST(reply->listing_.running_[0].load_ == 9U);
+  BOOST_REQUIRE(reply->listing_.ended_.size() == 1U);
+  BOOST_TEST(reply->listing_.ended_[0].number_ == 6U);
+  BOOST_TEST(reply->listing_.ended_[0].checkpoint_ == "c");
+  BOOST_CHECK(reply->listing_.ended_[0].outcome_ == v1::RUN_FAILED);
+  BOOST_REQUIRE(relay_.instances_.held_.size() == 1U);
+  BOOST_CHECK(relay_.instances_.held_[0].deadline_ == Millis(70));
+  BOOST_TEST(relay_.instances_.held_[0].endCursor_ == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(OrderOnARelayThatIsLostIsInDoubt)
+{
+  relay_.instances_.answers_ = false;
+  Connect();
+  const auto result = Start();
+  BOOST_REQUIRE(RunUntil([&] { return !relay_.instances_.started_.empty(); }));
+  relay_.Stop();
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_CHECK((*result)->status_ == OrderStatus::kUnknown);
+}
+
+BOOST_AUTO_TEST_CASE(OrdersGoDirectlyAgainOnceTheRelayIsLost)
+{
+  Connect();
+  relay_.Stop();
+  BOOST_REQUIRE(RunUntil([&] { return relays_.Usable() == 0; }));
+  const auto result = Start();
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_TEST(direct_.started_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(OrderWithoutAnAnswerInTimeIsInDoubt)
+{
+  relay_.instances_.answers_ = false;
+  Connect();
+  const auto result = Start();
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_CHECK((*result)->status_ == OrderStatus::kUnknown);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
