Batched replication of the log under test

Event lists for the gap between entries and for a commit that comes with the heartbeat; the random schedules of the log run with both kinds of options. A heartbeat no longer counts as entries, so the first entry after a pause goes at once.

--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -162,6 +162,7 @@
     uint64_t sentUpTo_ = 0;   // 0: nothing under way
     uint64_t toldCommit_ = 0; // the commit index that it was sent last
     Millis sentAt_;
+    Millis entriesSentAt_; // the latest message that had some
     Millis heardAt_;
   };
   using Predicate = std::function<bool(const v1::LogMember&)>;
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -128,7 +128,7 @@
 void ControlLog::SendPending()
 {
   for (Progress& progress : progress_) {
-    if (HasPending(progress) && now_ - progress.sentAt_ >= AppendGap()) {
+    if (HasPending(progress) && now_ - progress.entriesSentAt_ >= AppendGap()) {
       SendAppend(progress);
     }
   }
@@ -144,7 +144,7 @@
   Millis next = Millis::Max();
   for (const Progress& progress : progress_) {
     if (HasPending(progress)) {
-      next = std::min(next, progress.sentAt_ + AppendGap());
+      next = std::min(next, progress.entriesSentAt_ + AppendGap());
     }
   }
   return next;
@@ -178,7 +178,9 @@
     *append.add_entries() = entry;
     bytes += entry.ByteSizeLong();
   }
-  aProgress.sentUpTo_ = index > previous ? index : 0;
+  const bool hasEntries = index > previous;
+  aProgress.sentUpTo_ = hasEntries ? index : 0;
+  aProgress.entriesSentAt_ = hasEntries ? now_ : aProgress.entriesSentAt_;
   aProgress.toldCommit_ = commit_;
   aProgress.sentAt_ = now_;
   Send(std::move(message), aProgress.member_);
--- a/test/control_log_random_test.cpp
+++ b/test/control_log_random_test.cpp
@@ -15,8 +15,8 @@
 class Schedule
 {
 public:
-  Schedule(size_t aReplicas, uint64_t aSeed)
-    : cluster_(aReplicas, aSeed)
+  Schedule(size_t aReplicas, uint64_t aSeed, const ControlLogOptions& aCommon)
+    : cluster_(aReplicas, aSeed, aCommon)
     , random_(aSeed)
   {
     cluster_.StartAll();
@@ -168,11 +168,18 @@
   size_t lost_ = 0;
 };
 
-void RunSchedule(size_t aReplicas, uint64_t aSeed, size_t aSteps)
+// As the scheduler's replicas run it: fewer and larger messages.
+const ControlLogOptions kBatched = { .timing_ = { .appendGap_ = Millis(15) },
+                                     .tellCommitAtOnce_ = false };
+
+void RunSchedule(size_t aReplicas,
+                 uint64_t aSeed,
+                 size_t aSteps,
+                 const ControlLogOptions& aCommon = {})
 {
   BOOST_TEST_CONTEXT("seed " << aSeed << ", replicas " << aReplicas)
   {
-    Schedule schedule(aReplicas, aSeed);
+    Schedule schedule(aReplicas, aSeed, aCommon);
     for (size_t step = 0; step < aSteps; ++step) {
       schedule.Step();
     }
@@ -198,6 +205,7 @@
   }
   for (uint64_t seed = 1; seed <= 24; ++seed) {
     RunSchedule(seed % 3 == 0 ? 5 : 3, seed, 20000);
+    RunSchedule(seed % 3 == 0 ? 5 : 3, seed, 20000, kBatched);
   }
   RunSchedule(3, 1194, 50000);
 }
--- a/test/control_log_test.cpp
+++ b/test/control_log_test.cpp
@@ -46,6 +46,43 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(EntriesWithinTheGapGoToAFollowerTogether)
+{
+  LogCluster cluster(3, 1, { .timing_ = { .appendGap_ = Millis(60) } });
+  cluster.StartAll();
+  BOOST_REQUIRE(Commit(cluster, "first"));
+  cluster.Run(Millis(300)); // longer than the gap of two followers
+  const std::string leader = cluster.Leader();
+  BOOST_REQUIRE(cluster.Propose(leader, "second"));
+  cluster.DeliverAll(); // no time passes
+  BOOST_TEST(cluster.IsApplied("second"));
+  BOOST_REQUIRE(cluster.Propose(leader, "third"));
+  BOOST_REQUIRE(cluster.Propose(leader, "fourth"));
+  cluster.DeliverAll();
+  BOOST_TEST(!cluster.IsApplied("third"));
+  cluster.Run(Millis(140));
+  BOOST_TEST(cluster.IsApplied("third"));
+  BOOST_TEST(cluster.IsApplied("fourth"));
+}
+
+BOOST_AUTO_TEST_CASE(CommitThatIsNotToldAtOnceComesWithTheNextHeartbeat)
+{
+  LogCluster cluster(3, 1, { .tellCommitAtOnce_ = false });
+  cluster.StartAll();
+  BOOST_REQUIRE(Commit(cluster, "first"));
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  const std::string leader = cluster.Leader();
+  const std::string follower = OtherThan(cluster, leader);
+  BOOST_REQUIRE(cluster.Propose(leader, "second"));
+  cluster.DeliverAll(); // no time passes
+  BOOST_TEST(cluster.IsApplied("second"));
+  BOOST_TEST(cluster.Log(follower).CommitIndex() <
+             cluster.Log(leader).CommitIndex());
+  cluster.Run(LogTiming().heartbeat_ + Millis(40));
+  BOOST_TEST(cluster.Log(follower).CommitIndex() ==
+             cluster.Log(leader).CommitIndex());
+}
+
 BOOST_AUTO_TEST_CASE(EveryFollowerLearnsOfACommitBeforeTheNextHeartbeat)
 {
   LogCluster cluster(3);
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -31,8 +31,12 @@
 class LogCluster
 {
 public:
-  explicit LogCluster(size_t aCount, uint64_t aSeed = 1)
+  // `aCommon` of all replicas; names and seeds are set for each.
+  explicit LogCluster(size_t aCount,
+                      uint64_t aSeed = 1,
+                      ControlLogOptions aCommon = {})
     : seed_(aSeed)
+    , common_(std::move(aCommon))
   {
     for (size_t i = 0; i < aCount; ++i) {
       names_.push_back(std::string(1, static_cast<char>('a' + i)));
@@ -59,11 +63,12 @@
     }
     replica.state_.clear();
     replica.stateIndex_ = 0;
+    ControlLogOptions options = common_;
+    options.self_ = aName;
+    options.replicas_ = names_;
+    options.seed_ = ++seed_ * 7919;
     replica.log_ = std::make_unique<ControlLog>(
-      ControlLogOptions{
-        .self_ = aName, .replicas_ = names_, .seed_ = ++seed_ * 7919 },
-      usable ? &contents.value() : nullptr,
-      now_);
+      std::move(options), usable ? &contents.value() : nullptr, now_);
     if (!usable) {
       mustHold_[replica.log_->Self().incarnation()] =
         entries_.empty() ? 0 : entries_.rbegin()->first;
@@ -454,6 +459,7 @@
   std::set<std::pair<std::string, std::string>> cuts_;
   Millis now_ = Seconds(1000);
   uint64_t seed_;
+  ControlLogOptions common_;
 
   std::map<uint64_t, std::string> entries_; // ever committed, by index
   std::map<uint64_t, uint64_t> appliedIn_;  // term of the first to apply it
