Advice: steps of a queue that needs it run where the advisor lets them

Change: AdviceBook keeps what the advisor said of each instance and step; a step without a ticket asks about up to 30 usable instances, one call at a time, again only when tickets have expired. platform/advisor_client translates. Tests: advice_test (only advised instances, expired tickets, a silent advisor, one call a step), platform_messages_test (malformed answers are errors). Also: rounds of a large fleet come every 20 ms, relays gather outcomes 12 ms.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -14,6 +14,7 @@
 //   scheduler.OnListing(now, key, sentAt, result, listing);
 #pragma once
 
+#include "vanillahatch/core/jobs/advice_book.h"
 #include "vanillahatch/core/jobs/demand.h"
 #include "vanillahatch/core/jobs/instance_view.h"
 #include "vanillahatch/core/jobs/job_order.h"
@@ -83,6 +84,10 @@
                  const OrderResult& aResult,
                  const InstanceListing& aListing);
 
+  void OnAdvice(Millis aNow,
+                const AdviceOrder& aOrder,
+                const AdviceReply& aReply);
+
   // Empty if the platform did not answer.
   void OnMachines(Millis aAskedAt, std::vector<MachineView> aMachines);
   void OnMachineAnswer(Millis aNow,
@@ -110,6 +115,7 @@
     std::string_view service_; // of the step's queue; in the store
     Resources need_;           // of each task
     Millis expectedRun_;       // of each task
+    bool needsAdvice_ = false;
   };
 
   // What the order of a job depends on.
@@ -190,10 +196,13 @@
                        const Job& aJob,
                        const Occurrence* aOccurrence);
   // Null if no instance has room; `aRack` empty: any.
-  InstanceView* Choose(Room& aRoom,
-                       const Resources& aNeed,
+  InstanceView* Choose(Millis aNow,
+                       Room& aRoom,
+                       const Candidate& aCandidate,
                        const TaskRef& aTask,
                        std::string_view aRack);
+  // No instance with a ticket had room for the step.
+  void AskAdvisor(Millis aNow, const Candidate& aCandidate, const Room& aRoom);
   // Place what they can of the step, and note what waits.
   void PlaceStep(Millis aNow, const Candidate& aCandidate, Room& aRoom);
   void PlaceGang(Millis aNow, const Candidate& aCandidate, Room& aRoom);
@@ -248,6 +257,7 @@
   // By service, in this round.
   std::map<std::string, Waiting, std::less<>> waiting_;
   std::map<std::string, Room, std::less<>> rooms_;
+  AdviceBook advice_;
   MachineBook machines_;
   std::map<std::string, Millis> refusedUntil_; // by machine
   bool listUnderWay_ = false;
--- a/include/vanillahatch/core/jobs/orders.h
+++ b/include/vanillahatch/core/jobs/orders.h
@@ -155,6 +155,38 @@
   std::string instance_; // id of its present one; empty: none
 };
 
+// Names a step for as long as its job is open.
+struct AdviceStep
+{
+  uint64_t jobOrder_ = 0; // of acceptance
+  uint32_t occurrence_ = 0;
+  uint32_t step_ = 0;
+
+  friend auto operator<=>(const AdviceStep&, const AdviceStep&) = default;
+};
+
+// Asks the advisor which of some instances may run a step.
+struct AdviceOrder
+{
+  AdviceStep advisedStep_;
+  v1::TaskName name_; // of its first task
+  std::vector<InstanceKey> asked_;
+};
+
+// Goes with a start on that instance.
+struct Ticket
+{
+  std::string instance_; // id
+  std::string ticket_;
+};
+
+struct AdviceReply
+{
+  bool isAnswered_ = false; // false: nothing was learned
+  std::vector<Ticket> good_;
+  Millis validity_; // of the tickets, from when they came
+};
+
 // Asks for the list of all machines.
 struct MachineListOrder
 {};
@@ -171,6 +203,7 @@
                                      PaceOrder,
                                      MachineOrder,
                                      MachineListOrder,
+                                     AdviceOrder,
                                      Proposal>;
 
 } // namespace vanillahatch
--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -65,6 +65,7 @@
   kMachineOrdered = 632,
   kMachineAnswered = 633,
   kPoolMeasured = 634,
+  kAdviceTaken = 635,
   kSchedulerStarted = 640,
   kSchedulerStopped = 641,
   kProposalFailed = 642,
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -333,6 +333,9 @@
                       .text_ = task.job_->spec_.text(),
                       .checkpoint_ = CheckpointOf(task),
                       .deadline_ = clock + options_.startWithin_ };
+    const std::string* ticket =
+      advice_.TicketFor(aNow, ToAdviceStep(task), key);
+    order.ticket_ = ticket != nullptr ? *ticket : std::string();
     view->Lease().Extend(order.deadline_);
     run->second.phase_ = RunPhase::kOrdered;
     run->second.since_ = aNow;
--- a/src/core/jobs/fleet_scheduler_placing.cpp
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -108,6 +108,7 @@
   if (occurrence != nullptr && occurrence->IsDone()) {
     return;
   }
+  const v1::QueueSpec* queue = store_.FindQueue(aJob.queue_);
   for (int i = 0; i < aJob.spec_.steps_size(); ++i) {
     const auto step = static_cast<uint32_t>(i);
     const bool hasPending =
@@ -121,7 +122,8 @@
         .urgency_ = UrgencyOf(aNow, aJob, occurrence),
         .service_ = store_.ServiceOf(aJob),
         .need_ = OccupiedBy(spec),
-        .expectedRun_ = times_.Expect(aJob.queue_, spec) });
+        .expectedRun_ = times_.Expect(aJob.queue_, spec),
+        .needsAdvice_ = queue != nullptr && queue->needs_advice() });
   }
 }
 
@@ -140,6 +142,7 @@
     std::erase_if(arrivals_, [&](const auto& aItem) {
       return !open.contains(aItem.first);
     });
+    advice_.KeepOnly(open);
   }
   backlog_.clear();
   for (const auto& [order, job] : open) {
@@ -165,18 +168,20 @@
 // Best fit: the instance that keeps the least room, so that wide tasks still
 // find some and others run empty. Tasks that last gather on few instances,
 // since a machine that carries one cannot move.
-InstanceView* FleetScheduler::Choose(Room& aRoom,
-                                     const Resources& aNeed,
+InstanceView* FleetScheduler::Choose(Millis aNow,
+                                     Room& aRoom,
+                                     const Candidate& aCandidate,
                                      const TaskRef& aTask,
                                      std::string_view aRack)
 {
   const v1::StepSpec& step = JobStore::SpecOf(aTask);
+  const Resources& need = aCandidate.need_;
   const bool isLasting = step.lasting();
   const std::string& label = step.required_label();
-  if (aRoom.IsHopeless(aNeed)) {
+  if (aRoom.IsHopeless(need)) {
     return nullptr;
   }
-  Resources besideLasting = aNeed;
+  Resources besideLasting = need;
   besideLasting.milliCpus_ += isLasting ? 0 : kKeptForLasting;
   InstanceView* best = nullptr;
   int64_t bestLeft = 0;
@@ -184,7 +189,7 @@
   bool hasRoom = false;
   for (InstanceView* candidate : aRoom.views_) {
     const InstanceView& view = *candidate;
-    if (!view.HasRoomFor(view.LastingRuns() > 0 ? besideLasting : aNeed)) {
+    if (!view.HasRoomFor(view.LastingRuns() > 0 ? besideLasting : need)) {
       continue;
     }
     hasRoom = true;
@@ -197,11 +202,14 @@
       std::find(labels.begin(), labels.end(), label) != labels.end();
     const bool isApart = step.max_per_instance() == 0 ||
                          view.CountOf(aTask) < step.max_per_instance();
-    if (!isLabelled || !isApart) {
+    const bool isAllowed =
+      !aCandidate.needsAdvice_ ||
+      advice_.TicketFor(aNow, ToAdviceStep(aTask), view.Record().key_);
+    if (!isLabelled || !isApart || !isAllowed) {
       continue;
     }
     const int64_t left =
-      view.Capacity().milliCpus_ - view.Used().milliCpus_ - aNeed.milliCpus_;
+      view.Capacity().milliCpus_ - view.Used().milliCpus_ - need.milliCpus_;
     const uint32_t gathered = isLasting ? view.LastingRuns() : 0;
     const bool isBetter =
       best == nullptr || gathered > bestGathered ||
@@ -214,7 +222,7 @@
     }
   }
   if (!hasRoom) {
-    aRoom.refused_.push_back(aNeed);
+    aRoom.refused_.push_back(need);
   }
   return best;
 }
@@ -281,10 +289,11 @@
     if (startsOfRound_ < kMaxStartsARound) {
       view = spec.data_rack().empty()
                ? nullptr
-               : Choose(aRoom, aCandidate.need_, task, spec.data_rack());
-      view = view != nullptr ? view : Choose(aRoom, aCandidate.need_, task, {});
+               : Choose(aNow, aRoom, aCandidate, task, spec.data_rack());
+      view = view != nullptr ? view : Choose(aNow, aRoom, aCandidate, task, {});
     }
     if (view == nullptr) {
+      AskAdvisor(aNow, aCandidate, aRoom);
       NoteWaiting(aCandidate, spec.task_count() - i);
       return;
     }
@@ -327,7 +336,7 @@
     for (uint32_t i = 0; i < spec.task_count(); ++i) {
       TaskRef task = aCandidate.first_;
       task.index_ = i;
-      InstanceView* view = Choose(aRoom, aCandidate.need_, task, *rack);
+      InstanceView* view = Choose(aNow, aRoom, aCandidate, task, *rack);
       if (view == nullptr) {
         break;
       }
@@ -345,9 +354,41 @@
       return;
     }
   }
+  AskAdvisor(aNow, aCandidate, aRoom);
   NoteWaiting(aCandidate, spec.task_count());
 }
 
+void FleetScheduler::AskAdvisor(Millis aNow,
+                                const Candidate& aCandidate,
+                                const Room& aRoom)
+{
+  if (!aCandidate.needsAdvice_) {
+    return;
+  }
+  std::vector<const InstanceKey*> usable;
+  for (const InstanceView* view : aRoom.views_) {
+    if (view->HasRoomFor(aCandidate.need_)) {
+      usable.push_back(&view->Record().key_);
+    }
+  }
+  const AdviceStep step = ToAdviceStep(aCandidate.first_);
+  std::vector<InstanceKey> asked = advice_.ChooseAsked(aNow, step, usable);
+  if (asked.empty()) {
+    return;
+  }
+  advice_.Begin(step);
+  actions_.push_back(AdviceOrder{ .advisedStep_ = step,
+                                  .name_ = JobStore::NameOf(aCandidate.first_),
+                                  .asked_ = std::move(asked) });
+}
+
+void FleetScheduler::OnAdvice(Millis aNow,
+                              const AdviceOrder& aOrder,
+                              const AdviceReply& aReply)
+{
+  advice_.OnAnswer(aNow, aOrder.advisedStep_, aOrder.asked_, aReply);
+}
+
 void FleetScheduler::PlaceTasks(Millis aNow)
 {
   startsOfRound_ = 0;
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -94,9 +94,11 @@
     case OrderStatus::kNoRoom:
       view->avoidUntil_ = aNow + kAvoidAfterRefusal;
       break;
+    case OrderStatus::kNoTicket:
+      advice_.DropTicket(ToAdviceStep(aOrder.ref_), aOrder.target_.instance_);
+      break;
     case OrderStatus::kRunTooOld:
     case OrderStatus::kPastDeadline:
-    case OrderStatus::kNoTicket:
     case OrderStatus::kRefused:
       break;
   }
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -13,8 +13,11 @@
 
 namespace {
 
-// Between rounds: events in between are decided on together.
+// Between rounds: events in between are decided on together. A round costs
+// more with many instances, and each is followed by calls to every replica.
 constexpr Millis kRoundGap = Millis(10);
+constexpr Millis kRoundGapOfLargeFleet = Millis(20);
+constexpr size_t kLargeFleet = 100; // instances
 // Rounds come at least this often, for timeouts.
 constexpr Millis kIdleRound = Millis(100);
 // Instances come and go with moves, and descriptors are bounded.
@@ -42,6 +45,7 @@
                          LogReplica& aReplica,
                          InstancePort& aInstances,
                          MachinePort& aMachines,
+                         AdvisorPort& aAdvisor,
                          Metrics& aMetrics,
                          const Clock& aClock,
                          FleetDriverOptions aOptions)
@@ -50,6 +54,7 @@
   , replica_(aReplica)
   , instances_(aInstances)
   , machines_(aMachines)
+  , advisor_(aAdvisor)
   , metrics_(aMetrics)
   , clock_(aClock)
   , options_(aOptions)
@@ -94,11 +99,18 @@
     Feed([this](FleetScheduler& aScheduler, Millis aNow) {
       aScheduler.Tick(aNow, clock_.UnixNow());
     });
-    asio::steady_timer gap(io_, std::chrono::milliseconds(kRoundGap.Count()));
+    asio::steady_timer gap(io_, std::chrono::milliseconds(RoundGap().Count()));
     co_await gap.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   }
 }
 
+Millis FleetDriver::RoundGap() const
+{
+  const size_t instances = store_.With(
+    [](const JobStore& aStore) { return aStore.Instances().size(); });
+  return instances < kLargeFleet ? kRoundGap : kRoundGapOfLargeFleet;
+}
+
 void FleetDriver::CloseIdleConnections()
 {
   const Millis now = clock_.Now();
@@ -315,6 +327,32 @@
     asio::detached);
 }
 
+void FleetDriver::Perform(AdviceOrder aOrder)
+{
+  asio::co_spawn(
+    io_,
+    [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
+      const Millis askedAt = clock_.Now();
+      const AdviceReply reply = co_await advisor_.Ask(aOrder);
+      const Millis took = clock_.Now() - askedAt;
+      metrics_.Observe("vh_advice_milliseconds",
+                       static_cast<double>(took.Count()));
+      LogInfo(Event::kAdviceTaken,
+              { { "step", TextOf(aOrder.name_) },
+                { "asked", aOrder.asked_.size() },
+                { "good", reply.good_.size() },
+                { "answered", reply.isAnswered_ ? "yes" : "no" },
+                { "ms", took.Count() } });
+      if (generation == generation_) {
+        Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+          aScheduler.OnAdvice(aNow, aOrder, reply);
+        });
+        Wake();
+      }
+    },
+    asio::detached);
+}
+
 void FleetDriver::Perform(Proposal aProposal)
 {
   asio::co_spawn(
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -28,6 +28,7 @@
               LogReplica& aReplica,
               InstancePort& aInstances,
               MachinePort& aMachines,
+              AdvisorPort& aAdvisor,
               Metrics& aMetrics,
               const Clock& aClock,
               FleetDriverOptions aOptions);
@@ -54,6 +55,7 @@
   };
 
   boost::asio::awaitable<void> RunRounds();
+  Millis RoundGap() const;
   void CheckLeadership();
   void CloseIdleConnections();
   // Calls `aEvent` with the scheduler and carries out what it decides.
@@ -66,6 +68,7 @@
   void Perform(PaceOrder aOrder);
   void Perform(MachineOrder aOrder);
   void Perform(MachineListOrder aOrder);
+  void Perform(AdviceOrder aOrder);
   void Perform(Proposal aProposal);
   void Enqueue(const InstanceKey& aKey, Work aWork);
   void RunLane(const InstanceKey& aKey);
@@ -76,6 +79,7 @@
   LogReplica& replica_;
   InstancePort& instances_;
   MachinePort& machines_;
+  AdvisorPort& advisor_;
   Metrics& metrics_;
   const Clock& clock_;
   FleetDriverOptions options_;
--- a/src/scheduler/order_relay_host.cpp
+++ b/src/scheduler/order_relay_host.cpp
@@ -18,7 +18,7 @@
 
 // Outcomes that come within this time go back together: each message wakes a
 // thread on both sides.
-constexpr Millis kGatherFor = Millis(5);
+constexpr Millis kGatherFor = Millis(12);
 // Also said with nothing to tell, so that a relay that stands still is found.
 constexpr Millis kShowLifeEvery = Millis(200);
 
--- a/src/scheduler/ports.h
+++ b/src/scheduler/ports.h
@@ -37,4 +37,11 @@
   List() = 0;
 };
 
+class AdvisorPort
+{
+public:
+  virtual ~AdvisorPort() = default;
+  virtual boost::asio::awaitable<AdviceReply> Ask(AdviceOrder aOrder) = 0;
+};
+
 } // namespace vanillahatch
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -63,6 +63,7 @@
   EventEntry{ Event::kMachineOrdered, "machine-ordered" },
   EventEntry{ Event::kMachineAnswered, "machine-answered" },
   EventEntry{ Event::kPoolMeasured, "pool-measured" },
+  EventEntry{ Event::kAdviceTaken, "advice-taken" },
   EventEntry{ Event::kSchedulerStarted, "scheduler-started" },
   EventEntry{ Event::kSchedulerStopped, "scheduler-stopped" },
   EventEntry{ Event::kProposalFailed, "proposal-failed" },
--- /dev/null
+++ b/test/advice_test.cpp
@@ -0,0 +1,94 @@
+#define BOOST_TEST_MODULE advice
+#include "fleet_world.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+using namespace vanillahatch::test;
+
+namespace {
+
+struct AdvisedQueueFixture
+{
+  AdvisedQueueFixture()
+  {
+    v1::JobChanges changes;
+    v1::FleetDocument& config = *changes.add_changes()->mutable_put_config();
+    config.set_version(1);
+    config.add_services()->set_name("layout");
+    v1::QueueSpec& queue = *config.add_queues();
+    queue.set_name("drafts");
+    queue.set_host("host");
+    queue.set_path_prefix("/drafts/");
+    queue.set_service("layout");
+    queue.set_max_attempts(3);
+    queue.set_stretch(1.6);
+    queue.set_target_latency_ms(600);
+    queue.set_needs_advice(true);
+    world_.Store().Apply(changes);
+    for (int i = 0; i < 6; ++i) {
+      world_.Add("i" + std::to_string(i), "layout");
+    }
+    world_.RunFor(Millis(100));
+  }
+
+  bool IsCompleted(const Job& aJob)
+  {
+    return world_.Store().PhaseOf(aJob) == v1::JOB_COMPLETED;
+  }
+
+  uint32_t StartsOnUnadvised()
+  {
+    return world_.At("i1").startsSeen_ + world_.At("i3").startsSeen_ +
+           world_.At("i5").startsSeen_;
+  }
+
+  FleetWorld world_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(AdvisedQueue, AdvisedQueueFixture)
+
+BOOST_AUTO_TEST_CASE(StepRunsOnlyWhereTheAdvisorLetsIt)
+{
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(12, 3000) });
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+  BOOST_TEST(StartsOnUnadvised() == 0U);
+  BOOST_TEST(world_.AdviceCalls() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TicketThatHasExpiredIsAskedForAgain)
+{
+  const Job& job = world_.Submit(
+    "j1", "drafts", { FleetWorld::StepOf(40, 8000, 2000) }); // four waves
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(20)));
+  BOOST_TEST(StartsOnUnadvised() == 0U);
+  BOOST_TEST(world_.AdviceCalls() > 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NothingStartsWhileTheAdvisorIsSilentAndAllOfItAfterwards)
+{
+  world_.advisorAnswers_ = false;
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(4, 1000) });
+  world_.RunFor(Seconds(2));
+  BOOST_TEST(world_.Starts() == 0U);
+  BOOST_TEST(world_.AdviceCalls() <= 11U); // not more often than each 200 ms
+  world_.advisorAnswers_ = true;
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(StepsOfEachJobAreAskedAboutByThemselves)
+{
+  const Job& one =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(2, 1000) });
+  const Job& two =
+    world_.Submit("j2", "drafts", { FleetWorld::StepOf(2, 1000) });
+  BOOST_TEST(world_.RunUntil(
+    [&] { return IsCompleted(one) && IsCompleted(two); }, Seconds(3)));
+  BOOST_TEST(world_.AdviceCalls() == 2U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -216,6 +216,14 @@
   // The most machines that were away for upkeep at once.
   size_t MostInUpkeep() const { return mostInUpkeep_; }
   bool machinesAnswer_ = true;
+  bool advisorAnswers_ = true;
+  size_t AdviceCalls() const { return adviceCalls_; }
+  // The advisor lets steps run on instances with an even last digit.
+  static bool IsAdvised(const std::string& aId)
+  {
+    return (aId.back() - '0') % 2 == 0;
+  }
+  static constexpr Millis kTicketsValidFor = Seconds(3);
 
 private:
   struct HeldListing
@@ -280,6 +288,12 @@
     if (clock > aOrder.deadline_) {
       return refuse(OrderStatus::kPastDeadline);
     }
+    const v1::QueueSpec* queue = store_.FindQueue(aOrder.ref_.job_->queue_);
+    const std::string ticket = "t-" + aInstance.record_.id();
+    if (queue != nullptr && queue->needs_advice() &&
+        (aOrder.ticket_ != ticket || !IsAdvised(aInstance.record_.id()))) {
+      return refuse(OrderStatus::kNoTicket);
+    }
     ++aInstance.startsSeen_;
     aInstance.deadline_ = std::max(aInstance.deadline_, aOrder.deadline_);
     const v1::StepSpec& spec = JobStore::SpecOf(aOrder.ref_);
@@ -444,6 +458,20 @@
     scheduler_->OnMachineAnswer(now_, aOrder, MachineOrderStatus::kAccepted);
   }
 
+  void Perform(AdviceOrder& aOrder)
+  {
+    AdviceReply reply{ .isAnswered_ = advisorAnswers_,
+                       .validity_ = kTicketsValidFor };
+    ++adviceCalls_;
+    for (const InstanceKey& instance : aOrder.asked_) {
+      if (IsAdvised(instance.id_)) {
+        reply.good_.push_back(
+          { .instance_ = instance.id_, .ticket_ = "t-" + instance.id_ });
+      }
+    }
+    scheduler_->OnAdvice(now_, aOrder, reply);
+  }
+
   void Perform(MachineListOrder& /*aOrder*/)
   {
     std::vector<MachineView> machines;
@@ -493,6 +521,7 @@
   size_t starts_ = 0;
   size_t doubts_ = 0;
   size_t mostInUpkeep_ = 0;
+  size_t adviceCalls_ = 0;
 };
 
 } // namespace vanillahatch::test
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -1,4 +1,5 @@
 #define BOOST_TEST_MODULE platform_messages
+#include "platform/advisor_client.h"
 #include "platform/config_messages.h"
 #include "platform/job_messages.h"
 #include "platform/machine_client.h"
@@ -199,3 +200,39 @@
   BOOST_TEST(!ParseNodeSettings("node = \"x\"").has_value());
   BOOST_TEST(!ParseNodeSettings("node = [").has_value());
 }
+
+BOOST_AUTO_TEST_CASE(AdviceOrderNamesTheStepAndTheInstances)
+{
+  AdviceOrder order{ .asked_ = { { .id_ = "i-1" }, { .id_ = "i-2" } } };
+  order.name_.set_job("5c0e7a21d94b36f8");
+  order.name_.set_occurrence(2);
+  order.name_.set_step(1);
+  BOOST_TEST(EncodeAdviceOrder(order) ==
+             R"({"step":"5c0e7a21d94b36f8.2.1","workers":["i-1","i-2"]})");
+}
+
+BOOST_AUTO_TEST_CASE(AdviceIsDecodedIntoTickets)
+{
+  const auto reply =
+    DecodeAdvice(R"({"good":[["i-2","c81e"]],"validity_ms":3000})");
+  BOOST_REQUIRE(reply);
+  BOOST_TEST(reply.value().isAnswered_);
+  BOOST_REQUIRE(reply.value().good_.size() == 1U);
+  BOOST_TEST(reply.value().good_[0].instance_ == "i-2");
+  BOOST_TEST(reply.value().good_[0].ticket_ == "c81e");
+  BOOST_CHECK(reply.value().validity_ == Millis(3000));
+}
+
+BOOST_AUTO_TEST_CASE(MalformedAdviceIsAnErrorNotAnEmptyAnswer)
+{
+  for (const char* body : { "",
+                            "[]",
+                            "{}",
+                            R"({"good":{}})",
+                            R"({"good":["i-2"]})",
+                            R"({"good":[["i-2"]]})",
+                            R"({"good":[["i-2",7]]})",
+                            R"({"good":[],"validity_ms":"long"})" }) {
+    BOOST_TEST(!DecodeAdvice(body), "accepted: " << body);
+  }
+}
