Orders that cannot leave at once are not sent

Orders to an instance that hangs wait behind one another, or for a connection, for a second and more; an instance that is reborn under its id in that time knows no stop of its former life, and its clock starts anew, so the deadline of the order does not protect. A relay that stands still delays orders likewise. Change: starts expire in their lane, requests without a connection are not sent, a relay does not carry out what is older than 300 ms by its own clock, which counts while it is suspended.

--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -52,6 +52,7 @@
   bool isLasting_ = false;
   bool isServing_ = false; // lasting, with a target for its response times
   bool isFilling_ = false; // works in what others leave unused
+  bool hasLeft_ = false;   // it has ended, and its room is free again
 };
 
 // What a round has to know of the runs of one instance.
@@ -85,6 +86,8 @@
   bool HasRuns() const { return !runs_.empty(); }
   RunView* FindRun(const TaskRef& aTask, uint32_t aRun);
   RunView& AddRun(const TaskRef& aTask, RunView aRun);
+  // The instance has listed the end of the run: what it took is free.
+  void FreeRoomOf(RunView& aRun);
   void RemoveRun(const TaskRef& aTask);
 
   // Room that is taken or promised; what is being stopped still counts.
--- a/include/vanillahatch/core/jobs/orders.h
+++ b/include/vanillahatch/core/jobs/orders.h
@@ -22,6 +22,11 @@
   Millis remaining_;      // of a draining instance, at least
 };
 
+// An order that cannot leave within this time of its decision is not sent. An
+// instance that dies, is born again under its id and reports takes longer, so
+// no order for a former life reaches the next one.
+constexpr Millis kSendOrdersWithin = Millis(300);
+
 // Where an order goes and on whose authority.
 struct OrderTarget
 {
--- a/include/vanillahatch/shell/http_client.h
+++ b/include/vanillahatch/shell/http_client.h
@@ -57,6 +57,9 @@
   // a look. If its peer has closed it since, the exchange ends as kUnknown
   // instead of kNotSent.
   Millis freshFor_;
+  // A request that got no connection within this time is not sent any more,
+  // though the time for its answer is not over.
+  Millis sendWithin_ = Millis::Max();
 };
 
 class HttpClient
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -234,6 +234,8 @@
     }
     trace_.onEnd_(*ref, ended, aView.Record().key_);
     run->endProposed_ = true;
+    // A start that takes this room goes into the log after the end.
+    aView.FreeRoomOf(*run);
     roundPending_.ends_.emplace_back(aView.Record().key_, *ref);
     if (ended.outcome_ == v1::RUN_DONE) {
       aView.failuresInRow_ = 0;
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -72,20 +72,28 @@
   return runs_.emplace(aTask, std::move(aRun)).first->second;
 }
 
+void InstanceView::FreeRoomOf(RunView& aRun)
+{
+  if (aRun.hasLeft_) {
+    return;
+  }
+  aRun.hasLeft_ = true;
+  used_ = used_ - aRun.need_;
+  if (aRun.isLasting_) {
+    usedByLasting_ = usedByLasting_ - aRun.need_;
+  }
+  lastingRuns_ -= aRun.isLasting_ ? 1 : 0;
+  servingRuns_ -= aRun.isServing_ ? 1 : 0;
+  fillingRuns_ -= aRun.isFilling_ ? 1 : 0;
+}
+
 void InstanceView::RemoveRun(const TaskRef& aTask)
 {
   const auto it = runs_.find(aTask);
   if (it == runs_.end()) {
     return;
   }
-  const RunView& run = it->second;
-  used_ = used_ - run.need_;
-  if (run.isLasting_) {
-    usedByLasting_ = usedByLasting_ - run.need_;
-  }
-  lastingRuns_ -= run.isLasting_ ? 1 : 0;
-  servingRuns_ -= run.isServing_ ? 1 : 0;
-  fillingRuns_ -= run.isFilling_ ? 1 : 0;
+  FreeRoomOf(it->second);
   isSummaryValid_ = false;
   runs_.erase(it);
 }
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -13,17 +13,12 @@
 
 namespace {
 
-// Between rounds: events in between are decided on together. A round costs
-// more with many instances, and each is followed by calls to every replica.
+// Between rounds: events in between are decided on together.
 constexpr Millis kRoundGap = Millis(10);
-constexpr Millis kRoundGapOfLargeFleet = Millis(20);
-constexpr size_t kLargeFleet = 100; // instances
 // Rounds come at least this often, for timeouts.
 constexpr Millis kIdleRound = Millis(100);
 // Instances come and go with moves, and descriptors are bounded.
 constexpr Millis kCloseIdleEvery = Seconds(1);
-// Connections for orders to one instance, beside the one that lists.
-constexpr size_t kOrdersAtOnce = 4;
 
 std::string TextOf(const v1::TaskName& aTask)
 {
@@ -59,6 +54,7 @@
   , clock_(aClock)
   , options_(aOptions)
   , timer_(aIo)
+  , lanes_(aIo, aClock)
 {
 }
 
@@ -99,18 +95,11 @@
     Feed([this](FleetScheduler& aScheduler, Millis aNow) {
       aScheduler.Tick(aNow, clock_.UnixNow());
     });
-    asio::steady_timer gap(io_, std::chrono::milliseconds(RoundGap().Count()));
+    asio::steady_timer gap(io_, std::chrono::milliseconds(kRoundGap.Count()));
     co_await gap.async_wait(asio::redirect_error(asio::use_awaitable, ignored));
   }
 }
 
-Millis FleetDriver::RoundGap() const
-{
-  const size_t instances = store_.With(
-    [](const JobStore& aStore) { return aStore.Instances().size(); });
-  return instances < kLargeFleet ? kRoundGap : kRoundGapOfLargeFleet;
-}
-
 void FleetDriver::CloseIdleConnections()
 {
   const Millis now = clock_.Now();
@@ -130,7 +119,7 @@
   }
   scheduler_.reset();
   ++generation_;
-  lanes_.clear();
+  lanes_.Clear();
   term_ = term;
   if (term == 0) {
     LogInfo(Event::kSchedulerStopped,
@@ -180,75 +169,64 @@
   }
 }
 
-void FleetDriver::Enqueue(const InstanceKey& aKey, Work aWork)
+void FleetDriver::Perform(StartOrder aOrder)
 {
-  lanes_[aKey].waiting_.push_back(std::move(aWork));
-  RunLane(aKey);
+  const InstanceKey instance = aOrder.target_.instance_;
+  const auto shared = std::make_shared<const StartOrder>(std::move(aOrder));
+  const uint64_t generation = generation_;
+  lanes_.Add(
+    instance,
+    { .send_ = [this, shared, generation]() -> asio::awaitable<void> {
+       const Millis sentAt = clock_.Now();
+       const OrderResult result = co_await instances_.Start(*shared);
+       metrics_.Observe("vh_start_milliseconds",
+                        static_cast<double>((clock_.Now() - sentAt).Count()));
+       TakeStart(*shared, result, generation);
+     },
+      .expire_ =
+        [this, shared, generation] {
+          TakeStart(*shared, { .status_ = OrderStatus::kNotSent }, generation);
+        } });
 }
 
-void FleetDriver::RunLane(const InstanceKey& aKey)
+void FleetDriver::TakeStart(const StartOrder& aOrder,
+                            const OrderResult& aResult,
+                            uint64_t aGeneration)
 {
-  Lane& lane = lanes_[aKey];
-  while (lane.underWay_ < kOrdersAtOnce && !lane.waiting_.empty()) {
-    ++lane.underWay_;
-    Work work = std::move(lane.waiting_.front());
-    lane.waiting_.pop_front();
-    asio::co_spawn(
-      io_,
-      [this, aKey, work = std::move(work), generation = generation_]()
-        -> asio::awaitable<void> {
-        co_await work();
-        if (generation == generation_) {
-          --lanes_[aKey].underWay_;
-          RunLane(aKey);
-        }
-      },
-      asio::detached);
+  if (aResult.status_ != OrderStatus::kAccepted) {
+    LogWarning(Event::kStartRefused,
+               { { "task", TextOf(aOrder.task_) },
+                 { "run", aOrder.run_ },
+                 { "instance", aOrder.target_.instance_.id_ },
+                 { "status", static_cast<int>(aResult.status_) } });
+  }
+  if (aGeneration == generation_) {
+    Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+      aScheduler.OnStart(aNow, aOrder, aResult);
+    });
+    Wake();
   }
-}
-
-void FleetDriver::Perform(StartOrder aOrder)
-{
-  Enqueue(aOrder.target_.instance_,
-          [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
-            const Millis sentAt = clock_.Now();
-            const OrderResult result = co_await instances_.Start(aOrder);
-            metrics_.Observe(
-              "vh_start_milliseconds",
-              static_cast<double>((clock_.Now() - sentAt).Count()));
-            if (result.status_ != OrderStatus::kAccepted) {
-              LogWarning(Event::kStartRefused,
-                         { { "task", TextOf(aOrder.task_) },
-                           { "run", aOrder.run_ },
-                           { "instance", aOrder.target_.instance_.id_ },
-                           { "status", static_cast<int>(result.status_) } });
-            }
-            if (generation == generation_) {
-              Feed([&](FleetScheduler& aScheduler, Millis aNow) {
-                aScheduler.OnStart(aNow, aOrder, result);
-              });
-              Wake();
-            }
-          });
 }
 
 void FleetDriver::Perform(StopOrder aOrder)
 {
-  Enqueue(aOrder.target_.instance_,
-          [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
-            const OrderResult result = co_await instances_.Stop(aOrder);
-            LogInfo(Event::kRunStopped,
-                    { { "task", TextOf(aOrder.task_) },
-                      { "run", aOrder.run_ },
-                      { "instance", aOrder.target_.instance_.id_ },
-                      { "status", static_cast<int>(result.status_) } });
-            if (generation == generation_) {
-              Feed([&](FleetScheduler& aScheduler, Millis aNow) {
-                aScheduler.OnStop(aNow, aOrder, result);
-              });
-              Wake();
-            }
-          });
+  lanes_.Add(aOrder.target_.instance_,
+             { .send_ = [this,
+                         aOrder,
+                         generation = generation_]() -> asio::awaitable<void> {
+               const OrderResult result = co_await instances_.Stop(aOrder);
+               LogInfo(Event::kRunStopped,
+                       { { "task", TextOf(aOrder.task_) },
+                         { "run", aOrder.run_ },
+                         { "instance", aOrder.target_.instance_.id_ },
+                         { "status", static_cast<int>(result.status_) } });
+               if (generation == generation_) {
+                 Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+                   aScheduler.OnStop(aNow, aOrder, result);
+                 });
+                 Wake();
+               }
+             } });
 }
 
 void FleetDriver::Perform(HoldOrder aOrder)
@@ -271,20 +249,22 @@
 
 void FleetDriver::Perform(PaceOrder aOrder)
 {
-  Enqueue(aOrder.target_.instance_,
-          [this, aOrder, generation = generation_]() -> asio::awaitable<void> {
-            const OrderResult result = co_await instances_.Pace(aOrder);
-            LogInfo(Event::kRunPaced,
-                    { { "task", TextOf(aOrder.task_) },
-                      { "run", aOrder.run_ },
-                      { "percent", aOrder.percent_ },
-                      { "status", static_cast<int>(result.status_) } });
-            if (generation == generation_) {
-              Feed([&](FleetScheduler& aScheduler, Millis) {
-                aScheduler.OnPace(aOrder, result);
-              });
-            }
-          });
+  lanes_.Add(aOrder.target_.instance_,
+             { .send_ = [this,
+                         aOrder,
+                         generation = generation_]() -> asio::awaitable<void> {
+               const OrderResult result = co_await instances_.Pace(aOrder);
+               LogInfo(Event::kRunPaced,
+                       { { "task", TextOf(aOrder.task_) },
+                         { "run", aOrder.run_ },
+                         { "percent", aOrder.percent_ },
+                         { "status", static_cast<int>(result.status_) } });
+               if (generation == generation_) {
+                 Feed([&](FleetScheduler& aScheduler, Millis) {
+                   aScheduler.OnPace(aOrder, result);
+                 });
+               }
+             } });
 }
 
 void FleetDriver::Perform(MachineOrder aOrder)
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -3,13 +3,13 @@
 #pragma once
 
 #include "scheduler/job_store_host.h"
+#include "scheduler/order_lanes.h"
 #include "scheduler/ports.h"
 #include "vanillahatch/core/jobs/fleet_scheduler.h"
 #include "vanillahatch/shell/metrics.h"
 
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/steady_timer.hpp>
-#include <deque>
 
 namespace vanillahatch {
 
@@ -46,16 +46,7 @@
   bool IsWaveCompleted(uint64_t aWave);
 
 private:
-  using Work = std::function<boost::asio::awaitable<void>()>;
-  // Orders to one instance, so that it is not flooded with connections.
-  struct Lane
-  {
-    std::deque<Work> waiting_;
-    size_t underWay_ = 0;
-  };
-
   boost::asio::awaitable<void> RunRounds();
-  Millis RoundGap() const;
   void CheckLeadership();
   void CloseIdleConnections();
   // Calls `aEvent` with the scheduler and carries out what it decides.
@@ -63,6 +54,9 @@
   void Feed(SchedulerEvent aEvent);
   void Perform(std::vector<SchedulerAction> aActions);
   void Perform(StartOrder aOrder);
+  void TakeStart(const StartOrder& aOrder,
+                 const OrderResult& aResult,
+                 uint64_t aGeneration);
   void Perform(StopOrder aOrder);
   void Perform(HoldOrder aOrder);
   void Perform(PaceOrder aOrder);
@@ -70,8 +64,6 @@
   void Perform(MachineListOrder aOrder);
   void Perform(AdviceOrder aOrder);
   void Perform(Proposal aProposal);
-  void Enqueue(const InstanceKey& aKey, Work aWork);
-  void RunLane(const InstanceKey& aKey);
   SchedulerTrace MakeTrace();
 
   boost::asio::io_context& io_;
@@ -91,7 +83,7 @@
   uint64_t deposedTerm_ = 0; // in which an instance refused our token
   // Grows with each scheduler, so that answers to an earlier one are dropped.
   uint64_t generation_ = 0;
-  std::map<InstanceKey, Lane> lanes_;
+  OrderLanes lanes_;
 };
 
 } // namespace vanillahatch
--- a/src/scheduler/order_relay_host.cpp
+++ b/src/scheduler/order_relay_host.cpp
@@ -8,6 +8,7 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <ctime>
 #include <mutex>
 
 namespace vanillahatch {
@@ -18,12 +19,21 @@
 
 // Outcomes that come within this time go back together: each message wakes a
 // thread on both sides.
-constexpr Millis kGatherFor = Millis(12);
+constexpr Millis kGatherFor = Millis(5);
 // Also said with nothing to tell, so that a relay that stands still is found.
 constexpr Millis kShowLifeEvery = Millis(200);
 
 } // namespace
 
+Millis SuspendableNow()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  constexpr int64_t kMillisASecond = 1000;
+  constexpr int64_t kNanosAMilli = 1000000;
+  return Millis(now.tv_sec * kMillisASecond + now.tv_nsec / kNanosAMilli);
+}
+
 // One leader's stream. It lives until the stream has ended and every order of
 // it has been carried out.
 class OrderRelayHost::Stream
@@ -31,9 +41,10 @@
   , public std::enable_shared_from_this<Stream>
 {
 public:
-  Stream(asio::io_context& aIo, InstancePort& aInstances)
+  Stream(asio::io_context& aIo, InstancePort& aInstances, RelayClock aClock)
     : io_(aIo)
     , instances_(aInstances)
+    , clock_(std::move(aClock))
   {
   }
 
@@ -89,23 +100,39 @@
   asio::awaitable<void> CarryOut(v1::RelayedOrder aOrder)
   {
     ListingReply reply;
+    const bool isLate = clock_().Count() > aOrder.send_by_ms();
+    if (isLate && aOrder.kind() != v1::RELAYED_STOP) {
+      reply.result_.status_ = OrderStatus::kNotSent;
+    } else {
+      co_await Give(aOrder, reply);
+    }
+    co_await Answer(ToOutcome(aOrder.number(), reply));
+  }
+
+  asio::awaitable<void> Give(const v1::RelayedOrder& aOrder,
+                             ListingReply& aReply)
+  {
     switch (aOrder.kind()) {
       case v1::RELAYED_START:
-        reply.result_ = co_await instances_.Start(ToStart(aOrder));
+        aReply.result_ = co_await instances_.Start(ToStart(aOrder));
         break;
       case v1::RELAYED_STOP:
-        reply.result_ = co_await instances_.Stop(ToStop(aOrder));
+        aReply.result_ = co_await instances_.Stop(ToStop(aOrder));
         break;
       case v1::RELAYED_PACE:
-        reply.result_ = co_await instances_.Pace(ToPace(aOrder));
+        aReply.result_ = co_await instances_.Pace(ToPace(aOrder));
         break;
       case v1::RELAYED_HOLD:
-        reply = co_await instances_.Hold(ToHold(aOrder));
+        aReply = co_await instances_.Hold(ToHold(aOrder));
         break;
       default: // of a newer version
-        reply.result_.status_ = OrderStatus::kNotSent;
+        aReply.result_.status_ = OrderStatus::kNotSent;
     }
-    *gathered_.add_outcomes() = ToOutcome(aOrder.number(), reply);
+  }
+
+  asio::awaitable<void> Answer(v1::RelayedOutcome aOutcome)
+  {
+    *gathered_.add_outcomes() = std::move(aOutcome);
     if (gathered_.outcomes_size() > 1) {
       co_return; // The first one of them sends all.
     }
@@ -155,6 +182,7 @@
     isWriting_ = true;
     outgoing_.Clear();
     outgoing_.Swap(&waiting_);
+    outgoing_.set_clock_ms(clock_().Count());
     StartWrite(&outgoing_);
   }
 
@@ -171,6 +199,7 @@
 
   asio::io_context& io_;
   InstancePort& instances_;
+  const RelayClock clock_;
   std::shared_ptr<Stream> self_; // until the stream has ended
   v1::RelayedOrders incoming_;   // of the read under way
   v1::RelayedOutcomes gathered_; // on the thread of `io_`
@@ -182,16 +211,19 @@
   bool isFinished_ = false;
 };
 
-OrderRelayHost::OrderRelayHost(asio::io_context& aIo, InstancePort& aInstances)
+OrderRelayHost::OrderRelayHost(asio::io_context& aIo,
+                               InstancePort& aInstances,
+                               RelayClock aClock)
   : io_(aIo)
   , instances_(aInstances)
+  , clock_(std::move(aClock))
 {
 }
 
 grpc::ServerBidiReactor<v1::RelayedOrders, v1::RelayedOutcomes>*
 OrderRelayHost::Relay(grpc::CallbackServerContext* /*aContext*/)
 {
-  const auto stream = std::make_shared<Stream>(io_, instances_);
+  const auto stream = std::make_shared<Stream>(io_, instances_, clock_);
   stream->Begin();
   return stream.get();
 }
--- a/src/scheduler/order_relay_host.h
+++ b/src/scheduler/order_relay_host.h
@@ -12,14 +12,22 @@
 
 #include "relay.grpc.pb.h"
 #include <boost/asio/io_context.hpp>
+#include <functional>
 
 namespace vanillahatch {
 
+// Counts on while the machine is suspended, so that a relay which stood still
+// sees how old its orders are.
+using RelayClock = std::function<Millis()>;
+Millis SuspendableNow();
+
 class OrderRelayHost : public v1::OrderRelay::CallbackService
 {
 public:
   // `aInstances` is used on the thread of `aIo` only.
-  OrderRelayHost(boost::asio::io_context& aIo, InstancePort& aInstances);
+  OrderRelayHost(boost::asio::io_context& aIo,
+                 InstancePort& aInstances,
+                 RelayClock aClock = SuspendableNow);
 
   grpc::ServerBidiReactor<v1::RelayedOrders, v1::RelayedOutcomes>* Relay(
     grpc::CallbackServerContext* aContext) override;
@@ -29,6 +37,7 @@
 
   boost::asio::io_context& io_;
   InstancePort& instances_;
+  RelayClock clock_;
 };
 
 } // namespace vanillahatch
--- a/src/scheduler/order_relays.cpp
+++ b/src/scheduler/order_relays.cpp
@@ -106,6 +106,10 @@
   void Send(v1::RelayedOrder aOrder, Millis aWithin, Done aDone)
   {
     aOrder.set_number(++lastNumber_);
+    // The relay's clock is read only from its messages, so this is a lower
+    // bound that is off by the way of the latest one.
+    const Millis relayNow = relayClock_ + (clock_.Now() - *heardAt_);
+    aOrder.set_send_by_ms((relayNow + kSendOrdersWithin).Count());
     pending_.emplace(
       lastNumber_,
       Pending{ .dueAt_ = clock_.Now() + aWithin, .done_ = std::move(aDone) });
@@ -207,6 +211,7 @@
   void Take(const v1::RelayedOutcomes& aOutcomes)
   {
     heardAt_ = clock_.Now();
+    relayClock_ = Millis(aOutcomes.clock_ms());
     for (const v1::RelayedOutcome& outcome : aOutcomes.outcomes()) {
       const auto it = pending_.find(outcome.number());
       if (it == pending_.end()) {
@@ -231,6 +236,7 @@
   v1::RelayedOutcomes incoming_; // of the read under way
   uint64_t lastNumber_ = 0;
   std::optional<Millis> heardAt_;
+  Millis relayClock_; // when it was heard
   bool hasEnded_ = false;
   std::mutex mutex_; // guards what follows
   v1::RelayedOrders waiting_;
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -153,6 +153,7 @@
     aAbort = std::make_shared<ExchangeAbort>();
   }
   boost::system::error_code error;
+  const auto begun = std::chrono::steady_clock::now();
   Stream stream = TakeIdle(aEndpoint);
   if (!stream) {
     stream = co_await Connect(aEndpoint, aTimeout, *aAbort, error);
@@ -160,6 +161,10 @@
   if (error || aAbort->aborted_) {
     co_return Failed(ExchangeVerdict::kNotSent, error.message());
   }
+  const auto waited = std::chrono::steady_clock::now() - begun;
+  if (Millis(waited / std::chrono::milliseconds(1)) > options_.sendWithin_) {
+    co_return Failed(ExchangeVerdict::kNotSent, "connected too late");
+  }
   aAbort->stream_ = stream;
   stream->expires_after(std::chrono::milliseconds(aTimeout.Count()));
   const std::string bytes = ToBytes(aRequest);
--- a/test/order_relays_test.cpp
+++ b/test/order_relays_test.cpp
@@ -6,6 +6,7 @@
 #include "vanillahatch/shell/system_clock.h"
 
 #include <array>
+#include <atomic>
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <thread>
@@ -77,7 +78,7 @@
   Relay()
     : endpoint_({ .address_ = kLoopback, .port_ = FreePort() })
     , work_(io_.get_executor())
-    , host_(io_, instances_)
+    , host_(io_, instances_, [this] { return SuspendableNow() + jump_.load(); })
     , server_(StartServer(endpoint_, host_))
     , thread_([this] { io_.run(); })
   {
@@ -101,6 +102,7 @@
 
   FakeInstances instances_;
   const Endpoint endpoint_;
+  std::atomic<Millis> jump_ = Millis(); // time that it stood still
 
 private:
   asio::io_context io_;
@@ -244,6 +246,16 @@
   BOOST_CHECK((*result)->status_ == OrderStatus::kUnknown);
 }
 
+BOOST_AUTO_TEST_CASE(RelayThatStoodStillDoesNotCarryOutOldOrders)
+{
+  Connect();
+  relay_.jump_ = Seconds(2);
+  const auto result = Start(); // before the leader hears of the jump
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_CHECK((*result)->status_ == OrderStatus::kNotSent);
+  BOOST_TEST(relay_.instances_.started_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(OrdersGoDirectlyAgainOnceTheRelayIsLost)
 {
   Connect();
