A run that ended on an instance that was given up counts as done

When the instance was reached again its list of ends was confirmed, but an end of a task that was no longer assigned there was ignored, and the task ran a second time. Ruled out: a lost acknowledgement of the log (the same leader ordered both runs, and nothing was restored on it). Change: a done end of a task's latest run counts although the instance had been given up. A replica that is not a settled follower shows no life as a relay. Tests that failed first: EndOnAnInstanceThatWasGivenUpCountsWhenItIsReachedAgain; RelayThatIsNotFitGetsNoOrders.

--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -344,8 +344,16 @@
   const Task& task = At(*ref);
   const bool isCurrent = task.phase_ == TaskPhase::kAssigned &&
                          task.run_ == aEnd.run() && task.instance_ == instance;
+  // The instance could not be reached and was given up, after the run had ended
+  // there: the work is done, and must not be done again.
+  const bool wasGivenUp = task.phase_ == TaskPhase::kPending &&
+                          task.run_ == aEnd.run() &&
+                          aEnd.outcome() == v1::RUN_DONE;
   if (isCurrent) {
     FinishRun(*ref, aEnd.outcome(), aEnd.checkpoint());
+  } else if (wasGivenUp && !SpecOf(*ref).lasting()) {
+    --ref->job_->occurrences_.at(ref->occurrence_).steps_[ref->step_].pending_;
+    FinishTask(*ref);
   }
 }
 
--- a/src/scheduler/order_relay_host.cpp
+++ b/src/scheduler/order_relay_host.cpp
@@ -41,9 +41,13 @@
   , public std::enable_shared_from_this<Stream>
 {
 public:
-  Stream(asio::io_context& aIo, InstancePort& aInstances, RelayClock aClock)
+  Stream(asio::io_context& aIo,
+         InstancePort& aInstances,
+         std::function<bool()> aIsFit,
+         RelayClock aClock)
     : io_(aIo)
     , instances_(aInstances)
+    , isFit_(std::move(aIsFit))
     , clock_(std::move(aClock))
   {
   }
@@ -163,7 +167,7 @@
   bool WriteSomething()
   {
     std::lock_guard lock(mutex_);
-    if (!isWriting_ && !hasEnded_) {
+    if (!isWriting_ && !hasEnded_ && isFit_()) {
       Write();
     }
     return !hasEnded_;
@@ -199,6 +203,7 @@
 
   asio::io_context& io_;
   InstancePort& instances_;
+  const std::function<bool()> isFit_;
   const RelayClock clock_;
   std::shared_ptr<Stream> self_; // until the stream has ended
   v1::RelayedOrders incoming_;   // of the read under way
@@ -213,9 +218,11 @@
 
 OrderRelayHost::OrderRelayHost(asio::io_context& aIo,
                                InstancePort& aInstances,
+                               std::function<bool()> aIsFit,
                                RelayClock aClock)
   : io_(aIo)
   , instances_(aInstances)
+  , isFit_(std::move(aIsFit))
   , clock_(std::move(aClock))
 {
 }
@@ -223,7 +230,7 @@
 grpc::ServerBidiReactor<v1::RelayedOrders, v1::RelayedOutcomes>*
 OrderRelayHost::Relay(grpc::CallbackServerContext* /*aContext*/)
 {
-  const auto stream = std::make_shared<Stream>(io_, instances_, clock_);
+  const auto stream = std::make_shared<Stream>(io_, instances_, isFit_, clock_);
   stream->Begin();
   return stream.get();
 }
--- a/src/scheduler/order_relay_host.h
+++ b/src/scheduler/order_relay_host.h
@@ -24,10 +24,13 @@
 class OrderRelayHost : public v1::OrderRelay::CallbackService
 {
 public:
-  // `aInstances` is used on the thread of `aIo` only.
-  OrderRelayHost(boost::asio::io_context& aIo,
-                 InstancePort& aInstances,
-                 RelayClock aClock = SuspendableNow);
+  // `aInstances` is used on the thread of `aIo` only. While `aIsFit` is false
+  // the relay does not show life, so that it gets no orders.
+  OrderRelayHost(
+    boost::asio::io_context& aIo,
+    InstancePort& aInstances,
+    std::function<bool()> aIsFit = [] { return true; },
+    RelayClock aClock = SuspendableNow);
 
   grpc::ServerBidiReactor<v1::RelayedOrders, v1::RelayedOutcomes>* Relay(
     grpc::CallbackServerContext* aContext) override;
@@ -37,6 +40,7 @@
 
   boost::asio::io_context& io_;
   InstancePort& instances_;
+  std::function<bool()> isFit_;
   RelayClock clock_;
 };
 
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -130,6 +130,23 @@
   BOOST_TEST(most == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(EndOnAnInstanceThatWasGivenUpCountsWhenItIsReachedAgain)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500, 600) });
+  BOOST_REQUIRE(
+    world_.RunUntil([&] { return a.running_.size() == 1; }, Seconds(1)));
+  a.answers_ = false; // The run ends there before its lease does.
+  world_.RunFor(Seconds(12));
+  BOOST_REQUIRE(world_.Store().Instances().empty()); // given up
+  a.answers_ = true;
+  world_.Report(a);
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+  BOOST_TEST(a.startsSeen_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(NewLeaderTakesOverWhatRunsWithoutStartingItAgain)
 {
   FakeInstance& a = world_.Add("a", "layout");
--- a/test/order_relays_test.cpp
+++ b/test/order_relays_test.cpp
@@ -78,7 +78,11 @@
   Relay()
     : endpoint_({ .address_ = kLoopback, .port_ = FreePort() })
     , work_(io_.get_executor())
-    , host_(io_, instances_, [this] { return SuspendableNow() + jump_.load(); })
+    , host_(
+        io_,
+        instances_,
+        [this] { return isFit_.load(); },
+        [this] { return SuspendableNow() + jump_.load(); })
     , server_(StartServer(endpoint_, host_))
     , thread_([this] { io_.run(); })
   {
@@ -103,6 +107,7 @@
   FakeInstances instances_;
   const Endpoint endpoint_;
   std::atomic<Millis> jump_ = Millis(); // time that it stood still
+  std::atomic<bool> isFit_ = true;
 
 private:
   asio::io_context io_;
@@ -256,6 +261,16 @@
   BOOST_TEST(relay_.instances_.started_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(RelayThatIsNotFitGetsNoOrders)
+{
+  Connect();
+  relay_.isFit_ = false;
+  BOOST_REQUIRE(RunUntil([&] { return relays_.Usable() == 0; }));
+  const auto result = Start();
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_TEST(direct_.started_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(OrdersGoDirectlyAgainOnceTheRelayIsLost)
 {
   Connect();
