No start goes to an instance that is being given up

A start that waited in the log when its instance was given up was still sent after its commit; the instance's removal, committed next, freed the task, which ran a second time beside it. The instance was not even lost: it had been idle, so nothing had asked it for longer than a lease, and its first run after that counted as unanswered at once. Change: such a start is not sent; silence of an instance counts from when it got its first run after a rest. Tests: InstanceThatIsBeingGivenUpGetsNoMoreStarts failed first. IdleInstanceIsNotGivenUpWhileItsFirstStartIsInTheLog did not fail without the change: the fake instances answer too soon; it is kept as a check.

--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -127,6 +127,7 @@
   bool lookUnderWay_ = false; // a listing that is answered at once
   Millis nextHoldAt_;
   Millis lastAnswerAt_;
+  Millis busySince_;             // an idle instance is not asked anything
   Millis reportedAt_;            // of its own accord
   uint64_t listings_ = 0;        // that were taken in
   uint64_t confirmedCursor_ = 0; // that it was told last
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -170,8 +170,9 @@
   for (auto& [key, view] : views_) {
     const bool isSilent = aNow - view.lastAnswerAt_ > options_.lease_ &&
                           aNow - view.reportedAt_ > options_.lease_;
+    const Millis silentSince = std::max(view.lastAnswerAt_, view.busySince_);
     const bool isCutOff =
-      view.HasRuns() && aNow - view.lastAnswerAt_ > options_.lease_;
+      view.HasRuns() && aNow - silentSince > options_.lease_;
     const bool isDead = !view.HasRuns() && isSilent && !view.contacted_;
     if ((isCutOff || isDead) && view.Lease().HasLapsed(aNow)) {
       ProposeGone(view, GoneFor::kNow, "lease lapsed");
@@ -325,6 +326,9 @@
       view->RemoveRun(task);
       continue;
     }
+    if (view->goneProposed_) {
+      continue; // Its tasks will be free; a start now would run beside them.
+    }
     const Millis clock = view->Lease().ClockAt(aNow);
     StartOrder order{ .target_ = TargetOf(*view),
                       .ref_ = task,
--- a/src/core/jobs/fleet_scheduler_placing.cpp
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -242,6 +242,9 @@
                                   const TaskRef& aTask,
                                   uint32_t aRun)
 {
+  if (!aView.HasRuns()) {
+    aView.busySince_ = aNow;
+  }
   aView.AddRun(aTask,
                { .run_ = aRun, .phase_ = RunPhase::kProposed, .since_ = aNow });
   v1::RunStart& start = *round_.add_changes()->mutable_run_start();
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -21,6 +21,14 @@
     return world_.Store().PhaseOf(aJob) == v1::JOB_COMPLETED;
   }
 
+  void RunOneJob(const std::string& aId)
+  {
+    const Job& job =
+      world_.Submit(aId, "drafts", { FleetWorld::StepOf(1, 500, 600) });
+    BOOST_REQUIRE(
+      world_.RunUntil([&] { return IsCompleted(job); }, Seconds(2)));
+  }
+
   FleetWorld world_;
 };
 
@@ -130,6 +138,34 @@
   BOOST_TEST(most == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(IdleInstanceIsNotGivenUpWhileItsFirstStartIsInTheLog)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  RunOneJob("j0");
+  world_.RunFor(Seconds(12)); // idle for longer than a lease
+  world_.holdsCommits_ = true;
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(2, 500, 600) });
+  world_.RunFor(Millis(200));
+  world_.CommitHeld();
+  BOOST_TEST(world_.Store().Instances().size() == 1U);
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(2)));
+  BOOST_TEST(a.startsSeen_ == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(InstanceThatIsBeingGivenUpGetsNoMoreStarts)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  RunOneJob("j0");
+  world_.holdsCommits_ = true;
+  world_.Submit("j1", "drafts", { FleetWorld::StepOf(2, 500, 600) });
+  a.answers_ = false;
+  world_.RunFor(Seconds(12)); // the log takes nothing for longer than a lease
+  a.answers_ = true;
+  world_.CommitHeld();
+  BOOST_TEST(a.startsSeen_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(EndOnAnInstanceThatWasGivenUpCountsWhenItIsReachedAgain)
 {
   FakeInstance& a = world_.Add("a", "layout");
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -215,6 +215,16 @@
   size_t Doubts() const { return doubts_; }
   // The most machines that were away for upkeep at once.
   size_t MostInUpkeep() const { return mostInUpkeep_; }
+  // What was proposed while commits were held back, in order.
+  void CommitHeld()
+  {
+    holdsCommits_ = false;
+    for (Proposal& proposal : std::exchange(uncommitted_, {})) {
+      Perform(proposal);
+    }
+    Perform();
+  }
+  bool holdsCommits_ = false;
   bool machinesAnswer_ = true;
   bool advisorAnswers_ = true;
   size_t AdviceCalls() const { return adviceCalls_; }
@@ -324,6 +334,10 @@
 
   void Perform(Proposal& aProposal)
   {
+    if (holdsCommits_) {
+      uncommitted_.push_back(std::move(aProposal));
+      return;
+    }
     // What a real log does with the entry: nothing keeps references into it.
     v1::JobChanges changes;
     changes.ParseFromString(aProposal.changes_.SerializeAsString());
@@ -522,6 +536,7 @@
   size_t doubts_ = 0;
   size_t mostInUpkeep_ = 0;
   size_t adviceCalls_ = 0;
+  std::deque<Proposal> uncommitted_;
 };
 
 } // namespace vanillahatch::test
