--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -21,6 +21,15 @@
 constexpr size_t kMostEndsListed = 500;
 constexpr uint32_t kAtWork = 100; // percent
 
+// An answer to an order shows the instance's clock, and that it is there.
+void NoteAnswer(Millis aNow, InstanceView& aView, const OrderResult& aResult)
+{
+  if (aResult.clock_) {
+    aView.Lease().Observe(*aResult.clock_, aNow);
+    aView.lastAnswerAt_ = aNow;
+  }
+}
+
 } // namespace
 
 void FleetScheduler::Doubt(Millis aNow,
@@ -59,10 +68,7 @@
   if (view == nullptr) {
     return;
   }
-  if (aResult.clock_) {
-    view->Lease().Observe(*aResult.clock_, aNow);
-    view->lastAnswerAt_ = aNow;
-  }
+  NoteAnswer(aNow, *view, aResult);
   RunView* run = view->FindRun(aOrder.ref_, aOrder.run_);
   if (run == nullptr) {
     return;
@@ -115,10 +121,7 @@
   if (view == nullptr) {
     return;
   }
-  if (aResult.clock_) {
-    view->Lease().Observe(*aResult.clock_, aNow);
-    view->lastAnswerAt_ = aNow;
-  }
+  NoteAnswer(aNow, *view, aResult);
   deposed_ = deposed_ || aResult.status_ == OrderStatus::kFenced;
   if (aResult.status_ == OrderStatus::kOtherIncarnation) {
     ProposeGone(*view, GoneFor::kGood, "another incarnation answers");
