One way for starts, stops and changes of pace to a relay

The three were copies that differed in the call made while no relay is in reach; that call is now a member pointer.

--- a/src/scheduler/order_relays.cpp
+++ b/src/scheduler/order_relays.cpp
@@ -305,31 +305,33 @@
     initiate, asio::use_awaitable);
 }
 
-asio::awaitable<OrderResult> OrderRelays::Start(StartOrder aOrder)
+template<class Order>
+asio::awaitable<OrderResult> OrderRelays::Give(
+  Order aOrder,
+  asio::awaitable<OrderResult> (InstancePort::*aDirectly)(Order))
 {
   const auto link = LinkFor(aOrder.target_.instance_);
   if (!link) {
-    co_return co_await direct_.Start(std::move(aOrder));
+    co_return co_await (direct_.*aDirectly)(std::move(aOrder));
   }
-  co_return (co_await Send(link, ToRelayed(aOrder), kAnswerWithin)).result_;
+  const ListingReply reply =
+    co_await this->Send(link, ToRelayed(aOrder), kAnswerWithin);
+  co_return reply.result_;
+}
+
+asio::awaitable<OrderResult> OrderRelays::Start(StartOrder aOrder)
+{
+  return Give(std::move(aOrder), &InstancePort::Start);
 }
 
 asio::awaitable<OrderResult> OrderRelays::Stop(StopOrder aOrder)
 {
-  const auto link = LinkFor(aOrder.target_.instance_);
-  if (!link) {
-    co_return co_await direct_.Stop(std::move(aOrder));
-  }
-  co_return (co_await Send(link, ToRelayed(aOrder), kAnswerWithin)).result_;
+  return Give(std::move(aOrder), &InstancePort::Stop);
 }
 
 asio::awaitable<OrderResult> OrderRelays::Pace(PaceOrder aOrder)
 {
-  const auto link = LinkFor(aOrder.target_.instance_);
-  if (!link) {
-    co_return co_await direct_.Pace(std::move(aOrder));
-  }
-  co_return (co_await Send(link, ToRelayed(aOrder), kAnswerWithin)).result_;
+  return Give(std::move(aOrder), &InstancePort::Pace);
 }
 
 asio::awaitable<ListingReply> OrderRelays::Hold(HoldOrder aOrder)
--- a/src/scheduler/order_relays.h
+++ b/src/scheduler/order_relays.h
@@ -61,6 +61,11 @@
   void Maintain(const std::set<std::string>& aWanted);
   // Null: there is none, and the order is given directly.
   std::shared_ptr<Link> LinkFor(const InstanceKey& aInstance) const;
+  // Through a relay, or directly while none is in reach.
+  template<class Order>
+  boost::asio::awaitable<OrderResult> Give(
+    Order aOrder,
+    boost::asio::awaitable<OrderResult> (InstancePort::*aDirectly)(Order));
   boost::asio::awaitable<ListingReply> Send(std::shared_ptr<Link> aLink,
                                             v1::RelayedOrder aOrder,
                                             Millis aWithin);
