Failed task is not forgotten; stops and machine orders leave only while they hold

A round in between gave the failed task to the same instance again, as the next run; when the commit was heard, the view dropped its run of the task whatever its number, so the logged start was neither ordered nor looked for. A proposal now names the run, and only that run goes. Ruled out: the index of rounds that touch only what changed (the backlog is built from all open jobs).

Each stop of a run in doubt now follows a listing without it. A stop that a budget allowed was sent however late, past its lane, its connection or a relay that stood still; it expires now and is weighed again.

Followers echo when the answered message was sent; the leader may act for 600 ms after a majority followed it, on a clock that counts suspensions, asked right before the bytes leave. Random schedules of the log check that nobody is permitted once a successor has been in force so long.

--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -50,6 +50,9 @@
   // After an election that nobody won, candidates try again sooner.
   Millis minRetry_ = Millis(200);
   Millis maxRetry_ = Millis(700);
+  // How long after a majority was known to follow it a leader may act outside
+  // the log. A successor must let as much time pass before it acts there.
+  Millis permission_ = Millis(600);
   // For each follower: between messages with entries to one of them. Entries
   // that come in between go together; the first one after a pause goes at once.
   Millis appendGap_;
@@ -141,6 +144,9 @@
   // A leader that has committed an entry of its own term, so that everything
   // acknowledged before its election is applied here.
   bool IsLeaderInForce() const;
+  // Until when this leader may give orders that nobody else checks; the zero
+  // instant if it may give none. On the clock of `Tick`.
+  Millis PermittedUntil() const;
   const std::string& LeaderName() const { return leader_; }
   LogRole Role() const { return role_; }
   uint64_t Term() const { return term_; }
@@ -164,6 +170,7 @@
     Millis sentAt_;
     Millis entriesSentAt_; // the latest message that had some
     Millis heardAt_;
+    Millis followedAt_; // when the latest message that it answered was sent
   };
   using Predicate = std::function<bool(const v1::LogMember&)>;
 
@@ -211,7 +218,9 @@
   void TakeEntries(const v1::PeerMessage::Append& aAppend);
   void RefuseAppend(const v1::PeerMessage& aMessage);
   void OnSnapshot(const v1::PeerMessage& aMessage);
-  void ReplyAppended(const v1::LogMember& aTo, uint64_t aMatch);
+  void ReplyAppended(const v1::LogMember& aTo,
+                     uint64_t aMatch,
+                     int64_t aSentMs);
   void RefuseOldTerm(const v1::PeerMessage& aMessage);
 
   // control_log_leader.cpp: what the leader does.
@@ -230,6 +239,7 @@
   Millis NextAppendAt() const;
   void OnAppendReply(const v1::PeerMessage& aMessage);
   void CommitAcknowledged();
+  Millis FollowedSince(const v1::LogConfig& aConfig) const;
   void TellCommit(const v1::LogMember& aMember);
   uint64_t AgreedIndex(const v1::LogConfig& aConfig);
   void MaybeReplace();
--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -38,10 +38,22 @@
   Millis startWithin_ = Millis(1500);
   // A finished job's state is shown for so long.
   Millis showFinishedFor_ = Seconds(120);
+  // How long a new leader gives no orders for machines. Where nobody checks
+  // fencing tokens, those of its predecessor must all have arrived first.
+  Millis operateAfter_;
   PoolFollowerOptions pools_;
   MachineBookOptions machines_;
 };
 
+// A fault of our own bookkeeping. Whatever it says, it must never happen.
+struct AuditFinding
+{
+  std::string task_; // as text; empty if it is not about one
+  uint32_t run_ = 0;
+  std::string instance_; // id
+  std::string_view what_;
+};
+
 // For logs and metrics.
 struct SchedulerTrace
 {
@@ -53,6 +65,8 @@
   std::function<void(const MachineOrder&, std::string_view)> onMachine_;
   // About once a second.
   std::function<void(const PoolLoad&)> onPool_;
+  // What this replica remembers differed from the log, and was put right.
+  std::function<void(const AuditFinding&)> onAudit_;
 };
 
 class FleetScheduler
@@ -102,10 +116,18 @@
   bool IsDeposed() const { return deposed_; }
 
 private:
+  // One run as a proposal names it: its task may have a later run by the time
+  // that the proposal is in the log.
+  struct ProposedRun
+  {
+    InstanceKey instance_;
+    TaskRef task_;
+    uint32_t run_ = 0;
+  };
   struct Pending
   {
-    std::vector<std::pair<InstanceKey, TaskRef>> starts_;
-    std::vector<std::pair<InstanceKey, TaskRef>> ends_;
+    std::vector<ProposedRun> starts_;
+    std::vector<ProposedRun> ends_;
   };
   // Ready tasks of one step that wait for room.
   struct Candidate
@@ -149,6 +171,13 @@
   void WatchLapses(Millis aNow);
   void StopUnwanted(Millis aNow);
   void ForgetFinished(Millis aNow);
+  void FinishEnd(const ProposedRun& aEnd);
+  void OrderStart(Millis aNow, const ProposedRun& aStart);
+
+  // fleet_scheduler_audit.cpp
+  void Audit(Millis aNow);
+  void AuditInstance(const Instance& aInstance);
+  void AuditProposed();
   uint64_t Propose(v1::JobChanges aChanges, Pending aPending);
   OrderTarget TargetOf(const InstanceView& aView) const;
   const RunSummary& SummaryOf(const InstanceView& aView) const;
@@ -220,6 +249,7 @@
                std::string aFromPool,
                std::string_view aReason);
   void RepeatUnclear(Millis aNow);
+  bool MayOperate(Millis aNow) const;
   std::vector<PoolLoad> MeasurePools(Millis aNow);
   void FollowPools(Millis aNow);
   bool IsAtWork(Millis aNow, const TaskRef& aTask);
@@ -235,6 +265,7 @@
   JobStore& store_;
   FleetSchedulerOptions options_;
   SchedulerTrace trace_;
+  const Millis ledSince_;
   std::map<InstanceKey, InstanceView> views_;
   // Into `views_`, by machine. The former instance of a machine may be held
   // for a moment beside the present one.
@@ -268,6 +299,10 @@
   Millis unixNow_;
   size_t startsOfRound_ = 0;
   Millis consolidatedAt_;
+  Millis auditedAt_;
+  // By task: what the last audit found and this one looks for again. A change
+  // that is on its way from the log thread is no fault.
+  std::map<TaskRef, uint32_t> suspects_;
   std::vector<SchedulerAction> actions_;
   v1::JobChanges round_; // changes of the present event
   Pending roundPending_;
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -37,6 +37,7 @@
   Millis orderedAt_;
   bool stopWanted_ = false;
   bool stopKeepsBudget_ = false; // the stop waits while others are away
+  bool stopOfDoubt_ = false;     // wanted only because it was not listed
   bool stopUnderWay_ = false;
   Millis nextStopAt_;
   std::optional<Millis> stoppedAt_; // when a stop was answered
--- a/include/vanillahatch/core/jobs/orders.h
+++ b/include/vanillahatch/core/jobs/orders.h
@@ -53,6 +53,9 @@
   TaskRef ref_;
   v1::TaskName task_;
   uint32_t run_ = 0;
+  // Allowed by an availability budget as it is now: not sent late. Any other
+  // stop is sent however late.
+  bool expires_ = false;
 };
 
 // Renews the lease of everything on the instance, confirms ends, and asks for
--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -72,6 +72,7 @@
   kSchedulerDeposed = 643,
   kRelayOpened = 644,
   kRelayClosed = 645,
+  kAuditFinding = 646,
   kLeaderFound = 650,
   kLeaderLost = 651,
   kSettingsReloaded = 652,
--- a/include/vanillahatch/shell/http_client.h
+++ b/include/vanillahatch/shell/http_client.h
@@ -14,6 +14,7 @@
 #include <boost/asio/awaitable.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <chrono>
+#include <functional>
 #include <map>
 #include <memory>
 #include <optional>
@@ -60,13 +61,19 @@
   // A request that got no connection within this time is not sent any more,
   // though the time for its answer is not over.
   Millis sendWithin_ = Millis::Max();
+  // Asked right before the first byte of a request leaves; false: it is not
+  // sent any more. None: always.
+  std::function<bool()> maySend_;
+  // A connection is reset when it is given up, so that bytes which are held up
+  // on their way do not arrive later.
+  bool resetsOnClose_ = false;
 };
 
 class HttpClient
 {
 public:
   explicit HttpClient(HttpClientOptions aOptions = {})
-    : options_(aOptions)
+    : options_(std::move(aOptions))
   {
   }
 
--- a/include/vanillahatch/shell/system_clock.h
+++ b/include/vanillahatch/shell/system_clock.h
@@ -5,6 +5,10 @@
 
 namespace vanillahatch {
 
+// Monotonic, and counts on while the machine is suspended: permissions and
+// leases run out meanwhile, and whoever wakes must see that.
+Millis SuspendableNow();
+
 class SystemClock : public Clock
 {
 public:
--- a/src/core/control_log_follower.cpp
+++ b/src/core/control_log_follower.cpp
@@ -27,11 +27,14 @@
   return true;
 }
 
-void ControlLog::ReplyAppended(const v1::LogMember& aTo, uint64_t aMatch)
+void ControlLog::ReplyAppended(const v1::LogMember& aTo,
+                               uint64_t aMatch,
+                               int64_t aSentMs)
 {
   v1::PeerMessage reply;
   reply.mutable_append_reply()->set_accepted(true);
   reply.mutable_append_reply()->set_match(aMatch);
+  reply.mutable_append_reply()->set_sent_ms(aSentMs);
   Send(std::move(reply), aTo);
 }
 
@@ -53,7 +56,7 @@
   const uint64_t match =
     previous + static_cast<uint64_t>(append.entries_size());
   SetCommit(std::min(append.commit(), match));
-  ReplyAppended(aMessage.from(), match);
+  ReplyAppended(aMessage.from(), match, append.sent_ms());
 }
 
 void ControlLog::TakeEntries(const v1::PeerMessage::Append& aAppend)
@@ -90,6 +93,7 @@
   v1::PeerMessage reply;
   reply.mutable_append_reply()->set_accepted(false);
   reply.mutable_append_reply()->set_last(hint);
+  reply.mutable_append_reply()->set_sent_ms(aMessage.append().sent_ms());
   Send(std::move(reply), aMessage.from());
 }
 
@@ -107,7 +111,7 @@
     actions_.restored_ = snapshot.state();
     QueueCompaction();
   }
-  ReplyAppended(aMessage.from(), snapshot.index());
+  ReplyAppended(aMessage.from(), snapshot.index(), 0);
 }
 
 } // namespace vanillahatch
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -155,7 +155,7 @@
 void ControlLog::SendHeartbeat(Progress& aProgress)
 {
   v1::PeerMessage message;
-  message.mutable_append();
+  message.mutable_append()->set_sent_ms(now_.Count());
   Send(std::move(message), aProgress.member_);
 }
 
@@ -171,6 +171,7 @@
   append.set_previous_index(previous);
   append.set_previous_term(history_.TermAt(previous).value());
   append.set_commit(commit_);
+  append.set_sent_ms(now_.Count());
   size_t bytes = 0;
   uint64_t index = previous;
   while (index < history_.LastIndex() && bytes < options_.maxMessageBytes_) {
@@ -209,6 +210,8 @@
   }
   progress->heardAt_ = now_;
   const v1::PeerMessage::AppendReply& reply = aMessage.append_reply();
+  progress->followedAt_ =
+    std::max(progress->followedAt_, Millis(reply.sent_ms()));
   if (!reply.accepted()) {
     const uint64_t before = progress->next_ - 1;
     progress->next_ =
@@ -240,6 +243,38 @@
   }
 }
 
+// A follower that answered a message of ours was in our term when it got it,
+// so no majority had elected another leader when we sent it.
+Millis ControlLog::PermittedUntil() const
+{
+  if (!IsLeaderInForce()) {
+    return {};
+  }
+  Millis since = FollowedSince(history_.Latest().config_);
+  if (IsConfigPending() && history_.BeforeLatest() != nullptr) {
+    since = std::min(since, FollowedSince(history_.BeforeLatest()->config_));
+  }
+  return since + options_.timing_.permission_;
+}
+
+// The latest instant at which a majority of `aConfig` is known to have
+// followed this leader.
+Millis ControlLog::FollowedSince(const v1::LogConfig& aConfig) const
+{
+  std::vector<Millis> followed;
+  for (const v1::LogMember& member : aConfig.members()) {
+    const auto progress =
+      std::find_if(progress_.begin(), progress_.end(), [&](const auto& aP) {
+        return IsSame(aP.member_, member);
+      });
+    followed.push_back(IsSame(member, self_)         ? now_
+                       : progress != progress_.end() ? progress->followedAt_
+                                                     : Millis());
+  }
+  std::sort(followed.begin(), followed.end(), std::greater<>());
+  return followed[followed.size() / 2];
+}
+
 // The highest index that a majority of `aConfig` holds on disk.
 uint64_t ControlLog::AgreedIndex(const v1::LogConfig& aConfig)
 {
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -52,6 +52,7 @@
   : store_(aStore)
   , options_(aOptions)
   , trace_(std::move(aTrace))
+  , ledSince_(aNow)
   , machines_(options_.machines_)
 {
   if (!store_.OpenJobs().empty()) {
@@ -144,6 +145,7 @@
   RepeatUnclear(aNow);
   AskForMachines(aNow);
   ForgetFinished(aNow);
+  Audit(aNow);
   RenewLeases(aNow);
   if (round_.changes_size() > 0) {
     Propose(std::exchange(round_, {}), std::exchange(roundPending_, {}));
@@ -222,12 +224,17 @@
                               const v1::TaskName& aName,
                               uint32_t aRun)
 {
+  bool keepsBudget = false;
   if (RunView* run = aView.FindRun(aTask, aRun)) {
     run->stopUnderWay_ = true;
     run->nextStopAt_ = aNow + kStopRetry;
+    keepsBudget = run->stopKeepsBudget_ && aTask.job_->IsOpen();
   }
-  actions_.push_back(StopOrder{
-    .target_ = TargetOf(aView), .ref_ = aTask, .task_ = aName, .run_ = aRun });
+  actions_.push_back(StopOrder{ .target_ = TargetOf(aView),
+                                .ref_ = aTask,
+                                .task_ = aName,
+                                .run_ = aRun,
+                                .expires_ = keepsBudget });
 }
 
 // Runs of jobs that have ended otherwise, and runs in doubt.
@@ -297,56 +304,65 @@
   const Pending pending = std::move(it->second);
   pending_.erase(it);
   SyncViews(aNow);
-  for (const auto& [key, task] : pending.ends_) {
-    InstanceView* view = FindView(key);
-    const auto held = view != nullptr ? view->Runs().find(task)
-                                      : std::map<TaskRef, RunView>::iterator();
-    if (view == nullptr || held == view->Runs().end()) {
-      continue;
-    }
-    const bool isEnded = !view->Record().assigned_.contains(task) ||
-                         JobStore::At(task).run_ != held->second.run_;
-    if (isEnded) {
-      view->RemoveRun(task);
-    }
+  for (const ProposedRun& end : pending.ends_) {
+    FinishEnd(end);
   }
-  for (const auto& [key, task] : pending.starts_) {
-    proposed_.erase(task);
-    InstanceView* view = FindView(key);
-    const auto run = view != nullptr ? view->Runs().find(task)
-                                     : std::map<TaskRef, RunView>::iterator();
-    if (view == nullptr || run == view->Runs().end()) {
-      continue;
-    }
-    const Instance* instance = store_.FindInstance(key);
-    const bool isTaken = instance != nullptr &&
-                         instance->assigned_.contains(task) &&
-                         JobStore::At(task).run_ == run->second.run_;
-    if (!isTaken) {
-      view->RemoveRun(task);
-      continue;
-    }
-    if (view->goneProposed_) {
-      continue; // Its tasks will be free; a start now would run beside them.
-    }
-    const Millis clock = view->Lease().ClockAt(aNow);
-    StartOrder order{ .target_ = TargetOf(*view),
-                      .ref_ = task,
-                      .task_ = JobStore::NameOf(task),
-                      .run_ = run->second.run_,
-                      .text_ = task.job_->spec_.text(),
-                      .checkpoint_ = CheckpointOf(task),
-                      .deadline_ = clock + options_.startWithin_ };
-    const std::string* ticket =
-      advice_.TicketFor(aNow, ToAdviceStep(task), key);
-    order.ticket_ = ticket != nullptr ? *ticket : std::string();
-    view->Lease().Extend(order.deadline_);
-    run->second.phase_ = RunPhase::kOrdered;
-    run->second.since_ = aNow;
-    run->second.orderedAt_ = aNow;
-    trace_.onStart_(order);
-    actions_.push_back(std::move(order));
+  for (const ProposedRun& start : pending.starts_) {
+    OrderStart(aNow, start);
+  }
+}
+
+// The log applies an end before we hear of its commit, so the next run of the
+// task may have been given to the same instance in between: only the run that
+// has ended goes.
+void FleetScheduler::FinishEnd(const ProposedRun& aEnd)
+{
+  InstanceView* view = FindView(aEnd.instance_);
+  if (view == nullptr || view->FindRun(aEnd.task_, aEnd.run_) == nullptr) {
+    return;
+  }
+  const bool isEnded = !view->Record().assigned_.contains(aEnd.task_) ||
+                       JobStore::At(aEnd.task_).run_ != aEnd.run_;
+  if (isEnded) {
+    view->RemoveRun(aEnd.task_);
+  }
+}
+
+void FleetScheduler::OrderStart(Millis aNow, const ProposedRun& aStart)
+{
+  proposed_.erase(aStart.task_);
+  InstanceView* view = FindView(aStart.instance_);
+  RunView* run =
+    view != nullptr ? view->FindRun(aStart.task_, aStart.run_) : nullptr;
+  if (run == nullptr) {
+    return;
+  }
+  const bool isTaken = view->Record().assigned_.contains(aStart.task_) &&
+                       JobStore::At(aStart.task_).run_ == aStart.run_;
+  if (!isTaken) {
+    view->RemoveRun(aStart.task_);
+    return;
+  }
+  if (view->goneProposed_) {
+    return; // Its tasks will be free; a start now would run beside them.
   }
+  const Millis clock = view->Lease().ClockAt(aNow);
+  StartOrder order{ .target_ = TargetOf(*view),
+                    .ref_ = aStart.task_,
+                    .task_ = JobStore::NameOf(aStart.task_),
+                    .run_ = aStart.run_,
+                    .text_ = aStart.task_.job_->spec_.text(),
+                    .checkpoint_ = CheckpointOf(aStart.task_),
+                    .deadline_ = clock + options_.startWithin_ };
+  const std::string* ticket =
+    advice_.TicketFor(aNow, ToAdviceStep(aStart.task_), aStart.instance_);
+  order.ticket_ = ticket != nullptr ? *ticket : std::string();
+  view->Lease().Extend(order.deadline_);
+  run->phase_ = RunPhase::kOrdered;
+  run->since_ = aNow;
+  run->orderedAt_ = aNow;
+  trace_.onStart_(order);
+  actions_.push_back(std::move(order));
 }
 
 } // namespace vanillahatch
--- a/src/core/jobs/fleet_scheduler_placing.cpp
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -252,7 +252,8 @@
   start.set_run(aRun);
   *start.mutable_instance() = ToMessage(aView.Record().key_);
   proposed_.insert(aTask);
-  roundPending_.starts_.emplace_back(aView.Record().key_, aTask);
+  roundPending_.starts_.push_back(
+    { .instance_ = aView.Record().key_, .task_ = aTask, .run_ = aRun });
   ++startsOfRound_;
 }
 
--- a/src/core/jobs/fleet_scheduler_pools.cpp
+++ b/src/core/jobs/fleet_scheduler_pools.cpp
@@ -104,7 +104,8 @@
 
 void FleetScheduler::FollowPools(Millis aNow)
 {
-  if (aNow - followedAt_ < kFollowEvery || !machines_.IsListed()) {
+  if (aNow - followedAt_ < kFollowEvery || !machines_.IsListed() ||
+      !MayOperate(aNow)) {
     return;
   }
   followedAt_ = aNow;
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -52,7 +52,8 @@
     return;
   }
   run->endProposed_ = true;
-  roundPending_.ends_.emplace_back(aView.Record().key_, aTask);
+  roundPending_.ends_.push_back(
+    { .instance_ = aView.Record().key_, .task_ = aTask, .run_ = aRun });
   v1::RunEnd& end = *round_.add_changes()->mutable_run_end();
   *end.mutable_task() = JobStore::NameOf(aTask);
   end.set_run(aRun);
@@ -131,6 +132,11 @@
     run->stopUnderWay_ = false;
     if (aResult.status_ == OrderStatus::kAccepted) {
       run->stoppedAt_ = aNow;
+    } else if (run->stopOfDoubt_) {
+      // A fresh listing decides whether the stop is still wanted.
+      run->stopOfDoubt_ = false;
+      run->stopWanted_ = false;
+      run->since_ = aNow;
     }
   }
 }
@@ -239,7 +245,8 @@
     run->endProposed_ = true;
     // A start that takes this room goes into the log after the end.
     aView.FreeRoomOf(*run);
-    roundPending_.ends_.emplace_back(aView.Record().key_, *ref);
+    roundPending_.ends_.push_back(
+      { .instance_ = aView.Record().key_, .task_ = *ref, .run_ = ended.run_ });
     if (ended.outcome_ == v1::RUN_DONE) {
       aView.failuresInRow_ = 0;
       if (JobStore::At(*ref).checkpoint_.empty()) {
@@ -273,6 +280,12 @@
       run->phase_ = RunPhase::kListed;
       run->since_ = aNow;
     }
+    // A start that was carried out late: the run is wanted after all, and its
+    // step may have no budget left for a stop.
+    if (run->stopOfDoubt_ && !run->stopUnderWay_ && !run->stoppedAt_) {
+      run->stopOfDoubt_ = false;
+      run->stopWanted_ = false;
+    }
     run->percent_ = running.percent_;
     run->load_ = running.load_;
     const bool isAtWork = running.percent_ == kAtWork;
@@ -301,7 +314,10 @@
       if (run.phase_ != RunPhase::kInDoubt) {
         Doubt(aNow, task, run, "not listed");
       }
-      run.stopWanted_ = true;
+      // Until a stop may be sent again the instance is listed again and again,
+      // so that each stop follows a listing without the run.
+      run.stopWanted_ = aNow >= run.nextStopAt_;
+      run.stopOfDoubt_ = run.stopWanted_;
     }
   }
 }
--- a/src/core/jobs/fleet_scheduler_upkeep.cpp
+++ b/src/core/jobs/fleet_scheduler_upkeep.cpp
@@ -55,6 +55,11 @@
   return it != last ? it->second : nullptr;
 }
 
+bool FleetScheduler::MayOperate(Millis aNow) const
+{
+  return aNow - ledSince_ >= options_.operateAfter_;
+}
+
 void FleetScheduler::Operate(Millis aNow,
                              MachineOrder aOrder,
                              std::string aFromPool,
@@ -197,7 +202,8 @@
                         ? !view->Facts().draining()
                         : listed != machines_.Machines().end() &&
                             listed->second.state_ == MachineState::kUp;
-    if (isUp && machines_.InUpkeep(number) < aWave.order_.max_concurrent()) {
+    if (isUp && MayOperate(aNow) &&
+        machines_.InUpkeep(number) < aWave.order_.max_concurrent()) {
       const std::string pool =
         view != nullptr ? view->Facts().service() : listed->second.pool_;
       Operate(aNow, { .machine_ = machine, .wave_ = number }, pool, "upkeep");
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -168,6 +168,7 @@
   }
   isLeader_ = false;
   leaderTerm_ = 0;
+  permittedUntil_ = 0;
   FinishPeerReplies();
   FailWaiting(true);
   RefuseRest();
@@ -429,6 +430,7 @@
   }
   const uint64_t leaderTerm = log_->IsLeaderInForce() ? log_->Term() : 0;
   isLeader_ = leaderTerm != 0;
+  permittedUntil_ = log_->PermittedUntil().Count();
   const bool isChanged = leaderTerm_.exchange(leaderTerm) != leaderTerm;
   if (isChanged && options_.onLeadership_) {
     options_.onLeadership_();
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -122,6 +122,10 @@
   bool IsLeader() const { return isLeader_; }
   // The term in which this replica leads; 0 while it does not.
   uint64_t LeaderTerm() const { return leaderTerm_; }
+  // True while no other replica can have been permitted to act outside the
+  // log. Asked right before an order leaves that nobody else checks: a process
+  // that stood still reads the time afterwards.
+  bool MayActNow() const { return clock_.Now().Count() < permittedUntil_; }
   LogReplicaStatus Status() const;
 
 private:
@@ -203,6 +207,7 @@
   std::vector<WorkEvent> work_;
   std::atomic<bool> isLeader_ = false;
   std::atomic<uint64_t> leaderTerm_ = 0;
+  std::atomic<int64_t> permittedUntil_ = 0; // on `clock_`
   std::atomic<bool> stopping_ = false;
   mutable std::mutex statusMutex_;
   LogReplicaStatus status_;
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -132,6 +132,7 @@
       FleetSchedulerOptions{ .fencingToken_ = term,
                              .lease_ = options_.lease_,
                              .showFinishedFor_ = options_.showFinishedFor_,
+                             .operateAfter_ = options_.operateAfter_,
                              .machines_ = options_.machines_ },
       MakeTrace(),
       clock_.Now());
@@ -210,23 +211,35 @@
 
 void FleetDriver::Perform(StopOrder aOrder)
 {
-  lanes_.Add(aOrder.target_.instance_,
-             { .send_ = [this,
-                         aOrder,
-                         generation = generation_]() -> asio::awaitable<void> {
-               const OrderResult result = co_await instances_.Stop(aOrder);
-               LogInfo(Event::kRunStopped,
-                       { { "task", TextOf(aOrder.task_) },
-                         { "run", aOrder.run_ },
-                         { "instance", aOrder.target_.instance_.id_ },
-                         { "status", static_cast<int>(result.status_) } });
-               if (generation == generation_) {
-                 Feed([&](FleetScheduler& aScheduler, Millis aNow) {
-                   aScheduler.OnStop(aNow, aOrder, result);
-                 });
-                 Wake();
-               }
-             } });
+  const uint64_t generation = generation_;
+  LaneOrder order{ .send_ =
+                     [this, aOrder, generation]() -> asio::awaitable<void> {
+    const OrderResult result = co_await instances_.Stop(aOrder);
+    TakeStop(aOrder, result, generation);
+  } };
+  if (aOrder.expires_) {
+    order.expire_ = [this, aOrder, generation] {
+      TakeStop(aOrder, { .status_ = OrderStatus::kNotSent }, generation);
+    };
+  }
+  lanes_.Add(aOrder.target_.instance_, std::move(order));
+}
+
+void FleetDriver::TakeStop(const StopOrder& aOrder,
+                           const OrderResult& aResult,
+                           uint64_t aGeneration)
+{
+  LogInfo(Event::kRunStopped,
+          { { "task", TextOf(aOrder.task_) },
+            { "run", aOrder.run_ },
+            { "instance", aOrder.target_.instance_.id_ },
+            { "status", static_cast<int>(aResult.status_) } });
+  if (aGeneration == generation_) {
+    Feed([&](FleetScheduler& aScheduler, Millis aNow) {
+      aScheduler.OnStop(aNow, aOrder, aResult);
+    });
+    Wake();
+  }
 }
 
 void FleetDriver::Perform(HoldOrder aOrder)
@@ -487,6 +500,15 @@
                   { "wanted", static_cast<int>(aPool.wanted_) },
                   { "expected", static_cast<int>(aPool.expected_) } });
       },
+    .onAudit_ =
+      [this](const AuditFinding& aFinding) {
+        metrics_.Count("vh_audit_findings_total");
+        LogError(Event::kAuditFinding,
+                 { { "task", aFinding.task_ },
+                   { "run", aFinding.run_ },
+                   { "instance", aFinding.instance_ },
+                   { "what", aFinding.what_ } });
+      },
   };
 }
 
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -17,6 +17,7 @@
 {
   Millis lease_ = Seconds(5);
   Millis showFinishedFor_ = Seconds(120);
+  Millis operateAfter_; // see FleetSchedulerOptions
   MachineBookOptions machines_;
 };
 
@@ -58,6 +59,9 @@
                  const OrderResult& aResult,
                  uint64_t aGeneration);
   void Perform(StopOrder aOrder);
+  void TakeStop(const StopOrder& aOrder,
+                const OrderResult& aResult,
+                uint64_t aGeneration);
   void Perform(HoldOrder aOrder);
   void Perform(PaceOrder aOrder);
   void Perform(MachineOrder aOrder);
--- a/src/scheduler/order_relay_host.cpp
+++ b/src/scheduler/order_relay_host.cpp
@@ -8,7 +8,6 @@
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
-#include <ctime>
 #include <mutex>
 
 namespace vanillahatch {
@@ -25,15 +24,6 @@
 
 } // namespace
 
-Millis SuspendableNow()
-{
-  timespec now{};
-  clock_gettime(CLOCK_BOOTTIME, &now);
-  constexpr int64_t kMillisASecond = 1000;
-  constexpr int64_t kNanosAMilli = 1000000;
-  return Millis(now.tv_sec * kMillisASecond + now.tv_nsec / kNanosAMilli);
-}
-
 // One leader's stream. It lives until the stream has ended and every order of
 // it has been carried out.
 class OrderRelayHost::Stream
@@ -105,7 +95,9 @@
   {
     ListingReply reply;
     const bool isLate = clock_().Count() > aOrder.send_by_ms();
-    if (isLate && aOrder.kind() != v1::RELAYED_STOP) {
+    const bool isSentLate =
+      aOrder.kind() == v1::RELAYED_STOP && !aOrder.run().expires();
+    if (isLate && !isSentLate) {
       reply.result_.status_ = OrderStatus::kNotSent;
     } else {
       co_await Give(aOrder, reply);
--- a/src/scheduler/order_relay_host.h
+++ b/src/scheduler/order_relay_host.h
@@ -9,6 +9,7 @@
 #pragma once
 
 #include "scheduler/ports.h"
+#include "vanillahatch/shell/system_clock.h"
 
 #include "relay.grpc.pb.h"
 #include <boost/asio/io_context.hpp>
@@ -19,7 +20,6 @@
 // Counts on while the machine is suspended, so that a relay which stood still
 // sees how old its orders are.
 using RelayClock = std::function<Millis()>;
-Millis SuspendableNow();
 
 class OrderRelayHost : public v1::OrderRelay::CallbackService
 {
--- a/src/scheduler/relay_messages.cpp
+++ b/src/scheduler/relay_messages.cpp
@@ -96,7 +96,9 @@
 
 v1::RelayedOrder ToRelayed(const StopOrder& aOrder)
 {
-  return MakeRunOrder(aOrder, v1::RELAYED_STOP);
+  v1::RelayedOrder order = MakeRunOrder(aOrder, v1::RELAYED_STOP);
+  order.mutable_run()->set_expires(aOrder.expires_);
+  return order;
 }
 
 v1::RelayedOrder ToRelayed(const PaceOrder& aOrder)
@@ -133,7 +135,8 @@
 {
   return { .target_ = TargetOf(aOrder),
            .task_ = aOrder.run().task(),
-           .run_ = aOrder.run().run() };
+           .run_ = aOrder.run().run(),
+           .expires_ = aOrder.run().expires() };
 }
 
 PaceOrder ToPace(const v1::RelayedOrder& aOrder)
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -70,6 +70,7 @@
   EventEntry{ Event::kSchedulerDeposed, "scheduler-deposed" },
   EventEntry{ Event::kRelayOpened, "relay-opened" },
   EventEntry{ Event::kRelayClosed, "relay-closed" },
+  EventEntry{ Event::kAuditFinding, "audit-finding" },
   EventEntry{ Event::kLeaderFound, "leader-found" },
   EventEntry{ Event::kLeaderLost, "leader-lost" },
   EventEntry{ Event::kSettingsReloaded, "settings-reloaded" },
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -1,6 +1,7 @@
 #include "vanillahatch/shell/http_client.h"
 
 #include "vanillahatch/shell/silent_connection.h"
+#include "vanillahatch/shell/system_clock.h"
 
 #include <algorithm>
 #include <boost/asio/redirect_error.hpp>
@@ -139,6 +140,9 @@
     boost::system::error_code ignored;
     stream->socket().set_option(tcp::no_delay(true), ignored);
     FindSilence(stream->socket(), kUnacknowledged, kKeepalive);
+    if (options_.resetsOnClose_) {
+      stream->socket().set_option(asio::socket_base::linger(true, 0), ignored);
+    }
   }
   co_return stream;
 }
@@ -153,7 +157,7 @@
     aAbort = std::make_shared<ExchangeAbort>();
   }
   boost::system::error_code error;
-  const auto begun = std::chrono::steady_clock::now();
+  const Millis begun = SuspendableNow();
   Stream stream = TakeIdle(aEndpoint);
   if (!stream) {
     stream = co_await Connect(aEndpoint, aTimeout, *aAbort, error);
@@ -161,13 +165,15 @@
   if (error || aAbort->aborted_) {
     co_return Failed(ExchangeVerdict::kNotSent, error.message());
   }
-  const auto waited = std::chrono::steady_clock::now() - begun;
-  if (Millis(waited / std::chrono::milliseconds(1)) > options_.sendWithin_) {
-    co_return Failed(ExchangeVerdict::kNotSent, "connected too late");
-  }
   aAbort->stream_ = stream;
   stream->expires_after(std::chrono::milliseconds(aTimeout.Count()));
   const std::string bytes = ToBytes(aRequest);
+  if (SuspendableNow() - begun > options_.sendWithin_) {
+    co_return Failed(ExchangeVerdict::kNotSent, "connected too late");
+  }
+  if (options_.maySend_ && !options_.maySend_()) {
+    co_return Failed(ExchangeVerdict::kNotSent, "not permitted any more");
+  }
   co_await asio::async_write(*stream,
                              asio::buffer(bytes),
                              asio::redirect_error(asio::use_awaitable, error));
--- a/src/shell/system_clock.cpp
+++ b/src/shell/system_clock.cpp
@@ -1,29 +1,34 @@
 #include "vanillahatch/shell/system_clock.h"
 
 #include <chrono>
+#include <ctime>
 
 namespace vanillahatch {
 
 namespace {
 
-template<class Source>
-Millis Read()
-{
-  const auto since = Source::now().time_since_epoch();
-  return Millis(
-    std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
-}
+constexpr int64_t kMillisASecond = 1000;
+constexpr int64_t kNanosAMilli = 1000000;
 
 } // namespace
 
+Millis SuspendableNow()
+{
+  timespec now{};
+  clock_gettime(CLOCK_BOOTTIME, &now);
+  return Millis(now.tv_sec * kMillisASecond + now.tv_nsec / kNanosAMilli);
+}
+
 Millis SystemClock::Now() const
 {
-  return Read<std::chrono::steady_clock>();
+  return SuspendableNow();
 }
 
 Millis SystemClock::UnixNow() const
 {
-  return Read<std::chrono::system_clock>();
+  const auto since = std::chrono::system_clock::now().time_since_epoch();
+  return Millis(
+    std::chrono::duration_cast<std::chrono::milliseconds>(since).count());
 }
 
 } // namespace vanillahatch
--- a/test/control_log_test.cpp
+++ b/test/control_log_test.cpp
@@ -275,6 +275,49 @@
   BOOST_TEST(cluster.Log(cluster.Leader()).Term() == term);
 }
 
+BOOST_AUTO_TEST_CASE(PermissionLastsWhileAMajorityFollows)
+{
+  LogCluster cluster(3, 1, { .timing_ = { .heartbeat_ = Millis(100) } });
+  cluster.StartAll();
+  const std::string leader = cluster.WaitForLeader();
+  cluster.Run(Seconds(1));
+  for (int i = 0; i < 100; ++i) {
+    cluster.Run(Millis(20));
+    BOOST_TEST((cluster.Log(leader).PermittedUntil() > cluster.Now()));
+  }
+}
+
+// Answers that come late say nothing of the time since their message was sent.
+BOOST_AUTO_TEST_CASE(PermissionCountsFromWhenTheAnsweredMessageWasSent)
+{
+  LogCluster cluster(3, 1, { .timing_ = { .heartbeat_ = Millis(100) } });
+  cluster.StartAll();
+  const std::string leader = cluster.WaitForLeader();
+  cluster.Run(Seconds(1));
+  const Millis cutAt = cluster.Now();
+  cluster.Pass(Millis(100));
+  cluster.Tick(leader);
+  for (const std::string& other : AllBut(cluster, leader)) {
+    BOOST_REQUIRE_EQUAL(cluster.Pending().front().to(), other);
+    cluster.Deliver(0); // the heartbeat; its answer stays under way
+    cluster.Cut(leader, other);
+  }
+  cluster.Pass(Millis(500));
+  cluster.DeliverAll();
+  BOOST_TEST((cluster.Log(leader).PermittedUntil() <=
+              cutAt + Millis(100) + LogTiming().permission_));
+}
+
+BOOST_AUTO_TEST_CASE(FrozenLeaderHasNoPermissionWhenItThaws)
+{
+  LogCluster cluster(3);
+  cluster.StartAll();
+  const std::string old = cluster.WaitForLeader();
+  cluster.Freeze(old, Seconds(30));
+  cluster.Run(Seconds(2));
+  BOOST_TEST((cluster.Log(old).PermittedUntil() <= cluster.Now()));
+}
+
 BOOST_AUTO_TEST_CASE(ALeaderThatHearsNobodyGivesUp)
 {
   LogCluster cluster(3);
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -183,6 +183,64 @@
   BOOST_TEST(a.startsSeen_ == 1U);
 }
 
+// Hunted on Solnet (mix, seed 509906229659): the task that failed was given to
+// the same instance again before the commit of its end was heard of, and
+// forgotten when it was.
+BOOST_AUTO_TEST_CASE(FailedTaskRunsAgainThoughTheCommitOfItsEndIsHeardLate)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  world_.tellsCommitsLate_ = true;
+  a.failures_ = 1;
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500, 600) });
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(4)));
+  BOOST_TEST(a.startsSeen_ == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(ManyFailuresAreAllRetriedThoughCommitsAreHeardLate)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  FakeInstance& b = world_.Add("b", "layout");
+  world_.RunFor(Millis(100));
+  world_.tellsCommitsLate_ = true;
+  a.failures_ = 2;
+  b.failures_ = 2;
+  std::vector<const Job*> jobs;
+  for (int i = 0; i < 8; ++i) {
+    jobs.push_back(&world_.Submit(
+      "j" + std::to_string(i), "drafts", { FleetWorld::StepOf(4, 500, 300) }));
+  }
+  const auto allCompleted = [&] {
+    return std::all_of(jobs.begin(), jobs.end(), [&](const Job* aJob) {
+      return IsCompleted(*aJob);
+    });
+  };
+  BOOST_TEST(world_.RunUntil(allCompleted, Seconds(10)));
+}
+
+// Ryggstein, scale-1, and Solnet grown, scale-2: an order that an instance
+// carries out late brings a lasting task to work whose stop is already decided;
+// its step may have no budget left for that.
+BOOST_AUTO_TEST_CASE(LastingTaskThatWasStartedLateIsNotStoppedAgain)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  a.holdsStartsBack_ = true;
+  a.refusesStops_ = true;
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::LastingStep(1, 1) });
+  world_.RunFor(Millis(400)); // not listed, so a stop is sent in vain
+  BOOST_REQUIRE(a.late_.size() == 1U);
+  a.holdsStartsBack_ = false;
+  world_.CarryOutLate(a);
+  world_.RunFor(Millis(100));
+  a.refusesStops_ = false;
+  world_.RunFor(Seconds(3));
+  BOOST_TEST(a.startsSeen_ == 1U);
+  BOOST_TEST(world_.RunningCopies(FirstTask(job)) == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(NewLeaderTakesOverWhatRunsWithoutStartingItAgain)
 {
   FakeInstance& a = world_.Add("a", "layout");
@@ -228,6 +286,25 @@
   BOOST_TEST(a.startsSeen_ == 1U);
 }
 
+// A run that slipped out of what the leader watches is found by the sweep.
+BOOST_AUTO_TEST_CASE(LoggedRunThatNobodyWatchesIsFoundAndItsTaskRuns)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  const Job& job =
+    world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500) });
+  v1::JobChanges changes;
+  v1::RunStart& start = *changes.add_changes()->mutable_run_start();
+  *start.mutable_task() = FirstTask(job);
+  start.set_run(1);
+  *start.mutable_instance() = ToMessage(ToKey(a.record_));
+  world_.Store().Apply(changes); // behind the scheduler's back
+  world_.expectsAudits_ = true;
+  BOOST_TEST(world_.RunUntil([&] { return IsCompleted(job); }, Seconds(4)));
+  BOOST_TEST(world_.Audits() == 1U);
+  BOOST_TEST(a.startsSeen_ == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(FinishedJobIsShownForItsTimeAndThenForgotten)
 {
   world_.Add("a", "layout");
@@ -409,6 +486,28 @@
   BOOST_TEST(world.RunningCopies(kept) == 1U);
 }
 
+// Where nobody checks fencing tokens, an order of a former leader may arrive
+// for a while.
+BOOST_AUTO_TEST_CASE(NewLeaderLeavesMachinesAloneUntilFormerOrdersHaveArrived)
+{
+  FleetWorld world;
+  world.Configure({ { "meter", false } }, {});
+  world.Add("m0", "meter");
+  world.RunFor(Millis(500));
+  world.operateAfter_ = Millis(1700);
+  world.Lead(2);
+  v1::JobChanges changes;
+  v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+  wave.set_wave(1);
+  wave.set_max_concurrent(1);
+  wave.add_machines("m-m0");
+  world.Store().Apply(changes);
+  world.RunFor(Millis(1690));
+  BOOST_TEST(world.MachineOrders().empty());
+  world.RunFor(Millis(200));
+  BOOST_TEST(world.MachineOrders().size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(UnansweredMachineOrderIsRepeatedUntilItIsAnswered)
 {
   FleetWorld world;
--- a/test/fleet_world.h
+++ b/test/fleet_world.h
@@ -34,6 +34,7 @@
   std::deque<StartOrder> late_;    // carried out by `CarryOutLate`
   bool refusesStops_ = false;    // answers nothing to a stop, and does nothing
   bool holdsStartsBack_ = false; // starts go to `late_`, unanswered
+  uint32_t failures_ = 0;        // so many of its next runs fail
   uint32_t startsSeen_ = 0;
 };
 
@@ -53,9 +54,11 @@
   {
     fence_ = aFence;
     holds_.clear();
+    untold_.clear();
     scheduler_ = std::make_unique<FleetScheduler>(
       store_,
-      FleetSchedulerOptions{ .fencingToken_ = aFence },
+      FleetSchedulerOptions{ .fencingToken_ = aFence,
+                             .operateAfter_ = operateAfter_ },
       SchedulerTrace{
         .onStart_ = [this](const StartOrder&) { ++starts_; },
         .onEnd_ = [](const TaskRef&, const EndedTask&, const InstanceKey&) {},
@@ -65,6 +68,14 @@
         .onMachine_ = [this](const MachineOrder& aOrder,
                              std::string_view) { orders_.push_back(aOrder); },
         .onPool_ = [](const PoolLoad&) {},
+        .onAudit_ =
+          [this](const AuditFinding& aFinding) {
+            ++audits_;
+            BOOST_CHECK_MESSAGE(expectsAudits_,
+                                "audit: " << aFinding.what_ << ", task "
+                                          << aFinding.task_ << " run "
+                                          << aFinding.run_);
+          },
       },
       now_);
   }
@@ -170,6 +181,7 @@
       AnswerHolds();
       FinishMachines();
       scheduler_->Tick(now_, now_);
+      TellCommitted();
       Perform();
     }
   }
@@ -225,6 +237,12 @@
     Perform();
   }
   bool holdsCommits_ = false;
+  bool expectsAudits_ = false; // what an audit finds is no failure of the test
+  size_t Audits() const { return audits_; }
+  // As with a log that has a thread of its own: what it has applied is decided
+  // on before the scheduler hears of the commit.
+  bool tellsCommitsLate_ = false;
+  Millis operateAfter_; // of the leaders to come
   bool machinesAnswer_ = true;
   bool advisorAnswers_ = true;
   size_t AdviceCalls() const { return adviceCalls_; }
@@ -258,6 +276,9 @@
     for (FakeInstance::Run& run : aInstance.running_) {
       if (hasLapsed) {
         End(aInstance, run, v1::RUN_STOPPED, "lapsed");
+      } else if (now_ >= run.endsAt_ && aInstance.failures_ > 0) {
+        --aInstance.failures_;
+        End(aInstance, run, v1::RUN_FAILED, "failed");
       } else if (now_ >= run.endsAt_) {
         End(aInstance, run, v1::RUN_DONE, "done");
       } else {
@@ -332,6 +353,13 @@
     }
   }
 
+  void TellCommitted()
+  {
+    for (const uint64_t number : std::exchange(untold_, {})) {
+      scheduler_->OnCommitted(now_, number);
+    }
+  }
+
   void Perform(Proposal& aProposal)
   {
     if (holdsCommits_) {
@@ -342,6 +370,10 @@
     v1::JobChanges changes;
     changes.ParseFromString(aProposal.changes_.SerializeAsString());
     store_.Apply(changes);
+    if (tellsCommitsLate_) {
+      untold_.push_back(aProposal.number_);
+      return;
+    }
     scheduler_->OnCommitted(now_, aProposal.number_);
   }
 
@@ -537,6 +569,8 @@
   size_t mostInUpkeep_ = 0;
   size_t adviceCalls_ = 0;
   std::deque<Proposal> uncommitted_;
+  size_t audits_ = 0;
+  std::vector<uint64_t> untold_; // numbers of applied proposals
 };
 
 } // namespace vanillahatch::test
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -146,6 +146,17 @@
   BOOST_TEST((result.verdict_ == ExchangeVerdict::kNotSent));
 }
 
+// A permission that ran out while the request waited for its connection.
+BOOST_AUTO_TEST_CASE(RequestThatIsNoLongerPermittedDoesNotLeave)
+{
+  ClientHarness harness(kWhole);
+  bool isPermitted = true;
+  harness.client_ = HttpClient({ .maySend_ = [&] { return isPermitted; } });
+  BOOST_CHECK(harness.Call().verdict_ == ExchangeVerdict::kAnswered);
+  isPermitted = false;
+  BOOST_CHECK(harness.Call().verdict_ == ExchangeVerdict::kNotSent);
+}
+
 BOOST_AUTO_TEST_CASE(TruncatedBodyIsNotPassedOn)
 {
   ClientHarness harness("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone",
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -396,10 +396,31 @@
       if (replica.log_->IsLeader()) {
         CheckLeader(replica);
       }
+      if (replica.log_->IsLeaderInForce()) {
+        inForceAt_.emplace(replica.log_->Term(), now_);
+      }
     }
+    CheckPermissions();
     CheckLogsMatch();
   }
 
+  // Nobody is permitted to act outside the log any more once a later leader
+  // has been in force for as long as a permission lasts.
+  void CheckPermissions() const
+  {
+    for (const auto& [name, replica] : replicas_) {
+      if (!replica.IsUp() || replica.log_->PermittedUntil() <= now_) {
+        continue;
+      }
+      const auto later = inForceAt_.upper_bound(replica.log_->Term());
+      BOOST_REQUIRE_MESSAGE(
+        later == inForceAt_.end() ||
+          now_ - later->second < common_.timing_.permission_,
+        name << " of term " << replica.log_->Term()
+             << " may act beside the leader of term " << later->first);
+    }
+  }
+
   void CheckLeader(const Replica& aReplica)
   {
     const ControlLog& log = *aReplica.log_;
@@ -466,6 +487,7 @@
   std::map<uint64_t, std::string> states_;  // after each index
   std::map<uint64_t, uint64_t> leaders_;    // incarnation by term
   std::map<uint64_t, uint64_t> mustHold_;   // index by incarnation
+  std::map<uint64_t, Millis> inForceAt_;    // by term
   std::set<std::string> payloads_;
 };
 
--- a/test/order_relays_test.cpp
+++ b/test/order_relays_test.cpp
@@ -160,6 +160,21 @@
     return result;
   }
 
+  std::shared_ptr<std::optional<OrderResult>> Stop(bool aExpires)
+  {
+    auto result = std::make_shared<std::optional<OrderResult>>();
+    asio::co_spawn(
+      io_,
+      [this, result, aExpires]() -> asio::awaitable<void> {
+        StopOrder order{ .target_ = MakeStart().target_,
+                         .run_ = 1,
+                         .expires_ = aExpires };
+        *result = co_await relays_.Stop(order);
+      },
+      asio::detached);
+    return result;
+  }
+
   SystemClock clock_;
   Relay relay_;
   asio::io_context io_;
@@ -261,6 +276,17 @@
   BOOST_TEST(relay_.instances_.started_.empty());
 }
 
+BOOST_AUTO_TEST_CASE(RelayThatStoodStillSendsNoOldStopThatABudgetAllowed)
+{
+  Connect();
+  relay_.jump_ = Seconds(2);
+  const auto expired = Stop(true);
+  const auto kept = Stop(false);
+  BOOST_REQUIRE(RunUntil([&] { return *expired && *kept; }));
+  BOOST_CHECK((*expired)->status_ == OrderStatus::kNotSent);
+  BOOST_CHECK((*kept)->status_ == OrderStatus::kAccepted);
+}
+
 BOOST_AUTO_TEST_CASE(RelayThatIsNotFitGetsNoOrders)
 {
   Connect();
