Pools follow memory and tasks that last; moves in step with the fleet

Cause of the short machines in turns: demand was counted in cores, and on machines of 32 GB a third of the tasks take more of the memory; and a decision moved 16 machines at most, 106 a second, where a turn wants a third of 1,100.

Change: a task counts for its largest share of a machine (OccupiedCores); waiting tasks that last ask for whole machines beside those in use; a decision moves up to a 25th of the fleet; of a large wave more than three machines are emptied at once.

Also: one confirmed read for all that wait for one (ConfirmedReads). A report with an address that is none, or a clock of 1e300 in an answer, would have ended the scheduler, by an exception in a coroutine that nobody awaits; both are refused where they are decoded, calls that fail are answered with 500, and a path that no queue can have is answered with 404 by the gateway instead of failing its call to the leader.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -163,6 +163,10 @@
   {
     double cores_ = 0;
     double coreMillis_ = 0;
+    // Tasks that last wait for machines with nothing on them: what is left on
+    // the others was not enough. Those of one step may have to be apart.
+    double lastingCores_ = 0;
+    uint32_t mostApart_ = 0;
   };
 
   // fleet_scheduler.cpp
@@ -288,6 +292,7 @@
   uint64_t syncedChanges_ = 0; // of the store's instances
   uint64_t firstOwnOrder_ = 0; // jobs from here on arrived under this leader
   std::map<std::string, Demand> demands_; // by service
+  Resources machineShape_;                // the largest seen
   std::vector<Candidate> backlog_;        // in order
   Millis rankedAt_;
   uint64_t rankedConfig_ = 0; // version
--- a/include/vanillahatch/core/resources.h
+++ b/include/vanillahatch/core/resources.h
@@ -1,6 +1,7 @@
 // Amounts of what a worker has and a task takes.
 #pragma once
 
+#include <algorithm>
 #include <compare>
 #include <cstdint>
 
@@ -37,4 +38,25 @@
   }
 };
 
+// Cores of a machine of `aCapacity` that `aUse` keeps from other work: its
+// largest share of any resource. A task that takes half of the memory takes
+// half of the machine, however few cores it needs.
+constexpr double OccupiedCores(const Resources& aUse,
+                               const Resources& aCapacity)
+{
+  constexpr double kMillisOfCore = 1000.0;
+  const auto share = [](int64_t aPart, int64_t aWhole) {
+    return aWhole > 0 ? static_cast<double>(aPart) / static_cast<double>(aWhole)
+                      : 0.0;
+  };
+  const double cores =
+    static_cast<double>(aCapacity.milliCpus_) / kMillisOfCore;
+  return cores == 0.0
+           ? static_cast<double>(aUse.milliCpus_) / kMillisOfCore
+           : cores *
+               std::max({ share(aUse.milliCpus_, aCapacity.milliCpus_),
+                          share(aUse.memoryMb_, aCapacity.memoryMb_),
+                          share(aUse.accelerators_, aCapacity.accelerators_) });
+}
+
 } // namespace vanillahatch
--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -47,6 +47,7 @@
   kLogRestored = 425,
   kOverloaded = 500,
   kLogLinesDropped = 501,
+  kHandlerFailed = 502,
   kJobAccepted = 600,
   kJobCancelled = 601,
   kCallAnswered = 602,
--- a/src/core/jobs/fleet_scheduler_placing.cpp
+++ b/src/core/jobs/fleet_scheduler_placing.cpp
@@ -15,7 +15,6 @@
 constexpr uint32_t kKeptForLasting = 2000;
 // Closed jobs whose arrival may still be remembered.
 constexpr size_t kForgetSeen = 256;
-constexpr double kMillisOfCore = 1000.0;
 // Ranking costs about 1 us for each candidate; this keeps it below a twentieth
 // of a core, however long the backlog is.
 constexpr int64_t kRankedEachMilli = 50; // candidates
@@ -49,7 +48,7 @@
   for (const v1::StepSpec& step : aJob.spec_.steps()) {
     if (!step.lasting()) {
       work += static_cast<double>(step.task_count()) *
-              static_cast<double>(OccupiedBy(step).milliCpus_) / kMillisOfCore *
+              OccupiedCores(OccupiedBy(step), machineShape_) *
               static_cast<double>(times_.Expect(aJob.queue_, step).Count());
     }
   }
@@ -270,8 +269,15 @@
   Waiting& waiting = it != waiting_.end()
                        ? it->second
                        : waiting_[std::string(aCandidate.service_)];
-  const double cores =
-    aTasks * static_cast<double>(aCandidate.need_.milliCpus_) / kMillisOfCore;
+  const double cores = aTasks * OccupiedCores(aCandidate.need_, machineShape_);
+  const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.first_);
+  if (spec.lasting()) {
+    waiting.lastingCores_ += cores;
+    const uint32_t together = std::max(spec.max_per_instance(), 1U);
+    waiting.mostApart_ = std::max(
+      waiting.mostApart_, spec.max_per_instance() > 0 ? aTasks / together : 1U);
+    return;
+  }
   waiting.cores_ += cores;
   waiting.coreMillis_ +=
     cores * static_cast<double>(aCandidate.expectedRun_.Count());
--- a/src/core/jobs/fleet_scheduler_pools.cpp
+++ b/src/core/jobs/fleet_scheduler_pools.cpp
@@ -19,6 +19,10 @@
 // Machines at rest have been idle for long enough to be given.
 constexpr Millis kAtRest = Seconds(4);
 constexpr double kMillisOfCore = 1000.0;
+// A decision moves at most one in so many machines, and a few of a small fleet:
+// a turn wants a third of the fleet within a second, and the platform takes
+// hundreds of orders in that time.
+constexpr size_t kMovesAtOnce = 25;
 constexpr Millis kTracePoolsEvery = Seconds(1);
 // Between consolidations; each costs its tasks about a second of work.
 constexpr Millis kConsolidateEvery = Millis(700);
@@ -33,6 +37,7 @@
                               .isSpare_ = service.spare() };
   }
   double coresOfMachine = 0;
+  std::map<std::string, double> emptyCores; // by service; nothing runs there
   for (const auto& [key, view] : views_) {
     const auto it = pools.find(view.Facts().service());
     const bool isLeaving =
@@ -42,11 +47,14 @@
     }
     PoolLoad& pool = it->second;
     const double cores = view.Facts().capacity().cpu_millis() / kMillisOfCore;
-    coresOfMachine = std::max(coresOfMachine, cores);
-    const int64_t lasting = view.UsedByLasting().milliCpus_;
-    pool.lasting_ += static_cast<double>(lasting) / kMillisOfCore;
-    pool.wanted_ +=
-      static_cast<double>(view.Used().milliCpus_ - lasting) / kMillisOfCore;
+    if (cores > coresOfMachine) {
+      coresOfMachine = cores;
+      machineShape_ = view.Capacity();
+    }
+    const double lasting = OccupiedCores(view.UsedByLasting(), view.Capacity());
+    const double used = OccupiedCores(view.Used(), view.Capacity());
+    pool.lasting_ += lasting;
+    pool.wanted_ += used - lasting;
     const bool isSilent =
       aNow - view.lastAnswerAt_ > options_.lease_ / 2 && view.HasRuns();
     if (view.evacuating_ || isSilent) {
@@ -56,16 +64,17 @@
     ++pool.machineCount_;
     const bool isMovable = aNow >= view.avoidMoveUntil_ && view.contacted_ &&
                            !view.Facts().machine().empty();
+    if (!view.HasRuns()) {
+      emptyCores[it->first] += cores;
+    }
     if (isMovable && !view.HasRuns()) {
       pool.idle_.push_back({ .machine_ = view.Facts().machine(),
                              .idleFor_ = aNow - view.lastBusyAt_,
                              .cores_ = cores });
     } else if (isMovable && view.LastingRuns() == 0) {
-      pool.busy_.push_back(
-        { .machine_ = view.Facts().machine(),
-          .cores_ = cores,
-          .usedCores_ =
-            static_cast<double>(view.Used().milliCpus_) / kMillisOfCore });
+      pool.busy_.push_back({ .machine_ = view.Facts().machine(),
+                             .cores_ = cores,
+                             .usedCores_ = used });
     }
   }
   for (const auto& [name, op] : machines_.Ops()) {
@@ -74,6 +83,7 @@
     if (const auto it = pools.find(target); it != pools.end()) {
       it->second.capacity_ += coresOfMachine;
       ++it->second.machineCount_;
+      emptyCores[target] += coresOfMachine;
     }
   }
   for (const auto& [name, machine] : machines_.Machines()) {
@@ -91,9 +101,19 @@
   }
   for (const auto& [service, waiting] : waiting_) {
     const auto it = pools.find(service);
-    if (it != pools.end()) {
-      it->second.wanted_ +=
-        std::min(waiting.cores_, waiting.coreMillis_ / kDrainMillis);
+    if (it == pools.end()) {
+      continue;
+    }
+    PoolLoad& pool = it->second;
+    pool.wanted_ +=
+      std::min(waiting.cores_, waiting.coreMillis_ / kDrainMillis);
+    if (waiting.lastingCores_ > 0) {
+      // What is in use counts as full; whole machines are wanted beside it.
+      const double whole =
+        std::max(waiting.lastingCores_, waiting.mostApart_ * coresOfMachine);
+      const double empty = emptyCores[service];
+      pool.wanted_ =
+        std::max(pool.wanted_, pool.capacity_ - pool.lasting_ - empty + whole);
     }
   }
   std::vector<PoolLoad> out;
@@ -116,7 +136,10 @@
     poolsTracedAt_ = aNow;
     std::for_each(pools.begin(), pools.end(), trace_.onPool_);
   }
-  const PoolDecision decision = FollowDemand(pools, options_.pools_);
+  PoolFollowerOptions following = options_.pools_;
+  following.mostMoves_ =
+    std::max(following.mostMoves_, machines_.Machines().size() / kMovesAtOnce);
+  const PoolDecision decision = FollowDemand(pools, following);
   const std::unordered_set<std::string_view> closed(decision.closed_.begin(),
                                                     decision.closed_.end());
   for (InstanceView* view : eachView_) {
--- a/src/core/jobs/fleet_scheduler_upkeep.cpp
+++ b/src/core/jobs/fleet_scheduler_upkeep.cpp
@@ -14,8 +14,10 @@
 constexpr Millis kOperateAgain = Millis(400);
 constexpr Millis kOperateThrottled = Millis(150);
 // Machines that are emptied for upkeep at the same time, while they carry
-// work: few, so that the pools keep their room.
-constexpr size_t kMostEvacuating = 3;
+// work: few, so that the pools keep their room, but enough to come round in the
+// time of a wave. Emptying one takes about two seconds, a wave about twenty.
+constexpr size_t kLeastEvacuating = 3;
+constexpr size_t kEvacuatingShare = 40; // one in so many machines of the wave
 // Between looks at the machines of a wave; an upkeep takes seconds.
 constexpr Millis kServeWavesEvery = Millis(50);
 // A healthy instance answers a listing at least this often; what was listed
@@ -212,8 +214,10 @@
   std::sort(busy.begin(), busy.end(), [](auto* aLeft, auto* aRight) {
     return aLeft->Runs().size() < aRight->Runs().size();
   });
+  const auto size = static_cast<size_t>(aWave.order_.machines_size());
   const size_t most =
-    std::min<size_t>(kMostEvacuating, aWave.order_.max_concurrent());
+    std::min<size_t>(std::max(kLeastEvacuating, size / kEvacuatingShare),
+                     aWave.order_.max_concurrent());
   for (InstanceView* view : busy) {
     if (!view->evacuating_ && evacuating < most) {
       view->evacuating_ = true;
--- a/src/scheduler/job_service.cpp
+++ b/src/scheduler/job_service.cpp
@@ -76,6 +76,7 @@
   , replica_(aReplica)
   , metrics_(aMetrics)
   , wake_(std::move(aWake))
+  , reads_([this](LogReplica::Done aDone) { replica_.Propose({}, aDone); })
 {
 }
 
@@ -106,6 +107,10 @@
     }
     aReactor->Finish(grpc::Status::OK);
   };
+  if (aChanges.changes().empty()) {
+    reads_.Confirm(std::move(done));
+    return;
+  }
   replica_.Propose(aChanges.SerializeAsString(), std::move(done));
 }
 
--- a/src/scheduler/job_service.h
+++ b/src/scheduler/job_service.h
@@ -4,6 +4,7 @@
 // the log, so that a leader that was replaced meanwhile cannot give it.
 #pragma once
 
+#include "scheduler/confirmed_reads.h"
 #include "scheduler/job_store_host.h"
 #include "vanillahatch/shell/metrics.h"
 
@@ -46,6 +47,7 @@
   LogReplica& replica_;
   Metrics& metrics_;
   std::function<void()> wake_;
+  ConfirmedReads reads_;
 };
 
 } // namespace vanillahatch
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -45,6 +45,7 @@
   EventEntry{ Event::kLogRestored, "log-restored" },
   EventEntry{ Event::kOverloaded, "overloaded" },
   EventEntry{ Event::kLogLinesDropped, "log-lines-dropped" },
+  EventEntry{ Event::kHandlerFailed, "handler-failed" },
   EventEntry{ Event::kJobAccepted, "job-accepted" },
   EventEntry{ Event::kJobCancelled, "job-cancelled" },
   EventEntry{ Event::kCallAnswered, "call-answered" },
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -132,8 +132,11 @@
     std::make_shared<beast::tcp_stream>(co_await asio::this_coro::executor);
   aAbort.stream_ = stream;
   stream->expires_after(std::chrono::milliseconds(aTimeout.Count()));
-  const tcp::endpoint endpoint(asio::ip::make_address(aEndpoint.address_),
-                               aEndpoint.port_);
+  const tcp::endpoint endpoint(
+    asio::ip::make_address(aEndpoint.address_, aError), aEndpoint.port_);
+  if (aError) {
+    co_return stream;
+  }
   co_await stream->async_connect(
     endpoint, asio::redirect_error(asio::use_awaitable, aError));
   if (!aError) {
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,5 +1,6 @@
 #include "vanillahatch/shell/http_server.h"
 
+#include "vanillahatch/shell/log.h"
 #include "vanillahatch/shell/silent_connection.h"
 #include <array>
 
@@ -136,7 +137,7 @@
     aStream.expires_never();
     const bool keep = parser.get().keep_alive() && !draining_;
     const unsigned version = parser.get().version();
-    HttpResponse response = co_await handler_(parser.release());
+    HttpResponse response = co_await Respond(parser.release());
     response.version(version);
     response.keep_alive(keep && !draining_ && !stopping_);
     response.prepare_payload();
@@ -147,6 +148,19 @@
     co_return keep && !draining_ && !error;
   }
 
+  // A fault in one call must not take the other calls with it.
+  asio::awaitable<HttpResponse> Respond(HttpRequest aRequest)
+  {
+    const std::string target(aRequest.target());
+    try {
+      co_return co_await handler_(std::move(aRequest));
+    } catch (const std::exception& fault) {
+      LogError(Event::kHandlerFailed,
+               { { "target", target }, { "fault", fault.what() } });
+    }
+    co_return MakeProblem(500, "fault", "unknown", "the call failed");
+  }
+
   asio::awaitable<void> AnswerReadError(beast::tcp_stream& aStream,
                                         boost::system::error_code aError)
   {
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -391,6 +391,67 @@
   BOOST_TEST(moved <= 6U); // "meter" keeps its least machines
 }
 
+// Large site, calib-log: tasks that last waited all day in a pool with many
+// free cores and little memory.
+BOOST_AUTO_TEST_CASE(LastingTasksThatNeedMemoryGetMachines)
+{
+  FleetWorld world;
+  world.Configure({ { "layout", false }, { "meter", false } },
+                  { { "log", "layout" } });
+  for (int i = 0; i < 2; ++i) {
+    world.Add("l" + std::to_string(i), "layout");
+  }
+  for (int i = 0; i < 8; ++i) {
+    world.Add("m" + std::to_string(i), "meter");
+  }
+  world.RunFor(Millis(500));
+  v1::StepSpec step = FleetWorld::LastingStep(6, 1);
+  step.mutable_need()->set_memory_mb(40000); // of 64,000
+  const Job& job = world.Submit("j", "log", { step });
+  world.RunFor(Seconds(8));
+  BOOST_TEST(job.occurrences_.at(0).steps_[0].assigned_ == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(LastingTasksThatMustBeApartGetMachines)
+{
+  FleetWorld world;
+  world.Configure({ { "layout", false }, { "meter", false } },
+                  { { "log", "layout" } });
+  for (int i = 0; i < 2; ++i) {
+    world.Add("l" + std::to_string(i), "layout");
+  }
+  for (int i = 0; i < 8; ++i) {
+    world.Add("m" + std::to_string(i), "meter");
+  }
+  world.RunFor(Millis(500));
+  v1::StepSpec step = FleetWorld::LastingStep(6, 1);
+  step.set_max_per_instance(1);
+  const Job& job = world.Submit("j", "log", { step });
+  world.RunFor(Seconds(8));
+  BOOST_TEST(job.occurrences_.at(0).steps_[0].assigned_ == 6U);
+}
+
+// Large site, field-check and hall-verify: a third of the tasks need more of a
+// machine's memory than of its cores.
+BOOST_AUTO_TEST_CASE(DemandCountsMemoryAsWellAsCores)
+{
+  FleetWorld world;
+  world.Configure({ { "layout", false }, { "meter", false } },
+                  { { "drafts", "layout" } });
+  for (int i = 0; i < 4; ++i) {
+    world.Add("l" + std::to_string(i), "layout");
+  }
+  for (int i = 0; i < 10; ++i) {
+    world.Add("m" + std::to_string(i), "meter");
+  }
+  world.RunFor(Millis(500));
+  v1::StepSpec step = FleetWorld::StepOf(40, 100, 2000);
+  step.mutable_need()->set_memory_mb(40000); // one a machine
+  const Job& job = world.Submit("j", "drafts", { step });
+  world.RunFor(Seconds(14)); // four machines alone would take 20 s
+  BOOST_TEST((world.Store().PhaseOf(job) == v1::JOB_COMPLETED));
+}
+
 BOOST_AUTO_TEST_CASE(MachineThatCarriesAnythingIsNeverMoved)
 {
   FleetWorld world;
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -147,6 +147,14 @@
 }
 
 // A permission that ran out while the request waited for its connection.
+BOOST_AUTO_TEST_CASE(AddressThatIsNoneIsProvablyNotSent)
+{
+  ClientHarness harness(kWhole);
+  const ExchangeResult result =
+    harness.CallAt({ .address_ = "nowhere", .port_ = 80 }, kTimeout);
+  BOOST_TEST((result.verdict_ == ExchangeVerdict::kNotSent));
+}
+
 BOOST_AUTO_TEST_CASE(RequestThatIsNoLongerPermittedDoesNotLeave)
 {
   ClientHarness harness(kWhole);
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE platform_messages
 #include "platform/advisor_client.h"
 #include "platform/config_messages.h"
+#include "platform/front_api.h"
 #include "platform/job_messages.h"
 #include "platform/machine_client.h"
 #include "platform/runner_messages.h"
@@ -110,6 +111,7 @@
        { R"(x)",
          R"({})",
          R"({"service":"s","address":"nowhere","state":"ready"})",
+         R"({"service":"s","address":"nowhere:80","state":"ready"})",
          R"({"service":"s","address":"10.0.0.1:80","state":"asleep"})",
          R"({"service":3,"address":"10.0.0.1:80","state":"ready"})" }) {
     BOOST_TEST(!DecodeReport("i", body).has_value(), body);
@@ -152,6 +154,28 @@
   BOOST_TEST((decode(500, "") == OrderStatus::kUnknown));
 }
 
+BOOST_AUTO_TEST_CASE(ClockThatIsNoWholeNumberIsNotRead)
+{
+  for (const char* clock : { "1e300", "-5", "4.5", "\"9\"", "null", "[]" }) {
+    HttpResponse response;
+    response.result(200);
+    response.body() = R"({"clock_ms":)" + std::string(clock) + "}";
+    const OrderResult result = DecodeOrderResult(response);
+    BOOST_TEST((result.status_ == OrderStatus::kAccepted), clock);
+    BOOST_TEST(!result.clock_.has_value(), clock);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PathsThatNoQueueCanHaveAreNotPassedOn)
+{
+  HttpRequest request(boost::beast::http::verb::get, "/a/b", 11);
+  request.set(boost::beast::http::field::host, "h.example:80");
+  BOOST_REQUIRE(DecodePlace(request).has_value());
+  BOOST_TEST(DecodePlace(request)->host() == "h.example");
+  request.target("/a/\xff\xfe");
+  BOOST_TEST(!DecodePlace(request).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(MachinesThatCannotBeReadAreLeftOut)
 {
   const auto page = DecodeMachines(
