--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -202,7 +202,7 @@
   }
 }
 
-void FleetDriver::Perform(StopOrder aOrder)
+void FleetDriver::Perform(const StopOrder& aOrder)
 {
   const uint64_t generation = generation_;
   LaneOrder order{ .send_ =
@@ -339,7 +339,7 @@
     asio::detached);
 }
 
-void FleetDriver::Perform(Proposal aProposal)
+void FleetDriver::Perform(const Proposal& aProposal)
 {
   asio::co_spawn(
     io_,
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -56,7 +56,7 @@
   void TakeStart(const StartOrder& aOrder,
                  const OrderResult& aResult,
                  uint64_t aGeneration);
-  void Perform(StopOrder aOrder);
+  void Perform(const StopOrder& aOrder);
   void TakeStop(const StopOrder& aOrder,
                 const OrderResult& aResult,
                 uint64_t aGeneration);
@@ -65,7 +65,7 @@
   void Perform(MachineOrder aOrder);
   void Perform(MachineListOrder aOrder);
   void Perform(AdviceOrder aOrder);
-  void Perform(Proposal aProposal);
+  void Perform(const Proposal& aProposal);
   SchedulerTrace MakeTrace();
 
   boost::asio::io_context& io_;
--- a/src/scheduler/job_service.cpp
+++ b/src/scheduler/job_service.cpp
@@ -76,7 +76,8 @@
   , replica_(aReplica)
   , metrics_(aMetrics)
   , wake_(std::move(aWake))
-  , reads_([this](LogReplica::Done aDone) { replica_.Propose({}, aDone); })
+  , reads_(
+      [this](const LogReplica::Done& aDone) { replica_.Propose({}, aDone); })
 {
 }
 
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -207,6 +207,7 @@
   a.failures_ = 2;
   b.failures_ = 2;
   std::vector<const Job*> jobs;
+  jobs.reserve(8);
   for (int i = 0; i < 8; ++i) {
     jobs.push_back(&world_.Submit(
       "j" + std::to_string(i), "drafts", { FleetWorld::StepOf(4, 500, 300) }));
--- a/test/report_changes_test.cpp
+++ b/test/report_changes_test.cpp
@@ -25,7 +25,7 @@
 {
   v1::JobChanges Take(const InstanceReport& aReport)
   {
-    const v1::JobChanges changes = ChangesForReport(store_, aReport);
+    v1::JobChanges changes = ChangesForReport(store_, aReport);
     store_.Apply(changes);
     return changes;
   }
