Answers for an instance that the log has just removed are dropped

Cause, as far as traced: the log frees an instance on its own thread, and only rounds, commits and reports looked for that; the answer of an order or of the machine API in between read the freed record. Every event that looks at a view now syncs first. The test fails before, and valgrind shows the read of freed memory.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -170,6 +170,8 @@
   };
 
   // fleet_scheduler.cpp
+  // First thing in each event that looks at a view: the log may have removed
+  // its instance since the last one.
   void SyncViews(Millis aNow);
   void SyncView(Millis aNow, const InstanceKey& aKey);
   void AddToIndex(InstanceView& aView);
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -65,6 +65,7 @@
                              const StartOrder& aOrder,
                              const OrderResult& aResult)
 {
+  SyncViews(aNow);
   InstanceView* view = FindView(aOrder.target_.instance_);
   if (view == nullptr) {
     return;
@@ -118,6 +119,7 @@
                             const StopOrder& aOrder,
                             const OrderResult& aResult)
 {
+  SyncViews(aNow);
   InstanceView* view = FindView(aOrder.target_.instance_);
   if (view == nullptr) {
     return;
@@ -147,6 +149,7 @@
                                const OrderResult& aResult,
                                const InstanceListing& aListing)
 {
+  SyncViews(aNow);
   InstanceView* view = FindView(aOrder.target_.instance_);
   if (view == nullptr) {
     return;
--- a/src/core/jobs/fleet_scheduler_upkeep.cpp
+++ b/src/core/jobs/fleet_scheduler_upkeep.cpp
@@ -83,6 +83,7 @@
                                      const MachineOrder& aOrder,
                                      MachineOrderStatus aStatus)
 {
+  SyncViews(aNow);
   MachineOp* op = machines_.FindOp(aOrder.machine_);
   if (op == nullptr || op->order_.pool_ != aOrder.pool_ ||
       op->order_.wave_ != aOrder.wave_) {
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -198,6 +198,30 @@
   BOOST_TEST(a.startsSeen_ == 2U);
 }
 
+// Large site, scale-2: a scheduler ended with a segmentation fault. The log had
+// removed an instance, and the answer of an order to it came before a round.
+BOOST_AUTO_TEST_CASE(AnswersForAnInstanceThatTheLogHasJustRemovedAreDropped)
+{
+  FakeInstance& a = world_.Add("a", "layout");
+  world_.RunFor(Millis(100));
+  world_.Submit("j1", "drafts", { FleetWorld::StepOf(1, 500, 60000) });
+  world_.RunFor(Millis(300));
+  BOOST_REQUIRE(a.running_.size() == 1U);
+  const InstanceKey key = ToKey(a.record_);
+  v1::JobChanges changes;
+  *changes.add_changes()->mutable_instance_gone()->mutable_key() =
+    ToMessage(key);
+  world_.Store().Apply(changes);
+  a.answers_ = false;
+  const OrderResult answer{ .status_ = OrderStatus::kOtherIncarnation };
+  FleetScheduler& scheduler = world_.Scheduler();
+  scheduler.OnListing(
+    world_.Now(), { .target_ = { .instance_ = key } }, {}, answer, {});
+  scheduler.OnStart(world_.Now(), { .target_ = { .instance_ = key } }, answer);
+  scheduler.OnStop(world_.Now(), { .target_ = { .instance_ = key } }, answer);
+  BOOST_TEST(scheduler.Views().empty());
+}
+
 BOOST_AUTO_TEST_CASE(ManyFailuresAreAllRetriedThoughCommitsAreHeardLate)
 {
   FakeInstance& a = world_.Add("a", "layout");
