Grant leases on instances only under the leader lease

Cause, shown in virtual time: a leader that is cut off with part of its instances, and has not noticed its successor, goes on renewing their leases: until its log thread steps down (600 ms after the last answer of a majority, more if that thread waits for the processor or a disk). Its successor counted the leases of such an instance from its own start. So it gave up an instance whose tasks still ran, and started them elsewhere.

Evidence: TaskThatAFormerLeaderKeepsAliveIsNotStartedElsewhere shows two copies at once when the leader lease is not checked, and also when the successor does not wait for the former leader's lease.

Change: the scheduler is told when the leader lease expires. The expiry is a value that the log thread publishes, so it passes by itself if that thread hangs.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -34,6 +34,9 @@
   // a change of leader; tasks of an unreachable instance are started elsewhere
   // only after it has expired.
   Millis lease_ = Seconds(5);
+  // How long a former leader may still hold the leader lease, and so grant
+  // leases on instances, after this one has taken over.
+  Millis formerLeaderLease_;
   // How long a start may be in flight; the instance refuses one that arrives
   // later.
   Millis startTimeout_ = Millis(1500);
@@ -74,6 +77,8 @@
     onEnd_;
   std::function<void(const InstanceKey&, std::string_view)> onInstance_;
   std::function<void(const TaskRef&, uint32_t, std::string_view)> onInDoubt_;
+  // A committed start was not sent, because the leader lease had expired.
+  std::function<void(const TaskRef&, uint32_t)> onStartWithheld_;
   std::function<void(const MachineOrder&, std::string_view)> onMachine_;
   // Both are called about once a second.
   std::function<void(const PoolLoad&)> onPool_;
@@ -90,6 +95,14 @@
                  SchedulerTrace aTrace,
                  Millis aNow);
 
+  // Must be called before each event. Leases on instances are granted only
+  // before `aExpiresAt`, because a successor gives up an unreachable instance
+  // as soon as the leases granted until then have expired.
+  void SetLeaderLeaseExpiry(Millis aExpiresAt)
+  {
+    leaderLeaseExpiresAt_ = aExpiresAt;
+  }
+
   // `aUnixNow`: time since the Unix epoch, for work that is due at a set time.
   void Tick(Millis aNow, Millis aUnixNow);
   // Returns the actions to perform and clears them. Changes for the log are
@@ -194,6 +207,10 @@
   void AddToIndex(InstanceView& aView);
   void RemoveFromIndex(const InstanceView& aView);
   void PollInstances(Millis aNow);
+  bool MayGrantLeases(Millis aNow) const
+  {
+    return aNow < leaderLeaseExpiresAt_;
+  }
   void RemoveUnreachable(Millis aNow);
   void SendRequestedStops(Millis aNow);
   void RemoveFinishedJobs(Millis aNow);
@@ -313,6 +330,7 @@
   FleetSchedulerOptions options_;
   SchedulerTrace trace_;
   const Millis leaderSince_;
+  Millis leaderLeaseExpiresAt_; // zero: not held
   std::map<InstanceKey, InstanceView> views_;
   // Pointers into `views_`, for fast iteration.
   std::vector<InstanceView*> allViews_;
--- a/include/vanillahatch/core/jobs/instance_lease.h
+++ b/include/vanillahatch/core/jobs/instance_lease.h
@@ -3,8 +3,10 @@
 //
 // An instance measures leases on its own steady clock, which may run slow. Its
 // clock is sampled from replies, and the local time since the latest sample
-// gives a lower bound of its current value. The lease has expired once that
-// bound is past the latest deadline that was sent.
+// gives a lower bound of its current value. A lease of this leader has expired
+// once that bound is past the latest deadline that was sent. A lease of an
+// earlier leader has expired once its length has passed on the slowest clock
+// since that leader can have granted it last.
 #pragma once
 
 #include "vanillahatch/core/clock.h"
@@ -16,9 +18,9 @@
 class InstanceLease
 {
 public:
-  // `aLongestLease`: the longest lease that any leader grants. An earlier
-  // leader may have granted one as late as `aNow`.
-  InstanceLease(Millis aLongestLease, Millis aNow);
+  // `aLongestLease`: the longest lease that any leader grants.
+  // `aLastGrantAt`: an earlier leader may have granted one until then.
+  InstanceLease(Millis aLongestLease, Millis aLastGrantAt);
 
   // Records a reply that arrived at `aNow` with the instance's clock `aClock`.
   void Observe(Millis aClock, Millis aNow);
@@ -44,7 +46,7 @@
   };
 
   Millis longestLease_;
-  Millis createdAt_;
+  Millis earlierGrantsEndAt_; // local time
   std::optional<Sample> sample_;
   Millis deadline_; // on the instance's clock
 };
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -69,7 +69,11 @@
 class InstanceView
 {
 public:
-  InstanceView(Instance& aInstance, Millis aLongestLease, Millis aNow);
+  // `aLastGrantAt`: an earlier leader may have granted leases until then.
+  InstanceView(Instance& aInstance,
+               Millis aLongestLease,
+               Millis aLastGrantAt,
+               Millis aNow);
 
   // Updates the capacity after a committed change of the instance's record.
   void RefreshCapacity();
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -132,7 +132,13 @@
     return;
   }
   InstanceView& view =
-    views_.try_emplace(aKey, *instance, options_.lease_, aNow).first->second;
+    views_
+      .try_emplace(aKey,
+                   *instance,
+                   options_.lease_,
+                   std::max(leaderSince_ + options_.formerLeaderLease_, aNow),
+                   aNow)
+      .first->second;
   AddToIndex(view);
   for (const TaskRef& task : instance->assigned_) {
     view.AddRun(task,
@@ -274,7 +280,12 @@
                      .wait_ = wait };
     // An instance that does not reply may still receive orders: renewing its
     // lease would keep its tasks from being started elsewhere.
-    if (view.Lease().IsClockKnown() && hasRuns && !view.isUnresponsive_) {
+    const bool renewsLease =
+      view.Lease().IsClockKnown() && hasRuns && !view.isUnresponsive_;
+    if (renewsLease && !MayGrantLeases(aNow)) {
+      continue;
+    }
+    if (renewsLease) {
       const Millis deadline = view.Lease().ClockAt(aNow) + options_.lease_;
       view.Lease().Extend(deadline);
       order.deadline_ = deadline;
@@ -417,6 +428,11 @@
   if (view->removalProposed_) {
     return; // Its tasks may be placed elsewhere; a start here would run twice.
   }
+  if (!MayGrantLeases(aNow)) {
+    trace_.onStartWithheld_(aStart.task_, aStart.run_);
+    ProposeStopped(*view, aStart.task_, aStart.run_);
+    return;
+  }
   const Millis clock = view->Lease().ClockAt(aNow);
   StartOrder order{ .target_ = TargetOf(*view),
                     .ref_ = aStart.task_,
--- a/src/core/jobs/instance_lease.cpp
+++ b/src/core/jobs/instance_lease.cpp
@@ -19,16 +19,16 @@
 
 } // namespace
 
-InstanceLease::InstanceLease(Millis aLongestLease, Millis aNow)
+InstanceLease::InstanceLease(Millis aLongestLease, Millis aLastGrantAt)
   : longestLease_(aLongestLease)
-  , createdAt_(aNow)
+  , earlierGrantsEndAt_(aLastGrantAt)
 {
 }
 
 void InstanceLease::Observe(Millis aClock, Millis aNow)
 {
   if (!sample_) {
-    // Leases granted by earlier leaders expire within `longestLease_`.
+    // An earlier leader may have granted a lease right before this reply.
     deadline_ = std::max(deadline_, aClock + longestLease_);
   }
   // Replies may arrive out of order; the larger lower bound is the tighter one.
@@ -49,11 +49,12 @@
 
 bool InstanceLease::HasExpired(Millis aNow) const
 {
-  if (!sample_) {
-    return MinElapsedOnInstance(aNow - createdAt_) >
-           longestLease_ + kExpiryMargin;
-  }
-  return ClockAt(aNow) > deadline_ + kExpiryMargin;
+  const bool haveEarlierExpired =
+    MinElapsedOnInstance(aNow - earlierGrantsEndAt_) >
+    longestLease_ + kExpiryMargin;
+  const bool hasOwnExpired =
+    !sample_ || ClockAt(aNow) > deadline_ + kExpiryMargin;
+  return haveEarlierExpired && hasOwnExpired;
 }
 
 } // namespace vanillahatch
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -26,6 +26,7 @@
 
 InstanceView::InstanceView(Instance& aInstance,
                            Millis aLongestLease,
+                           Millis aLastGrantAt,
                            Millis aNow)
   : lastBusyAt_(aNow)
   , lastReplyAt_(aNow)
@@ -34,7 +35,7 @@
   , proposedCursor_(aInstance.record_.end_cursor())
   , instance_(&aInstance)
   , serial_(aInstance.serial_)
-  , lease_(aLongestLease, aNow)
+  , lease_(aLongestLease, aLastGrantAt)
   , capacity_(FromMessage(aInstance.record_.capacity()))
 {
 }
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -138,6 +138,9 @@
   {
     return clock_.Now().Count() < leaseExpiresAtMs_;
   }
+  // When the leader lease expires, on the clock of the replica; zero without
+  // one. An act is covered by it if its time was read before.
+  Millis LeaderLeaseExpiresAt() const { return Millis(leaseExpiresAtMs_); }
   LogReplicaStatus Status() const;
 
 private:
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -129,6 +129,7 @@
       aStore,
       FleetSchedulerOptions{ .fencingToken_ = term,
                              .lease_ = options_.lease_,
+                             .formerLeaderLease_ = options_.formerLeaderLease_,
                              .finishedJobRetention_ =
                                options_.finishedJobRetention_,
                              .machineOrderDelay_ = options_.machineOrderDelay_,
@@ -142,6 +143,22 @@
   });
 }
 
+// A replica whose log thread hangs publishes no new expiry, so its lease ends
+// even though it does not notice a successor.
+void FleetDriver::UpdateLeaderLease(Millis aNow)
+{
+  const Millis expiresAt = replica_.LeaderLeaseExpiresAt();
+  scheduler_->SetLeaderLeaseExpiry(expiresAt);
+  const bool isHeld = aNow < expiresAt;
+  if (isHeld != holdsLeaderLease_) {
+    holdsLeaderLease_ = isHeld;
+    LogInfo(Event::kLeaderLease,
+            { { "held", isHeld ? "yes" : "no" },
+              { "fence", term_ },
+              { "expired_ms", (aNow - expiresAt).Count() } });
+  }
+}
+
 template<class EventHandler>
 void FleetDriver::ProcessEvent(EventHandler aHandleEvent)
 {
@@ -150,7 +167,9 @@
   }
   std::vector<SchedulerAction> actions;
   store_.With([&](JobStore&) {
-    aHandleEvent(*scheduler_, clock_.Now());
+    const Millis now = clock_.Now();
+    UpdateLeaderLease(now);
+    aHandleEvent(*scheduler_, now);
     actions = scheduler_->TakeActions();
   });
   if (scheduler_->IsDeposed() && deposedTerm_ != term_) {
@@ -438,6 +457,13 @@
                      { "run", aRun },
                      { "reason", aReason } });
       },
+    .onStartWithheld_ =
+      [this](const TaskRef& aTask, uint32_t aRun) {
+        metrics_.Count("vh_starts_withheld_total");
+        LogWarning(
+          Event::kStartWithheld,
+          { { "task", FormatTask(JobStore::NameOf(aTask)) }, { "run", aRun } });
+      },
     .onMachine_ =
       [](const MachineOrder& aOrder, std::string_view aReason) {
         LogInfo(Event::kMachineOrdered,
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -23,6 +23,7 @@
 struct FleetDriverOptions
 {
   Millis lease_ = Seconds(5); // of the runs on an instance
+  Millis formerLeaderLease_;  // see FleetSchedulerOptions
   Millis finishedJobRetention_ = Seconds(120);
   Millis machineOrderDelay_; // see FleetSchedulerOptions
   MachineTrackerOptions machines_;
@@ -56,6 +57,9 @@
 private:
   boost::asio::awaitable<void> RunRounds();
   void CheckLeadership();
+  // Passes the expiry of the leader lease to the scheduler, and logs when the
+  // lease is lost or regained.
+  void UpdateLeaderLease(Millis aNow);
   void CloseIdleConnections();
   // Calls `aHandleEvent` with the scheduler, if there is one, and performs the
   // actions that result.
@@ -96,6 +100,7 @@
   // Incremented with each scheduler, so that replies to an earlier one are
   // dropped.
   uint64_t schedulerGeneration_ = 0;
+  bool holdsLeaderLease_ = false; // at the latest event
   OrderQueues orderQueues_;
 };
 
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -281,6 +281,58 @@
   BOOST_TEST(a.fencingToken_ == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(TaskThatAFormerLeaderKeepsAliveIsNotStartedElsewhere)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::LongRunningStep(1, 1) });
+  fleet_.RunFor(Millis(500));
+  BOOST_REQUIRE(a.running_.size() == 1U);
+  a.isReachable_ = false;
+  a.isReachableByFormerLeader_ = true;
+  fleet_.StartSuccessor(2);
+  fleet_.AddInstance("b", "layout");
+  size_t maxCopies = 0;
+  const bool isRestarted = fleet_.RunUntil(
+    [&] {
+      maxCopies = std::max(maxCopies, fleet_.RunningCopies(FirstTask(job)));
+      return fleet_.At("b").startsAccepted_ == 1;
+    },
+    Seconds(12));
+  BOOST_TEST(isRestarted);
+  BOOST_TEST(maxCopies == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StartCommittedAfterTheLeaderLeaseExpiredIsNotSent)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.holdsCommits_ = true;
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 600) });
+  fleet_.RunFor(Millis(100));
+  fleet_.SetLeaderLeaseExpiry(fleet_.Now());
+  fleet_.CommitHeldProposals();
+  fleet_.RunFor(Millis(100));
+  BOOST_TEST(a.startsAccepted_ == 0U);
+  BOOST_TEST(fleet_.StartsWithheld() >= 1U);
+  fleet_.SetLeaderLeaseExpiry(Millis::Max());
+  BOOST_TEST(fleet_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(LeaderWithoutLeaderLeaseRenewsNoLease)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.Submit("j1", "drafts", { SimulatedFleet::LongRunningStep(1, 1) });
+  fleet_.RunFor(Seconds(3));
+  fleet_.SetLeaderLeaseExpiry(fleet_.Now());
+  const Millis deadline = a.deadline_;
+  fleet_.RunFor(Seconds(3));
+  BOOST_TEST(a.deadline_.Count() == deadline.Count());
+}
+
 BOOST_AUTO_TEST_CASE(LeaderRefusedForAHigherTokenSendsNoMoreOrders)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
--- a/test/instance_lease_test.cpp
+++ b/test/instance_lease_test.cpp
@@ -29,6 +29,16 @@
   BOOST_TEST(!lease.HasExpired(Seconds(106)));
 }
 
+// A report may reach the leader long after the instance read its clock.
+BOOST_AUTO_TEST_CASE(DelayedFirstReplyDoesNotShortenLeasesOfAnEarlierLeader)
+{
+  InstanceLease lease(Seconds(5), Seconds(100));
+  lease.Observe(Seconds(12), Seconds(101)); // read 8 s before
+  lease.Observe(Seconds(24), Seconds(105));
+  BOOST_TEST(!lease.HasExpired(Millis(105100)));
+  BOOST_TEST(lease.HasExpired(Millis(105400)));
+}
+
 BOOST_AUTO_TEST_CASE(ReorderedReplyDoesNotTurnTheClockBack)
 {
   InstanceLease lease(Seconds(5), Seconds(100));
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -36,10 +36,11 @@
   std::vector<EndedTask> ended_;
   std::map<std::string, uint32_t> highestEndedRun_; // run number by task
   uint64_t lastEndNumber_ = 0;
-  bool isReachable_ = true;        // false: partitioned, but its tasks run
-  bool losesStartReplies_ = false; // accepts starts, replies are lost
-  std::deque<StartOrder> delayedStarts_; // see `DeliverDelayedStarts`
-  bool ignoresStops_ = false;            // neither stops runs nor replies
+  bool isReachable_ = true; // false: partitioned, but its tasks run
+  bool isReachableByFormerLeader_ = false; // see `StartSuccessor`
+  bool losesStartReplies_ = false;         // accepts starts, replies are lost
+  std::deque<StartOrder> delayedStarts_;   // see `DeliverDelayedStarts`
+  bool ignoresStops_ = false;              // neither stops runs nor replies
   bool delaysStarts_ = false; // starts go to `delayedStarts_`, no reply
   uint32_t runsToFail_ = 0;   // number of its next runs that fail
   uint32_t startsAccepted_ = 0;
@@ -59,6 +60,18 @@
     StartLeader(aFencingToken);
   }
 
+  // A new leader takes over, but the former one does not notice: it can commit
+  // nothing, and still sends orders to the instances that only it reaches.
+  void StartSuccessor(uint64_t aFencingToken)
+  {
+    formerLeader_ = std::move(scheduler_);
+    formerLeader_->SetLeaderLeaseExpiry(now_ + kLeaderLease);
+    for (const OpenListing& listing : std::exchange(openListings_, {})) {
+      PerformForFormerLeader(listing.order_);
+    }
+    StartLeader(aFencingToken);
+  }
+
   // A new leader takes over with the same log.
   void StartLeader(uint64_t aFencingToken)
   {
@@ -69,6 +82,7 @@
     scheduler_ = std::make_unique<FleetScheduler>(
       store_,
       FleetSchedulerOptions{ .fencingToken_ = aFencingToken,
+                             .formerLeaderLease_ = kLeaderLease,
                              .machineOrderDelay_ = machineOrderDelay_ },
       SchedulerTrace{
         .onStart_ = [this](const StartOrder&) { ++starts_; },
@@ -77,6 +91,8 @@
         .onInDoubt_ = [this](const TaskRef&,
                              uint32_t,
                              std::string_view) { ++runsInDoubt_; },
+        .onStartWithheld_ = [this](const TaskRef&,
+                                   uint32_t) { ++startsWithheld_; },
         .onMachine_ =
           [this](const MachineOrder& aOrder, std::string_view) {
             machineOrders_.push_back(aOrder);
@@ -93,6 +109,14 @@
           },
       },
       now_);
+    scheduler_->SetLeaderLeaseExpiry(leaderLeaseExpiresAt_);
+  }
+
+  // Of the present leader and of leaders started later.
+  void SetLeaderLeaseExpiry(Millis aExpiresAt)
+  {
+    leaderLeaseExpiresAt_ = aExpiresAt;
+    scheduler_->SetLeaderLeaseExpiry(aExpiresAt);
   }
 
   void Configure(std::vector<std::pair<std::string, bool>> aServices,
@@ -199,6 +223,7 @@
       scheduler_->Tick(now_, now_);
       ReportCommits();
       Perform();
+      RunFormerLeader();
     }
   }
 
@@ -245,6 +270,7 @@
   size_t Starts() const { return starts_; }
   const DispatchLoad& LastDispatch() const { return dispatch_; }
   size_t RunsInDoubt() const { return runsInDoubt_; }
+  size_t StartsWithheld() const { return startsWithheld_; }
   // The highest number of machines in maintenance at the same time.
   size_t MaxInMaintenance() const { return maxInMaintenance_; }
   // Commits the proposals that `holdsCommits_` held back, in order.
@@ -275,6 +301,8 @@
     return (aId.back() - '0') % 2 == 0;
   }
   static constexpr Millis kTicketValidity = Seconds(3);
+  // How long a former leader grants leases at most.
+  static constexpr Millis kLeaderLease = Millis(600);
 
 private:
   struct OpenListing
@@ -396,6 +424,52 @@
     }
   }
 
+  void RunFormerLeader()
+  {
+    if (formerLeader_ == nullptr) {
+      return;
+    }
+    formerLeader_->Tick(now_, now_);
+    for (SchedulerAction& action : formerLeader_->TakeActions()) {
+      if (const auto* hold = std::get_if<HoldOrder>(&action)) {
+        PerformForFormerLeader(*hold);
+      }
+    }
+  }
+
+  // The instance replies at once.
+  void PerformForFormerLeader(const HoldOrder& aOrder)
+  {
+    FakeInstance& instance = instances_.at(aOrder.target_.instance_.id_);
+    if (!instance.isReachableByFormerLeader_ ||
+        aOrder.target_.fencingToken_ < instance.fencingToken_) {
+      formerLeader_->OnListing(
+        now_, aOrder, now_, { .status_ = OrderStatus::kUnknown }, {});
+      return;
+    }
+    if (aOrder.deadline_) {
+      instance.deadline_ = std::max(instance.deadline_, *aOrder.deadline_);
+    }
+    formerLeader_->OnListing(now_,
+                             aOrder,
+                             now_,
+                             { .status_ = OrderStatus::kAccepted,
+                               .clock_ = now_ + instance.clockOffset_ },
+                             ListingOf(instance));
+  }
+
+  static InstanceListing ListingOf(const FakeInstance& aInstance)
+  {
+    InstanceListing listing{ .ended_ = aInstance.ended_,
+                             .startedUnixMs_ =
+                               aInstance.record_.born_unix_ms() };
+    for (const FakeInstance::Run& run : aInstance.running_) {
+      listing.running_.push_back(
+        { .task_ = run.task_, .run_ = run.run_, .percent_ = 100 });
+    }
+    return listing;
+  }
+
   void ReportCommits()
   {
     for (const uint64_t number : std::exchange(unreportedCommits_, {})) {
@@ -507,13 +581,7 @@
                             {});
       return;
     }
-    InstanceListing listing{ .ended_ = instance->ended_,
-                             .startedUnixMs_ =
-                               instance->record_.born_unix_ms() };
-    for (const FakeInstance::Run& run : instance->running_) {
-      listing.running_.push_back(
-        { .task_ = run.task_, .run_ = run.run_, .percent_ = 100 });
-    }
+    const InstanceListing listing = ListingOf(*instance);
     const OrderResult result{ .status_ = OrderStatus::kAccepted,
                               .clock_ = now_ + instance->clockOffset_ };
     DeliverReply([this, aListing, result, listing] {
@@ -613,9 +681,11 @@
   }
 
   Millis now_ = Seconds(1000);
+  Millis leaderLeaseExpiresAt_ = Millis::Max();
   uint64_t fencingToken_ = 1;
   JobStore store_;
   std::unique_ptr<FleetScheduler> scheduler_;
+  std::unique_ptr<FleetScheduler> formerLeader_;
   std::map<std::string, FakeInstance> instances_;
   std::vector<UnavailableMachine> unavailable_;
   std::vector<OpenListing> openListings_;
@@ -623,6 +693,7 @@
   DispatchLoad dispatch_;
   size_t starts_ = 0;
   size_t runsInDoubt_ = 0;
+  size_t startsWithheld_ = 0;
   size_t maxInMaintenance_ = 0;
   size_t adviceCalls_ = 0;
   std::deque<Proposal> uncommitted_;
