Tests of views: say until when an earlier leader may grant leases

The constructor of InstanceView takes that time since; these two tests, which were not built with that change, did not compile. They check what they checked.

--- a/test/instance_view_test.cpp
+++ b/test/instance_view_test.cpp
@@ -41,7 +41,9 @@
 
   InstanceView MakeView()
   {
-    return { *store_.FindInstance({ .id_ = "i-1" }), Seconds(5), Millis() };
+    return {
+      *store_.FindInstance({ .id_ = "i-1" }), Seconds(5), Millis(), Millis()
+    };
   }
 
   void CancelJob()
