Turn off Abseil's tracking of the lock order in gRPC

Debian builds Abseil without NDEBUG, so each lock of gRPC is looked up under a global lock to find deadlocks of gRPC itself.

--- a/src/shell/rpc.cpp
+++ b/src/shell/rpc.cpp
@@ -2,6 +2,7 @@
 
 #include "vanillahatch/shell/settings.h"
 
+#include <absl/synchronization/mutex.h>
 #include <array>
 #include <chrono>
 
@@ -15,10 +16,18 @@
 constexpr int kMaxReconnectBackoffMs = 1000;
 constexpr int kMaxMessageBytes = 64 << 20; // a snapshot of the fleet's state
 
+// Debian builds Abseil with tracking of the lock order: each lock that gRPC
+// takes is looked up under a global lock, to find deadlocks in gRPC.
+void DisableLockOrderTracking()
+{
+  absl::SetMutexDeadlockDetectionMode(absl::OnDeadlockCycle::kIgnore);
+}
+
 } // namespace
 
 std::shared_ptr<grpc::Channel> MakeChannel(const Endpoint& aEndpoint)
 {
+  DisableLockOrderTracking();
   grpc::ChannelArguments arguments;
   arguments.SetInt(GRPC_ARG_KEEPALIVE_TIME_MS, kKeepaliveTimeMs);
   arguments.SetInt(GRPC_ARG_KEEPALIVE_TIMEOUT_MS, kKeepaliveTimeoutMs);
@@ -44,6 +53,7 @@
   const Endpoint& aEndpoint,
   std::span<grpc::Service* const> aServices)
 {
+  DisableLockOrderTracking();
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddListeningPort(
