Scheduler: rounds that leave the processor to replies, and scan less

Each job that completed made the summaries of all instances invalid, evacuations were weighed in each round, and instances were found by comparing strings in a tree.

Change: only jobs that close while runs of them may exist invalidate summaries (OnlyJobsThatMayStillRunCountAsInterrupted); evacuations are weighed with the waves, every 50 ms; instances are found by hash; and the pause after a round is three times its duration, 10 to 40 ms, so that a leader that falls behind serves more events a round.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -332,8 +332,9 @@
   const Millis leaderSince_;
   Millis leaderLeaseExpiresAt_; // zero: not held
   std::map<InstanceKey, InstanceView> views_;
-  // Pointers into `views_`, for fast iteration.
+  // Pointers into `views_`, for fast iteration and search.
   std::vector<InstanceView*> allViews_;
+  std::unordered_map<InstanceKey, InstanceView*, InstanceKeyHash> viewsByKey_;
   std::map<std::string, std::vector<InstanceView*>, std::less<>>
     viewsByService_;
   // Pointers into `views_`. For a short time a machine may have both its former
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -114,10 +114,10 @@
   {
     return bestEffortRuns_ > 0 && latencySensitiveRuns_ > 0;
   }
-  // `aClosedJobCount`: the store's `ClosedJobCount()`; a change of it
-  // invalidates the cached summary, because the runs of closed jobs have to be
+  // `aInterruptedJobCount`: the store's `InterruptedJobCount()`; a change of it
+  // invalidates the cached summary, because the runs of such jobs have to be
   // stopped.
-  const RunSummary& Summary(uint64_t aClosedJobCount) const;
+  const RunSummary& Summary(uint64_t aInterruptedJobCount) const;
   // Number of runs of the same step on the instance.
   uint32_t CountRunsOfStep(const TaskRef& aTaskOfStep) const;
 
@@ -164,7 +164,7 @@
   uint32_t bestEffortRuns_ = 0;
   // Any access that may modify a run invalidates the summary.
   mutable bool isSummaryValid_ = false;
-  mutable uint64_t summarizedClosedJobs_ = 0;
+  mutable uint64_t summarizedInterruptedJobs_ = 0;
   mutable RunSummary summary_;
 };
 
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -36,6 +36,15 @@
   friend auto operator<=>(const InstanceKey&, const InstanceKey&) = default;
 };
 
+struct InstanceKeyHash
+{
+  size_t operator()(const InstanceKey& aKey) const
+  {
+    return std::hash<std::string>()(aKey.id_) ^
+           std::hash<int64_t>()(aKey.startedUnixMs_);
+  }
+};
+
 InstanceKey ToKey(const v1::InstanceKey& aKey);
 InstanceKey ToKey(const v1::InstanceRecord& aRecord);
 v1::InstanceKey ToMessage(const InstanceKey& aKey);
@@ -176,8 +185,9 @@
   // `nullopt` if those are no longer recorded.
   std::optional<std::vector<InstanceKey>> InstancesChangedSince(
     uint64_t aSince) const;
-  // Counts jobs that were completed, failed or cancelled.
-  uint64_t ClosedJobCount() const { return closedJobCount_; }
+  // Counts jobs that closed while runs of them may exist: cancelled, failed, or
+  // completed by the first end in a gang.
+  uint64_t InterruptedJobCount() const { return interruptedJobCount_; }
   const std::map<uint64_t, Wave>& Waves() const { return waves_; }
 
   // Null if the occurrence has not started.
@@ -239,7 +249,7 @@
   std::set<InstanceKey> departedSet_;
   uint64_t instanceChangeCount_ = 0;
   std::deque<InstanceKey> changedInstances_; // latest changes, oldest first
-  uint64_t closedJobCount_ = 0;
+  uint64_t interruptedJobCount_ = 0;
   uint64_t nextAcceptanceIndex_ = 1;
 };
 
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -70,13 +70,13 @@
 
 InstanceView* FleetScheduler::FindView(const InstanceKey& aKey)
 {
-  const auto it = views_.find(aKey);
-  return it != views_.end() ? &it->second : nullptr;
+  const auto it = viewsByKey_.find(aKey);
+  return it != viewsByKey_.end() ? it->second : nullptr;
 }
 
 const RunSummary& FleetScheduler::SummaryOf(const InstanceView& aView) const
 {
-  return aView.Summary(store_.ClosedJobCount());
+  return aView.Summary(store_.InterruptedJobCount());
 }
 
 OrderTarget FleetScheduler::TargetOf(const InstanceView& aView) const
@@ -119,6 +119,7 @@
   InstanceView* known = FindView(aKey);
   if (known != nullptr && (instance == nullptr || !known->IsOf(instance))) {
     RemoveFromIndex(*known);
+    viewsByKey_.erase(aKey);
     views_.erase(aKey);
     known = nullptr;
   }
@@ -139,6 +140,7 @@
                    std::max(leaderSince_ + options_.formerLeaderLease_, aNow),
                    aNow)
       .first->second;
+  viewsByKey_.emplace(aKey, &view);
   AddToIndex(view);
   for (const TaskRef& task : instance->assigned_) {
     view.AddRun(task,
--- a/src/core/jobs/fleet_scheduler_maintenance.cpp
+++ b/src/core/jobs/fleet_scheduler_maintenance.cpp
@@ -19,7 +19,8 @@
 // finish the wave in time. An evacuation takes about 2 s, a wave about 20 s.
 constexpr size_t kMinEvacuating = 3;
 constexpr size_t kMachinesPerEvacuation = 40; // of the wave
-// Interval between checks of a wave; maintenance of a machine takes seconds.
+// Interval between checks of waves and of instances that have to become empty;
+// maintenance of a machine takes seconds.
 constexpr Millis kWaveCheckInterval = Millis(50);
 // A healthy instance replies to a listing at least this often; tasks in an
 // older listing may have ended since.
@@ -243,12 +244,13 @@
   if (!machines_.IsListed()) {
     return; // Machines that an earlier leader took down are unknown until then.
   }
-  if (aNow - wavesAdvancedAt_ >= kWaveCheckInterval) {
-    wavesAdvancedAt_ = aNow;
-    for (const auto& [number, wave] : store_.Waves()) {
-      if (!IsWaveCompleted(number)) {
-        AdvanceWave(aNow, wave);
-      }
+  if (aNow - wavesAdvancedAt_ < kWaveCheckInterval) {
+    return;
+  }
+  wavesAdvancedAt_ = aNow;
+  for (const auto& [number, wave] : store_.Waves()) {
+    if (!IsWaveCompleted(number)) {
+      AdvanceWave(aNow, wave);
     }
   }
   ConsolidateLongRunning(aNow);
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -105,13 +105,13 @@
   return (used_ + aNeed).FitsInto(capacity_);
 }
 
-const RunSummary& InstanceView::Summary(uint64_t aClosedJobCount) const
+const RunSummary& InstanceView::Summary(uint64_t aInterruptedJobCount) const
 {
-  if (isSummaryValid_ && summarizedClosedJobs_ == aClosedJobCount) {
+  if (isSummaryValid_ && summarizedInterruptedJobs_ == aInterruptedJobCount) {
     return summary_;
   }
   isSummaryValid_ = true;
-  summarizedClosedJobs_ = aClosedJobCount;
+  summarizedInterruptedJobs_ = aInterruptedJobCount;
   summary_ = {};
   for (const auto& [task, run] : runs_) {
     const bool awaitsListing =
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -211,7 +211,6 @@
 
 void JobStore::CloseJob(Job& aJob)
 {
-  ++closedJobCount_;
   openJobs_.erase(aJob.acceptanceIndex_);
   if (!aJob.started_) {
     --waitingByQueue_[aJob.queue_];
@@ -231,6 +230,7 @@
   Job* job = FindJob(aJob.id());
   if (job != nullptr && job->IsOpen()) {
     CloseJob(*job);
+    ++interruptedJobCount_;
     job->cancelled_ = true;
   }
 }
@@ -398,6 +398,7 @@
   Job& job = *aTask.job_;
   if (failures >= MaxAttempts(job) && job.IsOpen()) {
     CloseJob(job);
+    ++interruptedJobCount_;
     job.failed_ = true;
   }
 }
@@ -439,6 +440,7 @@
   ++job.occurrencesDone_;
   if (job.IsCompleted() && openJobs_.contains(job.acceptanceIndex_)) {
     CloseJob(job);
+    interruptedJobCount_ += isGang ? 1 : 0;
   }
 }
 
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -3,6 +3,7 @@
 #include "scheduler/await_proposal.h"
 #include "vanillahatch/shell/log.h"
 
+#include <algorithm>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
@@ -14,7 +15,11 @@
 namespace {
 
 // Pause after each scheduling round; the next one serves all events of it.
-constexpr Millis kRoundDelay = Millis(10);
+// Under load it grows with the duration of the round, so that rounds leave most
+// of the processor to replies and callers.
+constexpr Millis kMinRoundDelay = Millis(10);
+constexpr Millis kMaxRoundDelay = Millis(40);
+constexpr int64_t kDelayPerRoundTime = 3;
 // Rounds run at least this often, to check timeouts.
 constexpr Millis kMaxRoundInterval = Millis(100);
 // Idle connections are closed this often: instances come and go as machines
@@ -87,11 +92,15 @@
     isWoken_ = false;
     CheckLeadership();
     CloseIdleConnections();
+    const Millis startedAt = clock_.Now();
     ProcessEvent([this](FleetScheduler& aScheduler, Millis aNow) {
       aScheduler.Tick(aNow, clock_.UnixNow());
     });
-    asio::steady_timer delay(io_,
-                             std::chrono::milliseconds(kRoundDelay.Count()));
+    const Millis pause =
+      std::clamp((clock_.Now() - startedAt) * kDelayPerRoundTime,
+                 kMinRoundDelay,
+                 kMaxRoundDelay);
+    asio::steady_timer delay(io_, std::chrono::milliseconds(pause.Count()));
     co_await delay.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
--- a/test/instance_view_test.cpp
+++ b/test/instance_view_test.cpp
@@ -41,7 +41,9 @@
 
   InstanceView MakeView()
   {
-    return { *store_.FindInstance({ .id_ = "i-1" }), Seconds(5), Millis() };
+    return {
+      *store_.FindInstance({ .id_ = "i-1" }), Seconds(5), Millis(), Millis()
+    };
   }
 
   void CancelJob()
@@ -88,27 +90,27 @@
 {
   InstanceView view = MakeView();
   view.AddRun(Task(0, 0), { .run_ = 1, .phase_ = RunPhase::kListed });
-  BOOST_TEST(!view.Summary(store_.ClosedJobCount()).hasRunsToStop_);
+  BOOST_TEST(!view.Summary(store_.InterruptedJobCount()).hasRunsToStop_);
   CancelJob();
-  BOOST_TEST(view.Summary(store_.ClosedJobCount()).hasRunsToStop_);
+  BOOST_TEST(view.Summary(store_.InterruptedJobCount()).hasRunsToStop_);
 }
 
 BOOST_AUTO_TEST_CASE(RunAddedAfterItsJobClosedHasToBeStopped)
 {
   InstanceView view = MakeView();
   CancelJob();
-  BOOST_TEST(!view.Summary(store_.ClosedJobCount()).hasRunsToStop_);
+  BOOST_TEST(!view.Summary(store_.InterruptedJobCount()).hasRunsToStop_);
   view.AddRun(Task(0, 0), { .run_ = 1, .phase_ = RunPhase::kOrdered });
-  BOOST_TEST(view.Summary(store_.ClosedJobCount()).hasRunsToStop_);
+  BOOST_TEST(view.Summary(store_.InterruptedJobCount()).hasRunsToStop_);
 }
 
 BOOST_AUTO_TEST_CASE(SummaryIsUpdatedAfterAChangeOfARun)
 {
   InstanceView view = MakeView();
   view.AddRun(Task(0, 0), { .run_ = 1, .phase_ = RunPhase::kListed });
-  BOOST_TEST(!view.Summary(store_.ClosedJobCount()).needsListing_);
+  BOOST_TEST(!view.Summary(store_.InterruptedJobCount()).needsListing_);
   view.FindRun(Task(0, 0), 1)->phase_ = RunPhase::kInDoubt;
-  BOOST_TEST(view.Summary(store_.ClosedJobCount()).needsListing_);
+  BOOST_TEST(view.Summary(store_.InterruptedJobCount()).needsListing_);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -92,6 +92,19 @@
   BOOST_TEST(store.OpenJobs().empty());
 }
 
+BOOST_AUTO_TEST_CASE(OnlyJobsThatMayStillRunCountAsInterrupted)
+{
+  JobStore store;
+  Apply(store, { Accept("j1", 1), Accept("j2", 1), PutInstance("i", 1) });
+  Apply(store, { Start("j1", 0, 1, "i"), Start("j2", 0, 1, "i") });
+  Apply(store, { End("j1", 0, 1, "i", v1::RUN_DONE) });
+  BOOST_TEST(store.InterruptedJobCount() == 0U);
+  v1::JobChange cancel;
+  cancel.mutable_cancel_job()->set_id("j2");
+  Apply(store, { cancel });
+  BOOST_TEST(store.InterruptedJobCount() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(AssignedTaskIsNotStartedAgain)
 {
   JobStore store;
--- a/test/pacing_test.cpp
+++ b/test/pacing_test.cpp
@@ -22,7 +22,7 @@
     bestEffort.set_task_count(1);
     bestEffort.set_best_effort(true);
     store_.Apply(changes);
-    view_.emplace(instance_, Seconds(5), Seconds(1));
+    view_.emplace(instance_, Seconds(5), Seconds(1), Seconds(1));
     job_ = store_.FindJob("j");
     view_->AddRun({ .job_ = job_, .step_ = 0 },
                   { .run_ = 1, .phase_ = RunPhase::kListed });
