Leader lease: publish it before the sync, and go on listening without it

The expiry of the leader lease was published after the sync that follows the answers; with syncs of 300 ms and more it had passed when it was published, and the leader would have renewed no lease while nobody was elected in its place. Without the lease it also stopped listing instances, so ends waited, and it placed tasks whose starts it then withheld, each round again.

Change: the expiry is published before the sync. Without the lease instances are polled without a renewal, for 250 ms at a time, and nothing is placed.

--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -19,9 +19,9 @@
 constexpr Millis kFinishedCheckInterval = Seconds(5);
 // Delay before a stop without a reply is sent again.
 constexpr Millis kStopRetryDelay = Millis(300);
-// Interval between listings of an instance whose best-effort tasks are paced;
-// the listed figures cover the last half second.
-constexpr Millis kPacingPollInterval = Millis(250);
+// The same for an instance whose best-effort tasks are paced, as the listed
+// figures cover the last half second, and while leases cannot be renewed.
+constexpr Millis kShortPollTimeout = Millis(250);
 
 // Returns the checkpoint that the task resumes from. All tasks of a gang resume
 // from the same one.
@@ -47,7 +47,7 @@
       aRuns.needsListing_) {
     return {};
   }
-  return NeedsPacing(aView) ? kPacingPollInterval : kLongPollTimeout;
+  return NeedsPacing(aView) ? kShortPollTimeout : kLongPollTimeout;
 }
 
 } // namespace
@@ -268,7 +268,11 @@
       continue;
     }
     const RunSummary& runs = SummaryOf(view);
-    const Millis wait = ListingWait(view, runs);
+    // Without the leader lease the poll is short, so that the lease of the
+    // instance is renewed soon after that one is regained.
+    const Millis wait = MayGrantLeases(aNow) ? ListingWait(view, runs)
+                                             : std::min(ListingWait(view, runs),
+                                                        kShortPollTimeout);
     // While a long poll is in flight, an open question is answered by a listing
     // without a wait.
     const bool isInFlight = wait > Millis() || !runs.needsListing_
@@ -282,11 +286,8 @@
                      .wait_ = wait };
     // An instance that does not reply may still receive orders: renewing its
     // lease would keep its tasks from being started elsewhere.
-    const bool renewsLease =
-      view.Lease().IsClockKnown() && hasRuns && !view.isUnresponsive_;
-    if (renewsLease && !MayGrantLeases(aNow)) {
-      continue;
-    }
+    const bool renewsLease = view.Lease().IsClockKnown() && hasRuns &&
+                             !view.isUnresponsive_ && MayGrantLeases(aNow);
     if (renewsLease) {
       const Millis deadline = view.Lease().ClockAt(aNow) + options_.lease_;
       view.Lease().Extend(deadline);
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -441,7 +441,12 @@
   if (backlog_.empty()) {
     return;
   }
-  CollectUsableInstances(aNow);
+  // Without the leader lease no instance is usable: the starts would be
+  // withheld.
+  usableInstances_.clear();
+  if (MayGrantLeases(aNow)) {
+    CollectUsableInstances(aNow);
+  }
   for (const Candidate& candidate : backlog_) {
     const TaskRef& firstTask = candidate.firstTask_;
     if (!firstTask.job_->IsOpen()) {
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -177,6 +177,8 @@
   bool isStorageOk = PerformActions();
   while (isStorageOk && !stopping_) {
     ProcessInputs();
+    // Before the sync, which a slow disk may prolong beyond the leader lease.
+    PublishLeaderLease();
     RunDueWork();
     isStorageOk = PerformActions();
   }
@@ -433,6 +435,11 @@
   }
 }
 
+void LogReplica::PublishLeaderLease()
+{
+  leaseExpiresAtMs_ = log_->LeaderLeaseExpiresAt().Count();
+}
+
 void LogReplica::PublishStatus()
 {
   LogReplicaStatus current{
@@ -449,7 +456,7 @@
   }
   const uint64_t leaderTerm = log_->IsEstablishedLeader() ? log_->Term() : 0;
   isLeader_ = leaderTerm != 0;
-  leaseExpiresAtMs_ = log_->LeaderLeaseExpiresAt().Count();
+  PublishLeaderLease();
   const bool isChanged = leaderTerm_.exchange(leaderTerm) != leaderTerm;
   if (isChanged && options_.onLeadershipChange_) {
     options_.onLeadershipChange_();
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -206,6 +206,7 @@
   bool Apply(const LogActions& aActions);
   void FailPendingProposals(bool aAll);
   void MaybeCompact();
+  void PublishLeaderLease();
   void PublishStatus();
   void ReportDiskFailure(const StoreError& aError);
 
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -127,6 +127,7 @@
   scheduler_.reset();
   ++schedulerGeneration_;
   orderQueues_.Clear();
+  holdsLeaderLease_ = false;
   term_ = term;
   if (term == 0) {
     LogInfo(Event::kSchedulerStopped,
@@ -159,12 +160,15 @@
   const Millis expiresAt = replica_.LeaderLeaseExpiresAt();
   scheduler_->SetLeaderLeaseExpiry(expiresAt);
   const bool isHeld = aNow < expiresAt;
+  if (isHeld) {
+    leaderLeaseHeldUntil_ = expiresAt;
+  }
   if (isHeld != holdsLeaderLease_) {
     holdsLeaderLease_ = isHeld;
     LogInfo(Event::kLeaderLease,
             { { "held", isHeld ? "yes" : "no" },
               { "fence", term_ },
-              { "expired_ms", (aNow - expiresAt).Count() } });
+              { "expired_ms", (aNow - leaderLeaseHeldUntil_).Count() } });
   }
 }
 
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -100,7 +100,8 @@
   // Incremented with each scheduler, so that replies to an earlier one are
   // dropped.
   uint64_t schedulerGeneration_ = 0;
-  bool holdsLeaderLease_ = false; // at the latest event
+  bool holdsLeaderLease_ = false; // at the latest event of this scheduler
+  Millis leaderLeaseHeldUntil_;   // its latest known expiry
   OrderQueues orderQueues_;
 };
 
