Leave: removes the incarnation that it names, not a later one

No caller is known to have seen it. Change: the time of start in the body decides; a leave without one removes all, as before. LateLeaveDoesNotRemoveALaterIncarnation guards it: the rule before removed every incarnation of the id (it was not run on the old signature).

--- a/include/vanillahatch/core/jobs/report_changes.h
+++ b/include/vanillahatch/core/jobs/report_changes.h
@@ -18,9 +18,10 @@
 // incarnation.
 v1::JobChanges ChangesForReport(const JobStore& aStore,
                                 const InstanceReport& aReport);
-// Removes all incarnations of an instance that has reported its end.
+// Removes the incarnation that has reported its end, and earlier ones of the
+// same id; all of them if the report does not tell when it started (zero).
 v1::JobChanges ChangesForLeave(const JobStore& aStore,
-                               const std::string& aInstance);
+                               const InstanceKey& aInstance);
 // True if the store's state matches the report exactly. False for a late report
 // as well, because only the leader decides on reports that may be outdated.
 bool IsRecorded(const JobStore& aStore, const InstanceReport& aReport);
--- a/src/core/jobs/report_changes.cpp
+++ b/src/core/jobs/report_changes.cpp
@@ -66,11 +66,16 @@
 }
 
 v1::JobChanges ChangesForLeave(const JobStore& aStore,
-                               const std::string& aInstance)
+                               const InstanceKey& aInstance)
 {
   v1::JobChanges changes;
-  for (const Instance* instance : aStore.FindInstancesById(aInstance)) {
-    AddRemoval(changes, instance->key_);
+  for (const Instance* instance : aStore.FindInstancesById(aInstance.id_)) {
+    const bool isLater =
+      aInstance.startedUnixMs_ != 0 &&
+      instance->key_.startedUnixMs_ > aInstance.startedUnixMs_;
+    if (!isLater) {
+      AddRemoval(changes, instance->key_);
+    }
   }
   return changes;
 }
--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -152,13 +152,14 @@
   co_return reply;
 }
 
-asio::awaitable<ControlReply> FleetControl::Leave(std::string aInstance)
+asio::awaitable<ControlReply> FleetControl::Leave(InstanceKey aInstance)
 {
   v1::JobChanges changes = store_.With(
     [&](const JobStore& aStore) { return ChangesForLeave(aStore, aInstance); });
   const ControlReply reply = co_await Commit(std::move(changes));
   LogInfo(Event::kInstanceLeft,
-          { { "instance", aInstance },
+          { { "instance", aInstance.id_ },
+            { "born", aInstance.startedUnixMs_ },
             { "outcome", static_cast<int>(reply.status_) } });
   driver_.Wake();
   co_return reply;
--- a/src/scheduler/fleet_control.h
+++ b/src/scheduler/fleet_control.h
@@ -49,7 +49,7 @@
   boost::asio::awaitable<ControlReply> Report(InstanceReport aReport,
                                               Millis aClock);
   // Records that an instance has ended.
-  boost::asio::awaitable<ControlReply> Leave(std::string aInstance);
+  boost::asio::awaitable<ControlReply> Leave(InstanceKey aInstance);
 
 private:
   // Commits the changes. If there are none, confirms that this replica has
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -263,3 +263,12 @@
     BOOST_TEST(!DecodeAdvice(body), "accepted: " << body);
   }
 }
+BOOST_AUTO_TEST_CASE(LeaveNamesItsIncarnation)
+{
+  const InstanceKey key = DecodeLeave("i-1", R"({"born":1700000000123})");
+  BOOST_TEST(key.id_ == "i-1");
+  BOOST_TEST(key.startedUnixMs_ == 1700000000123);
+  for (const char* body : { "", "[]", R"({"born":"x"})", R"({"seq":1})" }) {
+    BOOST_TEST(DecodeLeave("i-1", body).startedUnixMs_ == 0);
+  }
+}
--- a/test/report_changes_test.cpp
+++ b/test/report_changes_test.cpp
@@ -90,11 +90,21 @@
   BOOST_TEST(store_.FindInstancesOnMachine("m-1").size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(LateLeaveDoesNotRemoveALaterIncarnation)
+{
+  const InstanceReport next = MakeReport("a", 2000);
+  Process(next);
+  store_.Apply(ChangesForLeave(store_, { .id_ = "a", .startedUnixMs_ = 1000 }));
+  BOOST_TEST(IsRecorded(store_, next));
+  store_.Apply(ChangesForLeave(store_, { .id_ = "a", .startedUnixMs_ = 2000 }));
+  BOOST_TEST(!IsRecorded(store_, next));
+}
+
 BOOST_AUTO_TEST_CASE(InstanceThatLeftIsNotAddedAgainAfterARestore)
 {
   const InstanceReport report = MakeReport("a", 1000);
   Process(report);
-  store_.Apply(ChangesForLeave(store_, "a"));
+  store_.Apply(ChangesForLeave(store_, { .id_ = "a" }));
   JobStore restarted;
   BOOST_REQUIRE(restarted.Restore(store_.Snapshot()));
   BOOST_TEST(ChangesForReport(restarted, report).changes_size() == 0);
