Orders: one bound from the decision to the first byte, on the leader and the relay

Cause, by reading (hypothesis 2 of the incident): the bound of 300 ms, after which an order is not sent, began anew in the queue of the instance, at the relay and at the connection, so an order could leave 0.9 s after its decision and reach an instance that had started again under its id. Holds and paces had no bound at all on the leader's side. Not shown to be the reported run's way.

Change: the order carries the time by which it must leave, translated to the relay's clock, up to the check before the first byte. A stop that does not expire carries none.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -222,7 +222,8 @@
   void AuditInstance(const Instance& aInstance);
   void AuditProposedStarts();
   uint64_t Propose(v1::JobChanges aChanges, PendingProposal aPending);
-  OrderTarget TargetOf(const InstanceView& aView) const;
+  // For an order that is decided now and expires.
+  OrderTarget TargetOf(Millis aNow, const InstanceView& aView) const;
   const RunSummary& SummaryOf(const InstanceView& aView) const;
   InstanceView* FindView(const InstanceKey& aKey);
   enum class RemovalKind
@@ -246,7 +247,7 @@
   void ProcessRunning(Millis aNow,
                       InstanceView& aView,
                       const InstanceListing& aListing);
-  void SendPaceChanges(InstanceView& aView);
+  void SendPaceChanges(Millis aNow, InstanceView& aView);
   void CheckUnlistedRuns(Millis aNow, InstanceView& aView, Millis aSentAt);
   void ProposeStopped(InstanceView& aView, const TaskRef& aTask, uint32_t aRun);
   void SendStop(Millis aNow,
--- a/include/vanillahatch/core/jobs/orders.h
+++ b/include/vanillahatch/core/jobs/orders.h
@@ -22,9 +22,10 @@
   Millis remaining_;      // draining instance: minimum time until it ends
 };
 
-// An order that is not sent within this time of its decision is dropped. An
-// instance takes longer than this to restart under the same id and to report,
-// so no order reaches a newer incarnation than it was decided for.
+// An order that is not sent within this time of its decision is dropped,
+// however many queues and relays it passes. An instance takes longer than this
+// to restart under the same id and to report, so no order reaches a newer
+// incarnation than it was decided for.
 constexpr Millis kMaxOrderDelay = Millis(300);
 
 // The recipient of an order, and the fencing token of the leader that sends it.
@@ -33,6 +34,9 @@
   InstanceKey instance_;
   Endpoint endpoint_;
   uint64_t fencingToken_ = 0;
+  // The order is not sent after this time, on the clock of the process that
+  // holds it. Unset for stops that do not expire.
+  std::optional<Millis> sendBy_;
 };
 
 struct StartOrder
--- a/include/vanillahatch/shell/http_client.h
+++ b/include/vanillahatch/shell/http_client.h
@@ -77,11 +77,13 @@
   {
   }
 
+  // The request is not sent after `aSendBy`, on the clock of `BootTimeNow`.
   boost::asio::awaitable<ExchangeResult> Exchange(
     Endpoint aEndpoint,
     HttpRequest aRequest,
     Millis aTimeout,
-    std::shared_ptr<ExchangeAbort> aAbort = nullptr);
+    std::shared_ptr<ExchangeAbort> aAbort = nullptr,
+    Millis aSendBy = Millis::Max());
 
   // Closes idle connections that are older than `maxIdleAge_` or not usable.
   void CloseStale();
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -79,13 +79,15 @@
   return aView.Summary(store_.InterruptedJobCount());
 }
 
-OrderTarget FleetScheduler::TargetOf(const InstanceView& aView) const
+OrderTarget FleetScheduler::TargetOf(Millis aNow,
+                                     const InstanceView& aView) const
 {
   return { .instance_ = aView.StoredInstance().key_,
            .endpoint_ = { .address_ = aView.StoredRecord().address(),
                           .port_ = static_cast<uint16_t>(
                             aView.StoredRecord().port()) },
-           .fencingToken_ = options_.fencingToken_ };
+           .fencingToken_ = options_.fencingToken_,
+           .sendBy_ = aNow + kMaxOrderDelay };
 }
 
 // Keeps one view for each instance of the store.
@@ -281,7 +283,7 @@
     if (isInFlight || hasUncommittedEnds || aNow < view.nextHoldAt_) {
       continue;
     }
-    HoldOrder order{ .target_ = TargetOf(view),
+    HoldOrder order{ .target_ = TargetOf(aNow, view),
                      .endCursor_ = cursor,
                      .wait_ = wait };
     // An instance that does not reply may still receive orders: renewing its
@@ -311,11 +313,15 @@
     run->nextStopAt_ = aNow + kStopRetryDelay;
     keepsBudget = run->stopRespectsBudget_ && aTask.job_->IsOpen();
   }
-  actions_.push_back(StopOrder{ .target_ = TargetOf(aView),
-                                .ref_ = aTask,
-                                .task_ = aName,
-                                .run_ = aRun,
-                                .expires_ = keepsBudget });
+  StopOrder order{ .target_ = TargetOf(aNow, aView),
+                   .ref_ = aTask,
+                   .task_ = aName,
+                   .run_ = aRun,
+                   .expires_ = keepsBudget };
+  if (!order.expires_) {
+    order.target_.sendBy_.reset();
+  }
+  actions_.push_back(std::move(order));
 }
 
 // Sends due stops, and requests stops for runs whose jobs have closed.
@@ -437,7 +443,7 @@
     return;
   }
   const Millis clock = view->Lease().ClockAt(aNow);
-  StartOrder order{ .target_ = TargetOf(*view),
+  StartOrder order{ .target_ = TargetOf(aNow, *view),
                     .ref_ = aStart.task_,
                     .task_ = JobStore::NameOf(aStart.task_),
                     .run_ = aStart.run_,
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -195,16 +195,16 @@
   if (aListing.ended_.size() < kMaxEndsListed) {
     CheckUnlistedRuns(aNow, *view, aSentAt);
   }
-  SendPaceChanges(*view);
+  SendPaceChanges(aNow, *view);
 }
 
-void FleetScheduler::SendPaceChanges(InstanceView& aView)
+void FleetScheduler::SendPaceChanges(Millis aNow, InstanceView& aView)
 {
   for (const PaceChange& change : PaceBestEffortTasks(aView)) {
     RunView& run = *aView.FindRun(change.task_, change.run_);
     run.orderedPercent_ = change.percent_;
     run.paceInFlight_ = true;
-    actions_.push_back(PaceOrder{ .target_ = TargetOf(aView),
+    actions_.push_back(PaceOrder{ .target_ = TargetOf(aNow, aView),
                                   .ref_ = change.task_,
                                   .task_ = JobStore::NameOf(change.task_),
                                   .run_ = change.run_,
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -216,6 +216,7 @@
                         static_cast<double>((clock_.Now() - sentAt).Count()));
        HandleStartResult(*sharedOrder, result, generation);
      },
+      .sendBy_ = sharedOrder->target_.sendBy_,
       .onExpired_ =
         [this, sharedOrder, generation] {
           HandleStartResult(
@@ -245,18 +246,18 @@
 void FleetDriver::Perform(const StopOrder& aOrder)
 {
   const uint64_t generation = schedulerGeneration_;
-  QueuedOrder order{ .send_ =
-                       [this, aOrder, generation]() -> asio::awaitable<void> {
-    const OrderResult result = co_await instances_.Stop(aOrder);
-    HandleStopResult(aOrder, result, generation);
-  } };
-  if (aOrder.expires_) {
-    order.onExpired_ = [this, aOrder, generation] {
-      HandleStopResult(
-        aOrder, { .status_ = OrderStatus::kNotSent }, generation);
-    };
-  }
-  orderQueues_.Add(aOrder.target_.instance_, std::move(order));
+  orderQueues_.Add(
+    aOrder.target_.instance_,
+    { .send_ = [this, aOrder, generation]() -> asio::awaitable<void> {
+       const OrderResult result = co_await instances_.Stop(aOrder);
+       HandleStopResult(aOrder, result, generation);
+     },
+      .sendBy_ = aOrder.target_.sendBy_,
+      .onExpired_ =
+        [this, aOrder, generation] {
+          HandleStopResult(
+            aOrder, { .status_ = OrderStatus::kNotSent }, generation);
+        } });
 }
 
 void FleetDriver::HandleStopResult(const StopOrder& aOrder,
@@ -296,25 +297,37 @@
     asio::detached);
 }
 
-void FleetDriver::Perform(PaceOrder aOrder)
+void FleetDriver::Perform(const PaceOrder& aOrder)
 {
+  const uint64_t generation = schedulerGeneration_;
   orderQueues_.Add(
     aOrder.target_.instance_,
-    { .send_ = [this,
-                aOrder,
-                generation = schedulerGeneration_]() -> asio::awaitable<void> {
-      const OrderResult result = co_await instances_.Pace(aOrder);
-      LogInfo(Event::kRunPaced,
-              { { "task", FormatTask(aOrder.task_) },
-                { "run", aOrder.run_ },
-                { "percent", aOrder.percent_ },
-                { "status", static_cast<int>(result.status_) } });
-      if (generation == schedulerGeneration_) {
-        ProcessEvent([&](FleetScheduler& aScheduler, Millis) {
-          aScheduler.OnPace(aOrder, result);
-        });
-      }
-    } });
+    { .send_ = [this, aOrder, generation]() -> asio::awaitable<void> {
+       const OrderResult result = co_await instances_.Pace(aOrder);
+       HandlePaceResult(aOrder, result, generation);
+     },
+      .sendBy_ = aOrder.target_.sendBy_,
+      .onExpired_ =
+        [this, aOrder, generation] {
+          HandlePaceResult(
+            aOrder, { .status_ = OrderStatus::kNotSent }, generation);
+        } });
+}
+
+void FleetDriver::HandlePaceResult(const PaceOrder& aOrder,
+                                   const OrderResult& aResult,
+                                   uint64_t aGeneration)
+{
+  LogInfo(Event::kRunPaced,
+          { { "task", FormatTask(aOrder.task_) },
+            { "run", aOrder.run_ },
+            { "percent", aOrder.percent_ },
+            { "status", static_cast<int>(aResult.status_) } });
+  if (aGeneration == schedulerGeneration_) {
+    ProcessEvent([&](FleetScheduler& aScheduler, Millis) {
+      aScheduler.OnPace(aOrder, aResult);
+    });
+  }
 }
 
 void FleetDriver::Perform(MachineOrder aOrder)
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -75,7 +75,10 @@
                         const OrderResult& aResult,
                         uint64_t aGeneration);
   void Perform(HoldOrder aOrder);
-  void Perform(PaceOrder aOrder);
+  void Perform(const PaceOrder& aOrder);
+  void HandlePaceResult(const PaceOrder& aOrder,
+                        const OrderResult& aResult,
+                        uint64_t aGeneration);
   void Perform(MachineOrder aOrder);
   void Perform(MachineListOrder aOrder);
   void Perform(AdviceOrder aOrder);
--- a/src/scheduler/order_queues.cpp
+++ b/src/scheduler/order_queues.cpp
@@ -1,7 +1,5 @@
 #include "scheduler/order_queues.h"
 
-#include "vanillahatch/core/jobs/orders.h"
-
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
@@ -25,8 +23,7 @@
 
 void OrderQueues::Add(const InstanceKey& aInstance, QueuedOrder aOrder)
 {
-  queues_[aInstance].waiting_.push_back(
-    { .order_ = std::move(aOrder), .addedAt_ = clock_.Now() });
+  queues_[aInstance].waiting_.push_back(std::move(aOrder));
   SendNext(aInstance);
 }
 
@@ -41,17 +38,15 @@
   InstanceQueue& queue = queues_[aInstance];
   while (queue.ordersInFlight_ < kMaxOrdersInFlight &&
          !queue.waiting_.empty()) {
-    WaitingOrder next = std::move(queue.waiting_.front());
+    QueuedOrder next = std::move(queue.waiting_.front());
     queue.waiting_.pop_front();
-    const bool isLate = clock_.Now() - next.addedAt_ > kMaxOrderDelay;
-    if (isLate && next.order_.onExpired_) {
+    if (next.sendBy_ && clock_.Now() > *next.sendBy_) {
       // Posted, because the callback may add orders to this queue.
-      asio::post(io_, std::move(next.order_.onExpired_));
+      asio::post(io_, std::move(next.onExpired_));
       continue;
     }
     ++queue.ordersInFlight_;
-    asio::co_spawn(
-      io_, Send(aInstance, std::move(next.order_.send_)), asio::detached);
+    asio::co_spawn(io_, Send(aInstance, std::move(next.send_)), asio::detached);
   }
 }
 
--- a/src/scheduler/order_queues.h
+++ b/src/scheduler/order_queues.h
@@ -1,6 +1,6 @@
 // Queues the orders to each instance and sends at most four at once, which
-// bounds the connections to it. An order that may expire is dropped if it has
-// waited longer than `kMaxOrderDelay`.
+// bounds the connections to it. An order that may expire is dropped if its
+// turn comes after its `sendBy_`.
 //
 // The limit on the wait guards against an instance that hangs during a demand
 // peak: its orders would wait for seconds, and by then a new incarnation may
@@ -18,14 +18,16 @@
 #include <boost/asio/io_context.hpp>
 #include <deque>
 #include <functional>
+#include <optional>
 
 namespace vanillahatch {
 
 struct QueuedOrder
 {
   std::function<boost::asio::awaitable<void>()> send_;
-  // Called instead of `send_` if the order waited longer than
-  // `kMaxOrderDelay`. Empty: the order is sent however long it waited.
+  // `onExpired_` is called instead of `send_` after this time. Unset: the order
+  // is sent however long it waited.
+  std::optional<Millis> sendBy_;
   std::function<void()> onExpired_;
 };
 
@@ -40,14 +42,9 @@
   void Clear();
 
 private:
-  struct WaitingOrder
-  {
-    QueuedOrder order_;
-    Millis addedAt_;
-  };
   struct InstanceQueue
   {
-    std::deque<WaitingOrder> waiting_;
+    std::deque<QueuedOrder> waiting_;
     size_t ordersInFlight_ = 0;
   };
 
--- a/src/scheduler/order_relay_service.cpp
+++ b/src/scheduler/order_relay_service.cpp
@@ -95,10 +95,8 @@
   asio::awaitable<void> Execute(v1::RelayedOrder aOrder)
   {
     ListingReply reply;
-    const bool isLate = clock_().Count() > aOrder.send_by_ms();
-    const bool neverExpires =
-      aOrder.kind() == v1::RELAYED_STOP && !aOrder.run().expires();
-    if (isLate && !neverExpires) {
+    const std::optional<Millis> sendBy = SendByOf(aOrder);
+    if (sendBy && clock_() > *sendBy) {
       reply.result_.status_ = OrderStatus::kNotSent;
     } else {
       co_await SendToInstance(aOrder, reply);
--- a/src/scheduler/order_relays.cpp
+++ b/src/scheduler/order_relays.cpp
@@ -106,14 +106,19 @@
     return hasEnded_ || clock_.Now() - lastContactAt > kReconnectTimeout;
   }
 
-  void Send(v1::RelayedOrder aOrder, Millis aTimeout, Done aDone)
+  void Send(v1::RelayedOrder aOrder,
+            std::optional<Millis> aSendBy,
+            Millis aTimeout,
+            Done aDone)
   {
     aOrder.set_number(++lastOrderNumber_);
-    // The relay's clock is known only from its messages, so this is a lower
-    // bound; the error is the transit time of the latest message.
-    const Millis relayTime =
-      relayTimeAtContact_ + (clock_.Now() - *lastContactAt_);
-    aOrder.set_send_by_ms((relayTime + kMaxOrderDelay).Count());
+    if (aSendBy) {
+      // The relay's clock is known only from its messages, so this is a lower
+      // bound; the error is the transit time of the latest message.
+      const Millis relaySendBy =
+        relayTimeAtContact_ + (*aSendBy - *lastContactAt_);
+      aOrder.set_send_by_ms(relaySendBy.Count());
+    }
     pending_.emplace(lastOrderNumber_,
                      Pending{ .timesOutAt_ = clock_.Now() + aTimeout,
                               .done_ = std::move(aDone) });
@@ -315,13 +320,15 @@
 
 asio::awaitable<ListingReply> OrderRelays::Send(std::shared_ptr<Link> aLink,
                                                 v1::RelayedOrder aOrder,
+                                                std::optional<Millis> aSendBy,
                                                 Millis aTimeout)
 {
   auto initiate = [&](auto aHandler) {
     auto handler = std::make_shared<decltype(aHandler)>(std::move(aHandler));
-    aLink->Send(std::move(aOrder), aTimeout, [handler](ListingReply aReply) {
-      std::move (*handler)(std::move(aReply));
-    });
+    aLink->Send(
+      std::move(aOrder), aSendBy, aTimeout, [handler](ListingReply aReply) {
+        std::move (*handler)(std::move(aReply));
+      });
   };
   co_return co_await asio::async_initiate<const asio::use_awaitable_t<>,
                                           void(ListingReply)>(
@@ -337,8 +344,8 @@
   if (!link) {
     co_return co_await (direct_.*aMethod)(std::move(aOrder));
   }
-  const ListingReply reply =
-    co_await this->Send(link, ToRelayed(aOrder), kReplyTimeout);
+  const ListingReply reply = co_await this->Send(
+    link, ToRelayed(aOrder), aOrder.target_.sendBy_, kReplyTimeout);
   co_return reply.result_;
 }
 
@@ -364,7 +371,8 @@
     co_return co_await direct_.Hold(std::move(aOrder));
   }
   const Millis timeout = aOrder.wait_ + kReplyTimeout;
-  co_return co_await Send(link, ToRelayed(aOrder), timeout);
+  co_return co_await Send(
+    link, ToRelayed(aOrder), aOrder.target_.sendBy_, timeout);
 }
 
 void OrderRelays::KeepConnected(
--- a/src/scheduler/order_relays.h
+++ b/src/scheduler/order_relays.h
@@ -71,6 +71,7 @@
     boost::asio::awaitable<OrderResult> (InstancePort::*aMethod)(Order));
   boost::asio::awaitable<ListingReply> Send(std::shared_ptr<Link> aLink,
                                             v1::RelayedOrder aOrder,
+                                            std::optional<Millis> aSendBy,
                                             Millis aTimeout);
 
   boost::asio::io_context& io_;
--- a/src/scheduler/relay_messages.cpp
+++ b/src/scheduler/relay_messages.cpp
@@ -29,7 +29,8 @@
   return { .instance_ = ToKey(aOrder.instance()),
            .endpoint_ = { .address_ = aOrder.address(),
                           .port_ = static_cast<uint16_t>(aOrder.port()) },
-           .fencingToken_ = aOrder.fencing_token() };
+           .fencingToken_ = aOrder.fencing_token(),
+           .sendBy_ = SendByOf(aOrder) };
 }
 
 OrderStatus ToStatus(uint32_t aStatus)
@@ -125,6 +126,14 @@
   return order;
 }
 
+std::optional<Millis> SendByOf(const v1::RelayedOrder& aOrder)
+{
+  const bool neverExpires =
+    aOrder.kind() == v1::RELAYED_STOP && !aOrder.run().expires();
+  return neverExpires ? std::nullopt
+                      : std::optional(Millis(aOrder.send_by_ms()));
+}
+
 StartOrder ToStart(const v1::RelayedOrder& aOrder)
 {
   return { .target_ = TargetOf(aOrder),
--- a/src/scheduler/relay_messages.h
+++ b/src/scheduler/relay_messages.h
@@ -12,6 +12,8 @@
 v1::RelayedOrder ToRelayed(const PaceOrder& aOrder);
 v1::RelayedOrder ToRelayed(const HoldOrder& aOrder);
 
+// The time after which the order is not sent, on the relay's clock.
+std::optional<Millis> SendByOf(const v1::RelayedOrder& aOrder);
 // The results lack `ref_`, which is valid on the leader only.
 StartOrder ToStart(const v1::RelayedOrder& aOrder);
 StopOrder ToStop(const v1::RelayedOrder& aOrder);
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -155,7 +155,8 @@
   Endpoint aEndpoint,
   HttpRequest aRequest,
   Millis aTimeout,
-  std::shared_ptr<ExchangeAbort> aAbort)
+  std::shared_ptr<ExchangeAbort> aAbort,
+  Millis aSendBy)
 {
   if (!aAbort) {
     aAbort = std::make_shared<ExchangeAbort>();
@@ -172,8 +173,9 @@
   aAbort->stream_ = stream;
   stream->expires_after(std::chrono::milliseconds(aTimeout.Count()));
   const std::string bytes = ToBytes(aRequest);
-  if (BootTimeNow() - startedAt > options_.maxSendDelay_) {
-    co_return Failed(ExchangeStatus::kNotSent, "connected too late");
+  const Millis now = BootTimeNow();
+  if (now - startedAt > options_.maxSendDelay_ || now > aSendBy) {
+    co_return Failed(ExchangeStatus::kNotSent, "too late to send");
   }
   if (options_.maySend_ && !options_.maySend_()) {
     co_return Failed(ExchangeStatus::kNotSent, "not permitted any more");
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -396,6 +396,22 @@
   BOOST_TEST(fleet_.Store().JobCount() == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(TimeToSendOfAnOrderCountsFromItsDecision)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.Submit("j1", "drafts", { SimulatedFleet::LongRunningStep(2, 1) });
+  fleet_.RunFor(Seconds(2));
+  BOOST_TEST(a.running_.size() == 2U);
+  v1::JobChanges changes;
+  changes.add_changes()->mutable_cancel_job()->set_id("j1");
+  fleet_.Store().Apply(changes);
+  fleet_.RunFor(Millis(300));
+  BOOST_TEST(a.running_.empty());
+  BOOST_TEST(fleet_.OrdersWithSendBy() > 2U);
+  BOOST_TEST(fleet_.OrdersWithWrongSendBy() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(TasksOfACancelledJobAreStopped)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -1,9 +1,12 @@
 #define BOOST_TEST_MODULE http_client
 #include "vanillahatch/shell/http_client.h"
 
+#include "vanillahatch/shell/system_clock.h"
+
 #include <boost/asio.hpp>
 #include <boost/test/unit_test.hpp>
 #include <functional>
+#include <thread>
 
 using namespace vanillahatch;
 namespace asio = boost::asio;
@@ -96,14 +99,18 @@
 
   ExchangeResult CallAt(Endpoint aEndpoint,
                         Millis aTimeout,
-                        std::shared_ptr<ExchangeAbort> aAbort = nullptr)
+                        std::shared_ptr<ExchangeAbort> aAbort = nullptr,
+                        Millis aSendBy = Millis::Max())
   {
     std::optional<ExchangeResult> result;
     HttpRequest request = MakeRequest();
     asio::co_spawn(
       io_,
-      client_.Exchange(
-        std::move(aEndpoint), std::move(request), aTimeout, std::move(aAbort)),
+      client_.Exchange(std::move(aEndpoint),
+                       std::move(request),
+                       aTimeout,
+                       std::move(aAbort),
+                       aSendBy),
       [&](const std::exception_ptr& aError, ExchangeResult aResult) {
         BOOST_TEST(!aError);
         result = std::move(aResult);
@@ -168,6 +175,33 @@
   BOOST_CHECK(harness.Call().status_ == ExchangeStatus::kNotSent);
 }
 
+BOOST_AUTO_TEST_CASE(RequestThatIsPastItsTimeToSendIsNotSent)
+{
+  ClientHarness harness(kCompleteAnswer);
+  const ExchangeResult result = harness.CallAt(
+    harness.upstream_.At(), kTimeout, nullptr, BootTimeNow() - Millis(1));
+  BOOST_CHECK(result.status_ == ExchangeStatus::kNotSent);
+  BOOST_TEST(harness.upstream_.requests_ == 0);
+}
+
+BOOST_AUTO_TEST_CASE(RequestIsNotSentOnConnectionOpenedAfterItsTimeToSend)
+{
+  ClientHarness harness(kCompleteAnswer);
+  const Millis sendBy = BootTimeNow() + Millis(50);
+  // Runs while the connection is established.
+  asio::post(harness.io_, [&] {
+    asio::post(harness.io_, [&] {
+      while (BootTimeNow() <= sendBy) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      }
+    });
+  });
+  const ExchangeResult result =
+    harness.CallAt(harness.upstream_.At(), kTimeout, nullptr, sendBy);
+  BOOST_CHECK(result.status_ == ExchangeStatus::kNotSent);
+  BOOST_TEST(harness.upstream_.requests_ == 0);
+}
+
 BOOST_AUTO_TEST_CASE(TruncatedBodyIsUnknown)
 {
   ClientHarness harness("HTTP/1.1 200 OK\r\nContent-Length: 40\r\n\r\ndone",
--- a/test/order_queues_test.cpp
+++ b/test/order_queues_test.cpp
@@ -34,6 +34,7 @@
         asio::redirect_error(asio::use_awaitable, ignored));
     };
     if (aExpires) {
+      order.sendBy_ = clock_.now_ + kMaxOrderDelay;
       order.onExpired_ = [this] { ++expiredCount_; };
     }
     return order;
@@ -90,6 +91,21 @@
   BOOST_TEST(expiredCount_ == 2);
 }
 
+BOOST_AUTO_TEST_CASE(DelayBeforeTheQueueCountsTowardsTheBoundOfAnOrder)
+{
+  for (int i = 0; i < 4; ++i) {
+    queues_.Add(instance_, PendingOrder(true));
+  }
+  Poll();
+  QueuedOrder delayed = PendingOrder(true);
+  clock_.now_ = clock_.now_ + Millis(200);
+  queues_.Add(instance_, std::move(delayed));
+  clock_.now_ = clock_.now_ + Millis(200);
+  FinishAll();
+  BOOST_TEST(sentCount_ == 4);
+  BOOST_TEST(expiredCount_ == 1);
+}
+
 BOOST_AUTO_TEST_CASE(OrderThatDoesNotExpireIsSentLate)
 {
   for (int i = 0; i < 5; ++i) {
--- a/test/order_relays_test.cpp
+++ b/test/order_relays_test.cpp
@@ -29,8 +29,9 @@
     starts_.push_back(std::move(aOrder));
     co_return co_await AcceptOrWait();
   }
-  asio::awaitable<OrderResult> Stop(StopOrder /*aOrder*/) override
+  asio::awaitable<OrderResult> Stop(StopOrder aOrder) override
   {
+    stops_.push_back(std::move(aOrder));
     co_return co_await AcceptOrWait();
   }
   asio::awaitable<OrderResult> Pace(PaceOrder /*aOrder*/) override
@@ -48,6 +49,7 @@
 
   bool acceptsOrders_ = true;
   std::vector<StartOrder> starts_;
+  std::vector<StopOrder> stops_;
   std::vector<HoldOrder> holds_;
   InstanceListing listing_;
 
@@ -105,6 +107,16 @@
     }
   }
 
+  // Keeps the relay's thread busy until `aUntil`.
+  void BlockUntil(Millis aUntil)
+  {
+    asio::post(io_, [aUntil] {
+      while (BootTimeNow() <= aUntil) {
+        std::this_thread::sleep_for(std::chrono::milliseconds(5));
+      }
+    });
+  }
+
   FakeInstances instances_;
   const Endpoint endpoint_;
   // Added to the relay's clock, to simulate a suspension.
@@ -119,11 +131,12 @@
   std::thread thread_;
 };
 
-StartOrder MakeStart()
+StartOrder MakeStart(Millis aSendBy)
 {
   StartOrder order{ .run_ = 3, .text_ = "spec", .deadline_ = Millis(900) };
   order.target_.instance_ = { .id_ = "i-1", .startedUnixMs_ = 5 };
   order.target_.fencingToken_ = 8;
+  order.target_.sendBy_ = aSendBy;
   order.task_.set_job("j");
   order.task_.set_index(4);
   return order;
@@ -151,12 +164,16 @@
 
   // The result is set once the order has ended.
   std::shared_ptr<std::optional<OrderResult>> Start()
+  {
+    return Start(clock_.Now() + kMaxOrderDelay);
+  }
+  std::shared_ptr<std::optional<OrderResult>> Start(Millis aSendBy)
   {
     auto result = std::make_shared<std::optional<OrderResult>>();
     asio::co_spawn(
       io_,
-      [this, result]() -> asio::awaitable<void> {
-        *result = co_await relays_.Start(MakeStart());
+      [this, result, aSendBy]() -> asio::awaitable<void> {
+        *result = co_await relays_.Start(MakeStart(aSendBy));
       },
       asio::detached);
     return result;
@@ -168,9 +185,13 @@
     asio::co_spawn(
       io_,
       [this, result, aExpires]() -> asio::awaitable<void> {
-        StopOrder order{ .target_ = MakeStart().target_,
+        StopOrder order{ .target_ =
+                           MakeStart(clock_.Now() + kMaxOrderDelay).target_,
                          .run_ = 1,
                          .expires_ = aExpires };
+        if (!aExpires) {
+          order.target_.sendBy_.reset();
+        }
         *result = co_await relays_.Stop(order);
       },
       asio::detached);
@@ -240,6 +261,7 @@
     [&]() -> asio::awaitable<void> {
       HoldOrder order{ .deadline_ = Millis(70), .endCursor_ = 5 };
       order.target_.instance_.id_ = "i-1";
+      order.target_.sendBy_ = clock_.Now() + kMaxOrderDelay;
       reply = co_await relays_.Hold(order);
     },
     asio::detached);
@@ -314,6 +336,63 @@
   BOOST_CHECK((*kept)->status_ == OrderStatus::kAccepted);
 }
 
+BOOST_AUTO_TEST_CASE(DelaysAtTheLeaderAndAtTheRelayShareOneBound)
+{
+  Connect();
+  constexpr Millis kRest = Millis(100); // the others passed at the leader
+  const Millis sendBy = clock_.Now() + kRest;
+  relay_.BlockUntil(sendBy);
+  const auto result = Start(sendBy);
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_CHECK((*result)->status_ == OrderStatus::kNotSent);
+  BOOST_TEST(relay_.instances_.starts_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(HoldPastItsTimeToSendIsNotRelayed)
+{
+  Connect();
+  std::optional<ListingReply> reply;
+  asio::co_spawn(
+    io_,
+    [&]() -> asio::awaitable<void> {
+      HoldOrder order{ .target_ = MakeStart(clock_.Now() - Millis(1)).target_ };
+      reply = co_await relays_.Hold(order);
+    },
+    asio::detached);
+  BOOST_REQUIRE(RunUntil([&] { return reply.has_value(); }));
+  BOOST_CHECK(reply->result_.status_ == OrderStatus::kNotSent);
+  BOOST_TEST(relay_.instances_.holds_.empty());
+}
+
+// The relay may yet wait for a connection to the instance.
+BOOST_AUTO_TEST_CASE(RelayPassesOnTheTimeToSendOnItsOwnClock)
+{
+  constexpr Millis kOffset = Seconds(500);
+  relay_.clockOffset_ = kOffset;
+  Connect();
+  const Millis sendBy = clock_.Now() + Seconds(10);
+  const auto result = Start(sendBy);
+  BOOST_REQUIRE(RunUntil([&] { return result->has_value(); }));
+  BOOST_REQUIRE(relay_.instances_.starts_.size() == 1U);
+  const std::optional<Millis> relaySendBy =
+    relay_.instances_.starts_[0].target_.sendBy_;
+  BOOST_REQUIRE(relaySendBy.has_value());
+  BOOST_TEST(relaySendBy->Count() <= (sendBy + kOffset).Count());
+  BOOST_TEST(relaySendBy->Count() > (sendBy + kOffset).Count() - 10000);
+}
+
+BOOST_AUTO_TEST_CASE(RelayedStopThatDoesNotExpireHasNoTimeToSend)
+{
+  Connect();
+  const auto expiring = Stop(true);
+  const auto kept = Stop(false);
+  BOOST_REQUIRE(RunUntil([&] { return *expiring && *kept; }));
+  BOOST_REQUIRE(relay_.instances_.stops_.size() == 2U);
+  for (const StopOrder& order : relay_.instances_.stops_) {
+    BOOST_TEST(order.target_.sendBy_.has_value() == order.expires_);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(UnhealthyRelayGetsNoOrders)
 {
   Connect();
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -271,6 +271,8 @@
   const DispatchLoad& LastDispatch() const { return dispatch_; }
   size_t RunsInDoubt() const { return runsInDoubt_; }
   size_t StartsWithheld() const { return startsWithheld_; }
+  size_t OrdersWithSendBy() const { return ordersWithSendBy_; }
+  size_t OrdersWithWrongSendBy() const { return ordersWithWrongSendBy_; }
   // The highest number of machines in maintenance at the same time.
   size_t MaxInMaintenance() const { return maxInMaintenance_; }
   // Commits the proposals that `holdsCommits_` held back, in order.
@@ -494,8 +496,18 @@
     scheduler_->OnCommitted(now_, aProposal.number_);
   }
 
+  // All orders are bounded but stops that do not expire.
+  void CheckSendBy(const OrderTarget& aTarget, bool aExpires)
+  {
+    ordersWithSendBy_ += aTarget.sendBy_ ? 1 : 0;
+    const std::optional<Millis> expected =
+      aExpires ? std::optional(now_ + kMaxOrderDelay) : std::nullopt;
+    ordersWithWrongSendBy_ += aTarget.sendBy_ != expected ? 1 : 0;
+  }
+
   void Perform(StartOrder& aOrder)
   {
+    CheckSendBy(aOrder.target_, true);
     FakeInstance* instance = FindReachable(aOrder.target_);
     OrderResult result{ .status_ = OrderStatus::kUnknown };
     if (instance != nullptr && instance->delaysStarts_) {
@@ -510,6 +522,7 @@
 
   void Perform(StopOrder& aOrder)
   {
+    CheckSendBy(aOrder.target_, aOrder.expires_);
     FakeInstance* instance = FindReachable(aOrder.target_);
     OrderResult result{ .status_ = OrderStatus::kUnknown };
     if (instance != nullptr && !instance->ignoresStops_) {
@@ -531,6 +544,7 @@
 
   void Perform(HoldOrder& aOrder)
   {
+    CheckSendBy(aOrder.target_, true);
     FakeInstance* instance = FindReachable(aOrder.target_);
     if (instance == nullptr) {
       scheduler_->OnListing(
@@ -592,6 +606,7 @@
 
   void Perform(PaceOrder& aOrder)
   {
+    CheckSendBy(aOrder.target_, true);
     scheduler_->OnPace(aOrder, { .status_ = OrderStatus::kAccepted });
   }
 
@@ -694,6 +709,8 @@
   size_t starts_ = 0;
   size_t runsInDoubt_ = 0;
   size_t startsWithheld_ = 0;
+  size_t ordersWithSendBy_ = 0;
+  size_t ordersWithWrongSendBy_ = 0;
   size_t maxInMaintenance_ = 0;
   size_t adviceCalls_ = 0;
   std::deque<Proposal> uncommitted_;
