Tasks of an instance that started again stay with its next incarnation

Cause, shown in virtual time: instances check the id in an order and not which of their incarnations is meant. One that starts again under its id knows no token and no stop and has a new clock, so it executes a start that was decided for its former incarnation: while its report is on the way, or when bytes arrive late. The log freed the tasks of the former incarnation with the record of the next one, or as soon as a listing named another start time, so they were started elsewhere while the instance ran them. The window is as long as the leader takes to put the report into the log, which is long when it lacks processor time. Two assumptions hid it: that 300 ms are less than a restart, and that the simulated instances answered for one incarnation only.

Change: the record of the next incarnation takes over the tasks, as runs in doubt: what it lists goes on, what it does not list is stopped there, which refuses a start that is still to come, and only then started elsewhere. A listing with another start time frees nothing; the instance gets no work until it has reported. As a deadline on the former clock may give the next incarnation the platform's longest lease, the leader counts with that. Entries of earlier logs are replayed as before: they remove the former record first.

Evidence: the simulated instances take orders by id now. With each part taken out: - tasks freed with their incarnation: TaskStartedOnTheNextIncarnationIsNotStartedElsewhere and StartThatReachesTheNextIncarnationLateIsRefused see two copies, TasksOfAReplacedIncarnationStayAssignedToTheNextOne fails; - removal at the listing: ListingOfTheNextIncarnationDoesNotFreeTasksItMayRun, two copies; - lease of 5 s: NextIncarnationUnderAFormerDeadlineIsNotGivenUpEarly, two copies. With all of it they pass, and TasksLostWithAnIncarnationAreRestartedSoon: within a second.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -34,6 +34,9 @@
   // a change of leader; tasks of an unreachable instance are started elsewhere
   // only after it has expired.
   Millis lease_ = Seconds(5);
+  // The longest lease that an instance accepts. A deadline on the clock of an
+  // incarnation may give the next one a lease of this length.
+  Millis longestLease_ = Seconds(10);
   // How long a former leader may still hold the leader lease, and so grant
   // leases on instances, after this one has taken over.
   Millis formerLeaderLease_;
@@ -204,6 +207,7 @@
   // the instance since the last event.
   void SyncViews(Millis aNow);
   void SyncView(Millis aNow, const InstanceKey& aKey);
+  void AddInheritedRuns(Millis aNow, InstanceView& aView);
   void AddToIndex(InstanceView& aView);
   void RemoveFromIndex(const InstanceView& aView);
   void PollInstances(Millis aNow);
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -128,6 +128,9 @@
   bool contacted_ = false;
   // The latest listing request got no reply.
   bool isUnresponsive_ = false;
+  // The latest listing came from the next incarnation, which may have executed
+  // starts. It takes over the runs once it has reported.
+  bool isReplaced_ = false;
   // Reserved for an operation on its machine: gets no new work.
   bool reserved_ = false;
   // Its runs are moved elsewhere, for an operation on its machine.
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -179,6 +179,8 @@
     const std::string& aMachine) const;
   // True if the incarnation is known to have ended.
   bool HasDeparted(const InstanceKey& aKey) const;
+  // True if an earlier incarnation with the same id is stored or has departed.
+  bool HasEarlierIncarnation(const InstanceKey& aKey) const;
   // Counts every addition, change and removal of an instance.
   uint64_t InstanceChangeCount() const { return instanceChangeCount_; }
   // The instances changed since `InstanceChangeCount` was `aSince`, or
@@ -223,6 +225,8 @@
   void FinishTask(const TaskRef& aTask);
   void PutInstance(const v1::InstanceRecord& aRecord);
   void RemoveInstance(const v1::InstanceGone& aGone);
+  // Null if the store has no later incarnation with the same id.
+  Instance* FindNextIncarnation(const InstanceKey& aKey) const;
   void RecordDeparted(const InstanceKey& aKey);
   void RemoveFromMachineIndex(const Instance& aInstance);
   void RecordInstanceChange(const InstanceKey& aKey);
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -113,8 +113,25 @@
   }
 }
 
-// A task that is assigned to an instance without a view was started by an
-// earlier leader.
+// An assigned task without a run in the view was started by an earlier leader,
+// or on the previous incarnation of the instance.
+void FleetScheduler::AddInheritedRuns(Millis aNow, InstanceView& aView)
+{
+  for (const TaskRef& task : aView.StoredInstance().assigned_) {
+    const uint32_t run = JobStore::TaskAt(task).run_;
+    if (aView.FindRun(task, run) != nullptr) {
+      continue;
+    }
+    RunView& added = aView.AddRun(task, { .run_ = run });
+    if (aNow > leaderSince_) {
+      MarkInDoubt(aNow, task, added, "its instance started again");
+    } else {
+      added.phase_ = RunPhase::kInDoubt;
+      added.since_ = aNow;
+    }
+  }
+}
+
 void FleetScheduler::SyncView(Millis aNow, const InstanceKey& aKey)
 {
   Instance* instance = store_.FindInstance(aKey);
@@ -132,24 +149,23 @@
     RemoveFromIndex(*known);
     known->RefreshCapacity();
     AddToIndex(*known);
+    AddInheritedRuns(aNow, *known);
     return;
   }
+  const bool mayHoldFormerLease =
+    aNow > leaderSince_ && store_.HasEarlierIncarnation(aKey);
   InstanceView& view =
     views_
       .try_emplace(aKey,
                    *instance,
-                   options_.lease_,
+                   mayHoldFormerLease ? options_.longestLease_
+                                      : options_.lease_,
                    std::max(leaderSince_ + options_.formerLeaderLease_, aNow),
                    aNow)
       .first->second;
   viewsByKey_.emplace(aKey, &view);
   AddToIndex(view);
-  for (const TaskRef& task : instance->assigned_) {
-    view.AddRun(task,
-                { .run_ = JobStore::TaskAt(task).run_,
-                  .phase_ = RunPhase::kInDoubt,
-                  .since_ = aNow });
-  }
+  AddInheritedRuns(aNow, view);
   machines_.OnInstanceReport(
     aNow, view.StoredRecord().machine(), view.StoredRecord().service(), aKey);
 }
@@ -242,7 +258,8 @@
       view.HasRuns() && aNow - unresponsiveSince > options_.lease_;
     const bool isNeverContacted =
       !view.HasRuns() && isUnresponsive && !view.contacted_;
-    if ((isUnreachable || isNeverContacted) && view.Lease().HasExpired(aNow)) {
+    if ((isUnreachable || isNeverContacted) && !view.isReplaced_ &&
+        view.Lease().HasExpired(aNow)) {
       ProposeRemoval(
         view, RemovalKind::kUnreachable, "lease expired while unreachable");
     }
@@ -434,7 +451,7 @@
     view->RemoveRun(aStart.task_);
     return;
   }
-  if (view->removalProposed_) {
+  if (view->removalProposed_ || view->isReplaced_) {
     return; // Its tasks may be placed elsewhere; a start here would run twice.
   }
   if (!MayGrantLeases(aNow)) {
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -163,20 +163,23 @@
     deposed_ = true;
     return;
   }
-  const bool isOtherIncarnation =
-    aResult.status_ == OrderStatus::kOtherIncarnation ||
-    (aResult.status_ == OrderStatus::kAccepted &&
-     aListing.startedUnixMs_ != 0 &&
-     aListing.startedUnixMs_ != aOrder.target_.instance_.startedUnixMs_);
-  if (isOtherIncarnation) {
-    ProposeRemoval(*view, RemovalKind::kFinal, "another incarnation replied");
+  if (aResult.status_ == OrderStatus::kOtherIncarnation) {
+    ProposeRemoval(*view, RemovalKind::kFinal, "another instance replied");
     return;
   }
-  if (aResult.status_ != OrderStatus::kAccepted) {
+  const bool isReplaced =
+    aResult.status_ == OrderStatus::kAccepted && aListing.startedUnixMs_ != 0 &&
+    aListing.startedUnixMs_ != aOrder.target_.instance_.startedUnixMs_;
+  if (isReplaced && !view->isReplaced_) {
+    trace_.onInstance_(aOrder.target_.instance_, "another incarnation replied");
+  }
+  view->isReplaced_ = isReplaced;
+  if (isReplaced || aResult.status_ != OrderStatus::kAccepted) {
     view->isUnresponsive_ = true;
     view->nextHoldAt_ = aNow + kListingRetryInterval;
     view->confirmedCursor_ = 0;
     view->avoidUntil_ = aNow + kAvoidAfterNoReply;
+    view->lastReplyAt_ = isReplaced ? aNow : view->lastReplyAt_;
     return;
   }
   if (!view->contacted_) {
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -142,9 +142,10 @@
 
 bool InstanceView::IsUsable(Millis aNow) const
 {
-  return contacted_ && !reserved_ && !evacuating_ && !isClosedToNewWork_ &&
-         !removalProposed_ && !StoredRecord().draining() &&
-         lease_.IsClockKnown() && aNow >= avoidUntil_;
+  return contacted_ && !isReplaced_ && !reserved_ && !evacuating_ &&
+         !isClosedToNewWork_ && !removalProposed_ &&
+         !StoredRecord().draining() && lease_.IsClockKnown() &&
+         aNow >= avoidUntil_;
 }
 
 } // namespace vanillahatch
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -525,6 +525,14 @@
   return departedSet_.contains(aKey);
 }
 
+bool JobStore::HasEarlierIncarnation(const InstanceKey& aKey) const
+{
+  constexpr int64_t kEarliest = std::numeric_limits<int64_t>::min();
+  const InstanceKey first{ .id_ = aKey.id_, .startedUnixMs_ = kEarliest };
+  return instances_.lower_bound(first) != instances_.lower_bound(aKey) ||
+         departedSet_.lower_bound(first) != departedSet_.lower_bound(aKey);
+}
+
 void JobStore::RecordDeparted(const InstanceKey& aKey)
 {
   if (departedSet_.insert(aKey).second) {
@@ -536,6 +544,16 @@
   }
 }
 
+Instance* JobStore::FindNextIncarnation(const InstanceKey& aKey) const
+{
+  const auto it = instances_.upper_bound(aKey);
+  return it != instances_.end() && it->first.id_ == aKey.id_ ? it->second.get()
+                                                             : nullptr;
+}
+
+// Instances do not check which incarnation an order is for, so a start may have
+// been executed by the next one. Its tasks stay assigned until a listing of
+// that incarnation shows where they are.
 void JobStore::RemoveInstance(const v1::InstanceGone& aGone)
 {
   const InstanceKey key = ToKey(aGone.key());
@@ -547,8 +565,14 @@
     return;
   }
   const std::set<TaskRef> assigned = it->second->assigned_;
+  Instance* next = aGone.final() ? FindNextIncarnation(key) : nullptr;
   for (const TaskRef& task : assigned) {
-    FinishRun(task, v1::RUN_STOPPED, {});
+    if (next != nullptr) {
+      TaskAt(task).instance_ = next;
+      next->assigned_.insert(task);
+    } else {
+      FinishRun(task, v1::RUN_STOPPED, {});
+    }
   }
   RemoveFromMachineIndex(*it->second);
   instances_.erase(it);
--- a/src/core/jobs/report_changes.cpp
+++ b/src/core/jobs/report_changes.cpp
@@ -24,6 +24,19 @@
   return merged;
 }
 
+// The incarnation that leaves and earlier ones. A start time of 0 names all.
+std::vector<const Instance*> FindLeaving(const JobStore& aStore,
+                                         const InstanceKey& aInstance)
+{
+  std::vector<const Instance*> leaving =
+    aStore.FindInstancesById(aInstance.id_);
+  std::erase_if(leaving, [&](const Instance* aCandidate) {
+    return aInstance.startedUnixMs_ != 0 &&
+           aCandidate->key_.startedUnixMs_ > aInstance.startedUnixMs_;
+  });
+  return leaving;
+}
+
 bool IsSame(const v1::InstanceRecord& aLeft, const v1::InstanceRecord& aRight)
 {
   return aLeft.SerializeAsString() == aRight.SerializeAsString();
@@ -39,13 +52,11 @@
   if (aStore.HasDeparted(key)) {
     return changes; // a late report
   }
-  for (const Instance* other : aStore.FindInstancesById(key.id_)) {
-    if (other->key_.startedUnixMs_ > key.startedUnixMs_) {
-      return {}; // a late report of an earlier incarnation
-    }
-    if (other->key_.startedUnixMs_ < key.startedUnixMs_) {
-      AddRemoval(changes, other->key_);
-    }
+  const std::vector<const Instance*> incarnations =
+    aStore.FindInstancesById(key.id_);
+  if (!incarnations.empty() &&
+      incarnations.back()->key_.startedUnixMs_ > key.startedUnixMs_) {
+    return changes; // a late report of an earlier incarnation
   }
   const std::string& machine = aReport.record_.machine();
   if (!machine.empty()) {
@@ -62,6 +73,12 @@
   if (known == nullptr || !IsSame(merged, known->record_)) {
     *changes.add_changes()->mutable_put_instance() = std::move(merged);
   }
+  // After the new record, which takes over their tasks.
+  for (const Instance* other : incarnations) {
+    if (other->key_.startedUnixMs_ < key.startedUnixMs_) {
+      AddRemoval(changes, other->key_);
+    }
+  }
   return changes;
 }
 
@@ -69,13 +86,8 @@
                                const InstanceKey& aInstance)
 {
   v1::JobChanges changes;
-  for (const Instance* instance : aStore.FindInstancesById(aInstance.id_)) {
-    const bool isLater =
-      aInstance.startedUnixMs_ != 0 &&
-      instance->key_.startedUnixMs_ > aInstance.startedUnixMs_;
-    if (!isLater) {
-      AddRemoval(changes, instance->key_);
-    }
+  for (const Instance* instance : FindLeaving(aStore, aInstance)) {
+    AddRemoval(changes, instance->key_);
   }
   return changes;
 }
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -139,6 +139,7 @@
       aStore,
       FleetSchedulerOptions{ .fencingToken_ = term,
                              .lease_ = options_.lease_,
+                             .longestLease_ = options_.longestLease_,
                              .formerLeaderLease_ = options_.formerLeaderLease_,
                              .finishedJobRetention_ =
                                options_.finishedJobRetention_,
@@ -456,6 +457,7 @@
                 { { "task", FormatTask(aOrder.task_) },
                   { "run", aOrder.run_ },
                   { "instance", aOrder.target_.instance_.id_ },
+                  { "born", aOrder.target_.instance_.startedUnixMs_ },
                   { "fence", aOrder.target_.fencingToken_ } });
       },
     .onEnd_ =
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -22,8 +22,9 @@
 
 struct FleetDriverOptions
 {
-  Millis lease_ = Seconds(5); // of the runs on an instance
-  Millis formerLeaderLease_;  // see FleetSchedulerOptions
+  Millis lease_ = Seconds(5);         // of the runs on an instance
+  Millis longestLease_ = Seconds(10); // see FleetSchedulerOptions
+  Millis formerLeaderLease_;          // see FleetSchedulerOptions
   Millis finishedJobRetention_ = Seconds(120);
   Millis machineOrderDelay_; // see FleetSchedulerOptions
   MachineTrackerOptions machines_;
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -29,6 +29,19 @@
       fleet_.RunUntil([&] { return IsCompleted(job); }, Seconds(2)));
   }
 
+  // The largest number of copies of the task that run at once.
+  size_t MaxCopies(const v1::TaskName& aTask, Millis aWithin)
+  {
+    size_t copies = fleet_.RunningCopies(aTask);
+    fleet_.RunUntil(
+      [&] {
+        copies = std::max(copies, fleet_.RunningCopies(aTask));
+        return false;
+      },
+      aWithin);
+    return copies;
+  }
+
   SimulatedFleet fleet_;
 };
 
@@ -268,6 +281,89 @@
   BOOST_TEST(fleet_.RunningCopies(FirstTask(job)) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(TaskStartedOnTheNextIncarnationIsNotStartedElsewhere)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.Restart("a");
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 2000) });
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return a.running_.size() == 1; }, Millis(100)));
+  fleet_.AddInstance("b", "layout");
+  a.ignoresStops_ = true; // as if they took long
+  fleet_.Report(a);
+  BOOST_TEST(MaxCopies(FirstTask(job), Seconds(1)) == 1U);
+  BOOST_TEST(fleet_.RunUntil([&] { return IsCompleted(job); }, Seconds(2)));
+  BOOST_TEST(fleet_.Starts() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(ListingOfTheNextIncarnationDoesNotFreeTasksItMayRun)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.Restart("a");
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 8000) });
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return a.running_.size() == 1; }, Millis(100)));
+  fleet_.AddInstance("b", "layout");
+  BOOST_TEST(MaxCopies(FirstTask(job), Seconds(6)) == 1U);
+  fleet_.Report(a);
+  BOOST_TEST(MaxCopies(FirstTask(job), Seconds(1)) == 1U);
+  BOOST_TEST(fleet_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+  BOOST_TEST(fleet_.Starts() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(StartThatReachesTheNextIncarnationLateIsRefused)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  a.delaysStarts_ = true;
+  fleet_.RunFor(Millis(100));
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 2000) });
+  fleet_.RunFor(Millis(20));
+  BOOST_REQUIRE(!a.delayedStarts_.empty());
+  fleet_.Restart("a");
+  FakeInstance& b = fleet_.AddInstance("b", "layout");
+  fleet_.Report(a);
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return b.running_.size() == 1; }, Seconds(1)));
+  fleet_.DeliverDelayedStarts(a);
+  BOOST_TEST(MaxCopies(FirstTask(job), Seconds(1)) == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TasksLostWithAnIncarnationAreRestartedSoon)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(4, 500, 600) });
+  fleet_.RunFor(Millis(300));
+  BOOST_REQUIRE(a.running_.size() == 4U);
+  fleet_.Restart("a");
+  fleet_.Report(a);
+  BOOST_TEST(fleet_.RunUntil([&] { return IsCompleted(job); }, Seconds(1)));
+}
+
+// The lease of a deadline on the former clock is limited by the instance only.
+BOOST_AUTO_TEST_CASE(NextIncarnationUnderAFormerDeadlineIsNotGivenUpEarly)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.Restart("a");
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::LongRunningStep(1, 1) });
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return a.running_.size() == 1; }, Millis(100)));
+  fleet_.Report(a);
+  fleet_.RunFor(Millis(50)); // The leader lists it.
+  a.isReachable_ = false;
+  FakeInstance& b = fleet_.AddInstance("b", "layout");
+  BOOST_TEST(MaxCopies(FirstTask(job), Seconds(14)) == 1U);
+  BOOST_TEST(b.running_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(NewLeaderTakesOverRunsWithoutRestartingThem)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -159,6 +159,25 @@
   BOOST_TEST(store.Instances().empty());
 }
 
+BOOST_AUTO_TEST_CASE(TasksOfAReplacedIncarnationStayAssignedToTheNextOne)
+{
+  JobStore store;
+  Apply(store, { Accept("j", 1), PutInstance("a", 1), Start("j", 0, 1, "a") });
+  v1::JobChange removal;
+  removal.mutable_instance_gone()->mutable_key()->set_id("a");
+  removal.mutable_instance_gone()->mutable_key()->set_born_unix_ms(1);
+  removal.mutable_instance_gone()->set_final(true);
+  Apply(store, { PutInstance("a", 2), PutInstance("b", 2), removal });
+  Instance* next = store.FindInstance({ .id_ = "a", .startedUnixMs_ = 2 });
+  BOOST_REQUIRE(next != nullptr);
+  BOOST_TEST(next->assigned_.size() == 1U);
+  const TaskRef task = *next->assigned_.begin();
+  BOOST_TEST(JobStore::TaskAt(task).run_ == 1U);
+  BOOST_TEST(JobStore::TaskAt(task).instance_ == next);
+  BOOST_TEST(store.HasEarlierIncarnation(next->key_));
+  BOOST_TEST(!store.HasEarlierIncarnation({ .id_ = "b", .startedUnixMs_ = 2 }));
+}
+
 BOOST_AUTO_TEST_CASE(LateReportOfAnEndedIncarnationIsIgnored)
 {
   JobStore store;
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -11,6 +11,7 @@
 #pragma once
 
 #include "vanillahatch/core/jobs/fleet_scheduler.h"
+#include "vanillahatch/core/jobs/report_changes.h"
 
 #include <boost/test/unit_test.hpp>
 #include <deque>
@@ -82,6 +83,7 @@
     scheduler_ = std::make_unique<FleetScheduler>(
       store_,
       FleetSchedulerOptions{ .fencingToken_ = aFencingToken,
+                             .longestLease_ = kLongestLease,
                              .formerLeaderLease_ = kLeaderLease,
                              .machineOrderDelay_ = machineOrderDelay_ },
       SchedulerTrace{
@@ -166,13 +168,37 @@
 
   void Report(const FakeInstance& aInstance)
   {
-    v1::JobChanges changes;
-    *changes.add_changes()->mutable_put_instance() = aInstance.record_;
-    store_.Apply(changes);
+    store_.Apply(ChangesForReport(store_, { .record_ = aInstance.record_ }));
     scheduler_->OnReport(
       now_, ToKey(aInstance.record_), now_ + aInstance.clockOffset_);
   }
 
+  // The instance starts again under its id, with a new clock and without its
+  // runs. Until it reports, nobody knows of that.
+  FakeInstance& Restart(const std::string& aId)
+  {
+    FakeInstance& instance = instances_.at(aId);
+    v1::InstanceRecord record = instance.record_;
+    record.set_born_unix_ms(record.born_unix_ms() + 1000);
+    std::deque<StartOrder> delayedStarts = std::move(instance.delayedStarts_);
+    instance = { .record_ = std::move(record),
+                 .clockOffset_ = Millis() - now_,
+                 .delayedStarts_ = std::move(delayedStarts) };
+    std::vector<OpenListing> open = std::exchange(openListings_, {});
+    for (const OpenListing& listing : open) {
+      if (listing.order_.target_.instance_.id_ != aId) {
+        openListings_.push_back(listing);
+        continue;
+      }
+      scheduler_->OnListing(now_,
+                            listing.order_,
+                            listing.sentAt_,
+                            { .status_ = OrderStatus::kUnknown },
+                            {});
+    }
+    return instance;
+  }
+
   Job& Submit(const std::string& aId,
               const std::string& aQueue,
               std::vector<v1::StepSpec> aSteps)
@@ -303,6 +329,8 @@
     return (aId.back() - '0') % 2 == 0;
   }
   static constexpr Millis kTicketValidity = Seconds(3);
+  // The longest lease that an instance accepts.
+  static constexpr Millis kLongestLease = Seconds(10);
   // How long a former leader grants leases at most.
   static constexpr Millis kLeaderLease = Millis(600);
 
@@ -354,6 +382,13 @@
                                  .reason_ = std::move(aReason) });
   }
 
+  void ExtendLease(FakeInstance& aInstance, Millis aDeadline) const
+  {
+    const Millis longest = now_ + aInstance.clockOffset_ + kLongestLease;
+    aInstance.deadline_ =
+      std::max(aInstance.deadline_, std::min(aDeadline, longest));
+  }
+
   OrderResult ProcessStart(FakeInstance& aInstance, const StartOrder& aOrder)
   {
     const Millis clock = now_ + aInstance.clockOffset_;
@@ -379,7 +414,7 @@
       return refuse(OrderStatus::kNoTicket);
     }
     ++aInstance.startsAccepted_;
-    aInstance.deadline_ = std::max(aInstance.deadline_, aOrder.deadline_);
+    ExtendLease(aInstance, aOrder.deadline_);
     const v1::StepSpec& spec = JobStore::SpecOf(aOrder.ref_);
     aInstance.running_.push_back(
       { .task_ = aOrder.task_,
@@ -408,13 +443,12 @@
     }
   }
 
+  // Orders name an id, so any incarnation with it executes them.
   FakeInstance* FindReachable(const OrderTarget& aTarget)
   {
     const auto it = instances_.find(aTarget.instance_.id_);
-    const bool isReachable = it != instances_.end() &&
-                             it->second.isReachable_ &&
-                             ToKey(it->second.record_) == aTarget.instance_;
-    return isReachable ? &it->second : nullptr;
+    return it != instances_.end() && it->second.isReachable_ ? &it->second
+                                                             : nullptr;
   }
 
   void Perform()
@@ -450,7 +484,7 @@
       return;
     }
     if (aOrder.deadline_) {
-      instance.deadline_ = std::max(instance.deadline_, *aOrder.deadline_);
+      ExtendLease(instance, *aOrder.deadline_);
     }
     formerLeader_->OnListing(now_,
                              aOrder,
@@ -554,7 +588,7 @@
     instance->fencingToken_ =
       std::max(instance->fencingToken_, aOrder.target_.fencingToken_);
     if (aOrder.deadline_) {
-      instance->deadline_ = std::max(instance->deadline_, *aOrder.deadline_);
+      ExtendLease(*instance, *aOrder.deadline_);
     }
     std::erase_if(instance->ended_, [&](const EndedTask& aEnded) {
       return aEnded.number_ <= aOrder.endCursor_;
