Leave: stop the tasks of an instance before its leave is acknowledged

Cause, shown in virtual time: a leave freed the tasks of the instance at once, and they were started elsewhere. The instance goes on running them until it has the answer, or for some seconds if the answer is lost or late. Class of fault: state that is declared ended while the other side may still act.

Change: the tasks are stopped on the instance first; the leave is committed once the log assigns nothing to it, and is answered with 503 after 0.8 s, so that the instance asks again. If it cannot be reached for the stops, its lease decides. A leave of an instance without tasks is answered as before.

Evidence: with tasks freed at once these see two copies: TaskOnALeavingInstanceIsNotStartedElsewhereBeforeItEnds, LeavingInstanceThatCannotBeReachedKeepsItsTasksForALease.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -80,7 +80,8 @@
     onEnd_;
   std::function<void(const InstanceKey&, std::string_view)> onInstance_;
   std::function<void(const TaskRef&, uint32_t, std::string_view)> onInDoubt_;
-  // A committed start was not sent, because the leader lease had expired.
+  // A committed start was not sent, because the leader lease had expired or the
+  // instance leaves.
   std::function<void(const TaskRef&, uint32_t)> onStartWithheld_;
   std::function<void(const MachineOrder&, std::string_view)> onMachine_;
   // Both are called about once a second.
@@ -117,6 +118,8 @@
   // An instance reported; its record must already be in the store. `aClock` is
   // the time on the clock of the instance.
   void OnReport(Millis aNow, const InstanceKey& aKey, Millis aClock);
+  // The instance leaves: stops its runs, regardless of availability budgets.
+  void OnLeave(Millis aNow, const InstanceKey& aKey);
   void OnStart(Millis aNow,
                const StartOrder& aOrder,
                const OrderResult& aResult);
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -131,6 +131,7 @@
   // The latest listing came from the next incarnation, which may have executed
   // starts. It takes over the runs once it has reported.
   bool isReplaced_ = false;
+  bool isLeaving_ = false; // its runs are stopped; it ends soon
   // Reserved for an operation on its machine: gets no new work.
   bool reserved_ = false;
   // Its runs are moved elsewhere, for an operation on its machine.
--- a/include/vanillahatch/core/jobs/report_changes.h
+++ b/include/vanillahatch/core/jobs/report_changes.h
@@ -22,6 +22,11 @@
 // same id; all of them if the report does not tell when it started (zero).
 v1::JobChanges ChangesForLeave(const JobStore& aStore,
                                const InstanceKey& aInstance);
+// The incarnations that `ChangesForLeave` would remove although tasks may run
+// on them. An instance goes on running its tasks until its leave is
+// acknowledged, so they have to end first.
+std::vector<InstanceKey> FindLeavingWithTasks(const JobStore& aStore,
+                                              const InstanceKey& aInstance);
 // True if the store's state matches the report exactly. False for a late report
 // as well, because only the leader decides on reports that may be outdated.
 bool IsRecorded(const JobStore& aStore, const InstanceReport& aReport);
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -402,6 +402,21 @@
   }
 }
 
+void FleetScheduler::OnLeave(Millis aNow, const InstanceKey& aKey)
+{
+  SyncViews(aNow);
+  InstanceView* view = FindView(aKey);
+  if (view == nullptr) {
+    return;
+  }
+  view->isLeaving_ = true;
+  for (auto& [task, run] : view->Runs()) {
+    run.stopRequested_ = true;
+    run.stopRespectsBudget_ = false;
+    run.stopBecauseUnlisted_ = false;
+  }
+}
+
 void FleetScheduler::OnCommitted(Millis aNow, uint64_t aNumber)
 {
   const auto it = pendingProposals_.find(aNumber);
@@ -454,7 +469,7 @@
   if (view->removalProposed_ || view->isReplaced_) {
     return; // Its tasks may be placed elsewhere; a start here would run twice.
   }
-  if (!MayGrantLeases(aNow)) {
+  if (!MayGrantLeases(aNow) || view->isLeaving_) {
     trace_.onStartWithheld_(aStart.task_, aStart.run_);
     ProposeStopped(*view, aStart.task_, aStart.run_);
     return;
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -142,8 +142,8 @@
 
 bool InstanceView::IsUsable(Millis aNow) const
 {
-  return contacted_ && !isReplaced_ && !reserved_ && !evacuating_ &&
-         !isClosedToNewWork_ && !removalProposed_ &&
+  return contacted_ && !isReplaced_ && !isLeaving_ && !reserved_ &&
+         !evacuating_ && !isClosedToNewWork_ && !removalProposed_ &&
          !StoredRecord().draining() && lease_.IsClockKnown() &&
          aNow >= avoidUntil_;
 }
--- a/src/core/jobs/report_changes.cpp
+++ b/src/core/jobs/report_changes.cpp
@@ -92,6 +92,18 @@
   return changes;
 }
 
+std::vector<InstanceKey> FindLeavingWithTasks(const JobStore& aStore,
+                                              const InstanceKey& aInstance)
+{
+  std::vector<InstanceKey> found;
+  for (const Instance* instance : FindLeaving(aStore, aInstance)) {
+    if (!instance->assigned_.empty()) {
+      found.push_back(instance->key_);
+    }
+  }
+  return found;
+}
+
 bool IsRecorded(const JobStore& aStore, const InstanceReport& aReport)
 {
   const Instance* known = aStore.FindInstance(ToKey(aReport.record_));
--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -4,10 +4,31 @@
 #include "vanillahatch/core/jobs/report_changes.h"
 #include "vanillahatch/shell/log.h"
 
+#include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/this_coro.hpp>
+#include <boost/asio/use_awaitable.hpp>
+
 namespace vanillahatch {
 
 namespace asio = boost::asio;
 
+namespace {
+
+constexpr Millis kLeaveCheckInterval = Millis(20);
+// Callers give up a call after a second.
+constexpr Millis kMaxLeaveWait = Millis(800);
+
+void LogLeave(const InstanceKey& aInstance, const ControlReply& aReply)
+{
+  LogInfo(Event::kInstanceLeft,
+          { { "instance", aInstance.id_ },
+            { "born", aInstance.startedUnixMs_ },
+            { "outcome", static_cast<int>(aReply.status_) } });
+}
+
+} // namespace
+
 FleetControl::FleetControl(JobStoreReplica& aStore,
                            LogReplica& aReplica,
                            FleetDriver& aDriver,
@@ -152,15 +173,44 @@
   co_return reply;
 }
 
+asio::awaitable<bool> FleetControl::AwaitEndOfTasks(
+  const InstanceKey& aInstance)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor);
+  for (Millis waited; replica_.IsLeader();
+       waited = waited + kLeaveCheckInterval) {
+    const std::vector<InstanceKey> leaving =
+      store_.With([&](const JobStore& aStore) {
+        return FindLeavingWithTasks(aStore, aInstance);
+      });
+    if (leaving.empty()) {
+      co_return true;
+    }
+    if (waited >= kMaxLeaveWait) {
+      co_return false;
+    }
+    for (const InstanceKey& key : leaving) {
+      driver_.OnLeave(key);
+    }
+    boost::system::error_code ignored;
+    timer.expires_after(std::chrono::milliseconds(kLeaveCheckInterval.Count()));
+    co_await timer.async_wait(
+      asio::redirect_error(asio::use_awaitable, ignored));
+  }
+  co_return true; // `Commit` names the leader.
+}
+
 asio::awaitable<ControlReply> FleetControl::Leave(InstanceKey aInstance)
 {
+  if (!co_await AwaitEndOfTasks(aInstance)) {
+    const ControlReply reply{ .status_ = ControlStatus::kRetryLater };
+    LogLeave(aInstance, reply);
+    co_return reply;
+  }
   v1::JobChanges changes = store_.With(
     [&](const JobStore& aStore) { return ChangesForLeave(aStore, aInstance); });
   const ControlReply reply = co_await Commit(std::move(changes));
-  LogInfo(Event::kInstanceLeft,
-          { { "instance", aInstance.id_ },
-            { "born", aInstance.startedUnixMs_ },
-            { "outcome", static_cast<int>(reply.status_) } });
+  LogLeave(aInstance, reply);
   driver_.Wake();
   co_return reply;
 }
--- a/src/scheduler/fleet_control.h
+++ b/src/scheduler/fleet_control.h
@@ -18,6 +18,7 @@
   kNotLeader,   // `leader_` names the leader, if it is known
   kUnavailable, // no quorum, or overloaded; the outcome may be unknown
   kNotFound,
+  kRetryLater, // not done yet; the call has to be repeated
 };
 
 struct ControlReply
@@ -48,7 +49,7 @@
   // clock.
   boost::asio::awaitable<ControlReply> Report(InstanceReport aReport,
                                               Millis aClock);
-  // Records that an instance has ended.
+  // Records that an instance ends. Its tasks are stopped first.
   boost::asio::awaitable<ControlReply> Leave(InstanceKey aInstance);
 
 private:
@@ -56,6 +57,10 @@
   // applied all changes acknowledged before.
   boost::asio::awaitable<ControlReply> Commit(v1::JobChanges aChanges);
 
+  // Stops the tasks on an instance that leaves. Returns false if some have not
+  // ended when the caller has to get a reply.
+  boost::asio::awaitable<bool> AwaitEndOfTasks(const InstanceKey& aInstance);
+
   // Name of the replica that should receive the reports of the instance.
   std::string ReplicaForReportsOf(const std::string& aInstance) const;
 
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -440,6 +440,14 @@
   });
 }
 
+void FleetDriver::OnLeave(const InstanceKey& aKey)
+{
+  ProcessEvent([&](FleetScheduler& aScheduler, Millis aNow) {
+    aScheduler.OnLeave(aNow, aKey);
+  });
+  Wake();
+}
+
 bool FleetDriver::IsWaveCompleted(uint64_t aWave)
 {
   return store_.With([&](const JobStore&) {
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -333,6 +333,51 @@
   BOOST_TEST(MaxCopies(FirstTask(job), Seconds(1)) == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(TaskOnALeavingInstanceIsNotStartedElsewhereBeforeItEnds)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::LongRunningStep(1, 1) });
+  fleet_.RunFor(Millis(300));
+  BOOST_REQUIRE(a.running_.size() == 1U);
+  FakeInstance& b = fleet_.AddInstance("b", "layout");
+  // Its reply is lost, so that it goes on for a while.
+  size_t maxCopies = 0;
+  const bool isAcknowledged = fleet_.RunUntil(
+    [&] {
+      const bool hasLeft = fleet_.Leave("a");
+      maxCopies = std::max(maxCopies, fleet_.RunningCopies(FirstTask(job)));
+      return hasLeft;
+    },
+    Seconds(1));
+  BOOST_TEST(isAcknowledged);
+  BOOST_TEST(std::max(maxCopies, MaxCopies(FirstTask(job), Seconds(3))) == 1U);
+  BOOST_TEST(a.running_.empty());
+  BOOST_TEST(b.running_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(LeavingInstanceThatCannotBeReachedKeepsItsTasksForALease)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::LongRunningStep(1, 1) });
+  fleet_.RunFor(Millis(300));
+  FakeInstance& b = fleet_.AddInstance("b", "layout");
+  a.isReachable_ = false; // Its calls arrive, orders to it do not.
+  size_t maxCopies = 0;
+  const bool isAcknowledged = fleet_.RunUntil(
+    [&] {
+      maxCopies = std::max(maxCopies, fleet_.RunningCopies(FirstTask(job)));
+      return fleet_.Leave("a");
+    },
+    Seconds(12));
+  BOOST_TEST(isAcknowledged);
+  BOOST_TEST(std::max(maxCopies, MaxCopies(FirstTask(job), Seconds(1))) == 1U);
+  BOOST_TEST(b.running_.size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(TasksLostWithAnIncarnationAreRestartedSoon)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -173,6 +173,21 @@
       now_, ToKey(aInstance.record_), now_ + aInstance.clockOffset_);
   }
 
+  // As `FleetControl::Leave`. Returns false if the instance has to ask again.
+  bool Leave(const std::string& aId)
+  {
+    const InstanceKey key = ToKey(instances_.at(aId).record_);
+    const std::vector<InstanceKey> withTasks =
+      FindLeavingWithTasks(store_, key);
+    for (const InstanceKey& leaving : withTasks) {
+      scheduler_->OnLeave(now_, leaving);
+    }
+    if (withTasks.empty()) {
+      store_.Apply(ChangesForLeave(store_, key));
+    }
+    return withTasks.empty();
+  }
+
   // The instance starts again under its id, with a new clock and without its
   // runs. Until it reports, nobody knows of that.
   FakeInstance& Restart(const std::string& aId)
