Machines: the reply to a repeated order does not remove the next instance

Cause: the platform answers an order for a machine that it has carried out already with 200. After an order without an answer the scheduler repeats it, and took that 200 as the end of whatever instance runs on the machine now: the one that started after the move or upkeep. It was removed for good, its tasks were freed and started elsewhere while they ran there, and its reports were ignored as late. An order goes unanswered when the platform is slow, when a connection is cut, and when the leader, short of processor time, handles the reply after the second that it waits. Class of fault: news about a former incarnation is applied to the present one.

Evidence: ReplyToARepeatedMachineOrderDoesNotRemoveTheNextInstance shows two copies without the change.

Change: only the instance that the order was meant for is removed.

--- a/src/core/jobs/fleet_scheduler_maintenance.cpp
+++ b/src/core/jobs/fleet_scheduler_maintenance.cpp
@@ -98,7 +98,9 @@
     case MachineOrderStatus::kAccepted:
       op->phase_ = MachineOpPhase::kAccepted;
       op->since_ = aNow;
-      if (view != nullptr) {
+      // A repeated order is accepted again after the next instance has started.
+      if (view != nullptr &&
+          view->StoredInstance().key_ == op->previousInstance_) {
         ProposeRemoval(
           *view, RemovalKind::kFinal, aOrder.wave_ != 0 ? "upkeep" : "moved");
       }
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -409,6 +409,34 @@
   BOOST_TEST(b.running_.size() == 1U);
 }
 
+// The platform accepts an order again that it has carried out before.
+BOOST_AUTO_TEST_CASE(ReplyToARepeatedMachineOrderDoesNotRemoveTheNextInstance)
+{
+  fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  fleet_.platformReplies_ = false; // Orders are carried out all the same.
+  v1::JobChanges changes;
+  v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+  wave.set_wave(1);
+  wave.set_max_concurrent(1);
+  wave.add_machines("m-a");
+  fleet_.Store().Apply(changes);
+  fleet_.RunFor(Seconds(2));
+  BOOST_REQUIRE(fleet_.MachineOrders().size() == 1U);
+  const MachineOrder order = fleet_.MachineOrders()[0];
+  FakeInstance& a = fleet_.AddInstance("a", "layout", 16, 2000);
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 2000) });
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return a.running_.size() == 1; }, Seconds(1)));
+  fleet_.AddInstance("b", "layout");
+  fleet_.Scheduler().OnMachineOrderResult(
+    fleet_.Now(), order, MachineOrderStatus::kAccepted);
+  BOOST_TEST(MaxCopies(FirstTask(job), Seconds(1)) == 1U);
+  BOOST_TEST(fleet_.RunUntil([&] { return IsCompleted(job); }, Seconds(3)));
+  BOOST_TEST(fleet_.Starts() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(NewLeaderTakesOverRunsWithoutRestartingThem)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
