Listings: confirm ends only to an incarnation that has just replied

Cause, shown in virtual time: each listing carried the cursor of the ends that are in the log, confirmed before or not. An instance that has started again under its id counts its ends anew, took the former cursor as one of its own and forgot an end that the leader had not seen; the task, done, was started again.

Evidence: FormerEndCursorDoesNotConfirmEndsOfTheNextIncarnation: no end left and three starts instead of two without the change.

Change: the cursor goes out once, to an instance whose latest listing was its own.

--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -300,9 +300,13 @@
     if (isInFlight || hasUncommittedEnds || aNow < view.nextHoldAt_) {
       continue;
     }
-    HoldOrder order{ .target_ = TargetOf(aNow, view),
-                     .endCursor_ = cursor,
-                     .wait_ = wait };
+    HoldOrder order{ .target_ = TargetOf(aNow, view), .wait_ = wait };
+    // Ends are confirmed only while replies show that this incarnation runs:
+    // the next one would take the cursor as one of its own.
+    if (view.contacted_ && !view.isUnresponsive_) {
+      order.endCursor_ = hasNewEnds ? cursor : 0;
+      view.confirmedCursor_ = cursor;
+    }
     // An instance that does not reply may still receive orders: renewing its
     // lease would keep its tasks from being started elsewhere.
     const bool renewsLease = view.Lease().IsClockKnown() && hasRuns &&
@@ -313,7 +317,6 @@
       order.deadline_ = deadline;
     }
     (wait > Millis() ? view.holdInFlight_ : view.pollInFlight_) = true;
-    view.confirmedCursor_ = cursor;
     actions_.push_back(std::move(order));
   }
 }
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -409,6 +409,26 @@
   BOOST_TEST(b.running_.size() == 1U);
 }
 
+// A listing for the former incarnation carries that one's end cursor.
+BOOST_AUTO_TEST_CASE(FormerEndCursorDoesNotConfirmEndsOfTheNextIncarnation)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  RunOneJob("j0");
+  fleet_.RunFor(Millis(100)); // Its end is confirmed.
+  fleet_.Restart("a");
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 300) });
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return a.running_.size() == 1; }, Millis(100)));
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return a.running_.empty(); }, Seconds(1)));
+  fleet_.RunFor(Millis(500));
+  BOOST_TEST(a.ended_.size() == 1U);
+  fleet_.Report(a);
+  BOOST_TEST(fleet_.RunUntil([&] { return IsCompleted(job); }, Seconds(2)));
+  BOOST_TEST(fleet_.Starts() == 2U);
+}
+
 // The platform accepts an order again that it has carried out before.
 BOOST_AUTO_TEST_CASE(ReplyToARepeatedMachineOrderDoesNotRemoveTheNextInstance)
 {
