Job store: a done end counts after the next incarnation took the task over

Its view is told of the tasks as well if it was stored before.

Change: a done end of the task's present run counts wherever the id's tasks are. DoneEndOfAReplacedIncarnationCounts fails without it.

--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -354,7 +354,12 @@
   const bool wasRemoved = task.phase_ == TaskPhase::kPending &&
                           task.run_ == aEnd.run() &&
                           aEnd.outcome() == v1::RUN_DONE;
-  if (isCurrent) {
+  // The next incarnation took the task over after the run had ended.
+  const bool wasReplaced =
+    task.phase_ == TaskPhase::kAssigned && task.run_ == aEnd.run() &&
+    aEnd.outcome() == v1::RUN_DONE && instance == nullptr &&
+    task.instance_->key_.id_ == aEnd.instance().id();
+  if (isCurrent || wasReplaced) {
     FinishRun(*ref, aEnd.outcome(), aEnd.checkpoint());
   } else if (wasRemoved && !SpecOf(*ref).lasting()) {
     --ref->job_->occurrences_.at(ref->occurrence_).steps_[ref->step_].pending_;
@@ -577,6 +582,9 @@
   RemoveFromMachineIndex(*it->second);
   instances_.erase(it);
   RecordInstanceChange(key);
+  if (next != nullptr) {
+    RecordInstanceChange(next->key_);
+  }
 }
 
 void JobStore::RemoveJob(const v1::ForgetJob& aJob)
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -178,6 +178,20 @@
   BOOST_TEST(!store.HasEarlierIncarnation({ .id_ = "b", .startedUnixMs_ = 2 }));
 }
 
+BOOST_AUTO_TEST_CASE(DoneEndOfAReplacedIncarnationCounts)
+{
+  JobStore store;
+  Apply(store, { Accept("j", 1), PutInstance("a", 1), Start("j", 0, 1, "a") });
+  v1::JobChange removal;
+  removal.mutable_instance_gone()->mutable_key()->set_id("a");
+  removal.mutable_instance_gone()->mutable_key()->set_born_unix_ms(1);
+  removal.mutable_instance_gone()->set_final(true);
+  Apply(store,
+        { PutInstance("a", 2), removal, End("j", 0, 1, "a", v1::RUN_DONE) });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_COMPLETED);
+  BOOST_TEST(store.Instances().begin()->second->assigned_.empty());
+}
+
 BOOST_AUTO_TEST_CASE(LateReportOfAnEndedIncarnationIsIgnored)
 {
   JobStore store;
