Scheduler: give an instance that started again the longest lease before it is given up

Cause: an instance that had started again and was cut off before its report was given up after 5 s, while a deadline on the former clock may have given it 10 s. And one whose report is rejected, since the time of day stepped back between its incarnations, kept its tasks for ever.

Change: a reply to a start whose clock lies below the leader's lower bound shows a restart as a listing does; the state stays; and such an instance is given up once the longest lease has passed since the last start or renewal.

Evidence: without the part that each guards, UnreportedNextIncarnationIsNotGivenUpEarly shows two copies, and NextIncarnationWhoseReportIsRejectedDoesNotKeepItsTasks does not complete. What remains: a start without a reply to an instance that started again and is then cut off.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -251,6 +251,7 @@
                      const TaskRef& aTask,
                      const RunView& aRun,
                      std::optional<Millis> aEndClock);
+  void MarkReplaced(InstanceView& aView);
   void ProcessRunning(Millis aNow,
                       InstanceView& aView,
                       const InstanceListing& aListing);
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -128,10 +128,8 @@
   bool contacted_ = false;
   // The latest listing request got no reply.
   bool isUnresponsive_ = false;
-  // The latest listing came from the next incarnation, which may have executed
-  // starts. It takes over the runs once it has reported.
-  bool isReplaced_ = false;
-  bool isLeaving_ = false; // its runs are stopped; it ends soon
+  bool isReplaced_ = false; // a reply came from the next incarnation
+  bool isLeaving_ = false;  // its runs are stopped; it ends soon
   // Reserved for an operation on its machine: gets no new work.
   bool reserved_ = false;
   // Its runs are moved elsewhere, for an operation on its machine.
@@ -148,6 +146,7 @@
   Millis lastReplyAt_;
   Millis busySince_;             // an idle instance gets no listing requests
   Millis lastReportAt_;          // its latest unsolicited report
+  Millis lastGrantAt_;           // of its latest start or renewal of the lease
   uint64_t listings_ = 0;        // number of listings processed
   uint64_t confirmedCursor_ = 0; // end cursor last confirmed to the instance
   uint64_t proposedCursor_ = 0;  // end cursor including uncommitted proposals
--- a/include/vanillahatch/core/jobs/orders.h
+++ b/include/vanillahatch/core/jobs/orders.h
@@ -23,8 +23,7 @@
 };
 
 // An order that is not sent within this time of its decision is dropped,
-// however many queues and relays it passes. An instance takes longer than this
-// to restart under the same id and to report, so no order reaches a newer
+// however many queues and relays it passes, so that it hardly reaches a later
 // incarnation than it was decided for.
 constexpr Millis kMaxOrderDelay = Millis(300);
 
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -258,8 +258,12 @@
       view.HasRuns() && aNow - unresponsiveSince > options_.lease_;
     const bool isNeverContacted =
       !view.HasRuns() && isUnresponsive && !view.contacted_;
-    if ((isUnreachable || isNeverContacted) && !view.isReplaced_ &&
-        view.Lease().HasExpired(aNow)) {
+    const bool hasExpired =
+      view.isReplaced_ ? InstanceLease(options_.longestLease_,
+                                       view.lastGrantAt_ + kMaxOrderDelay)
+                           .HasExpired(aNow)
+                       : view.Lease().HasExpired(aNow);
+    if ((isUnreachable || isNeverContacted) && hasExpired) {
       ProposeRemoval(
         view, RemovalKind::kUnreachable, "lease expired while unreachable");
     }
@@ -314,6 +318,7 @@
     if (renewsLease) {
       const Millis deadline = view.Lease().ClockAt(aNow) + options_.lease_;
       view.Lease().Extend(deadline);
+      view.lastGrantAt_ = aNow;
       order.deadline_ = deadline;
     }
     (wait > Millis() ? view.holdInFlight_ : view.pollInFlight_) = true;
@@ -469,7 +474,7 @@
     view->RemoveRun(aStart.task_);
     return;
   }
-  if (view->removalProposed_ || view->isReplaced_) {
+  if (view->removalProposed_) {
     return; // Its tasks may be placed elsewhere; a start here would run twice.
   }
   if (!MayGrantLeases(aNow) || view->isLeaving_) {
@@ -489,6 +494,7 @@
     advice_.TicketFor(aNow, ToAdviceStep(aStart.task_), aStart.instance_);
   order.ticket_ = ticket != nullptr ? *ticket : std::string();
   view->Lease().Extend(order.deadline_);
+  view->lastGrantAt_ = aNow;
   run->phase_ = RunPhase::kOrdered;
   run->since_ = aNow;
   trace_.onStart_(order);
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -64,6 +64,17 @@
   end.set_outcome(v1::RUN_STOPPED);
 }
 
+// The next incarnation may have executed starts. It takes over the runs once it
+// has reported.
+void FleetScheduler::MarkReplaced(InstanceView& aView)
+{
+  if (!aView.isReplaced_) {
+    aView.isReplaced_ = true;
+    aView.isUnresponsive_ = true;
+    trace_.onInstance_(aView.StoredInstance().key_, "it has started again");
+  }
+}
+
 void FleetScheduler::OnStart(Millis aNow,
                              const StartOrder& aOrder,
                              const OrderResult& aResult)
@@ -79,6 +90,11 @@
     return;
   }
   const bool isUnresolved = run->phase_ == RunPhase::kOrdered;
+  // The deadline was computed from a lower bound of the clock.
+  if (aResult.clock_ &&
+      *aResult.clock_ < aOrder.deadline_ - options_.startTimeout_) {
+    MarkReplaced(*view);
+  }
   switch (aResult.status_) {
     case OrderStatus::kAccepted:
       run->acceptedClock_ = aResult.clock_;
@@ -170,16 +186,14 @@
   const bool isReplaced =
     aResult.status_ == OrderStatus::kAccepted && aListing.startedUnixMs_ != 0 &&
     aListing.startedUnixMs_ != aOrder.target_.instance_.startedUnixMs_;
-  if (isReplaced && !view->isReplaced_) {
-    trace_.onInstance_(aOrder.target_.instance_, "another incarnation replied");
+  if (isReplaced) {
+    MarkReplaced(*view);
   }
-  view->isReplaced_ = isReplaced;
   if (isReplaced || aResult.status_ != OrderStatus::kAccepted) {
     view->isUnresponsive_ = true;
     view->nextHoldAt_ = aNow + kListingRetryInterval;
     view->confirmedCursor_ = 0;
     view->avoidUntil_ = aNow + kAvoidAfterNoReply;
-    view->lastReplyAt_ = isReplaced ? aNow : view->lastReplyAt_;
     return;
   }
   if (!view->contacted_) {
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -409,6 +409,39 @@
   BOOST_TEST(b.running_.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(UnreportedNextIncarnationIsNotGivenUpEarly)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.Restart("a");
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::LongRunningStep(1, 1) });
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return a.running_.size() == 1; }, Millis(100)));
+  a.isReachable_ = false;
+  FakeInstance& b = fleet_.AddInstance("b", "layout");
+  BOOST_TEST(MaxCopies(FirstTask(job), Seconds(14)) == 1U);
+  BOOST_TEST(b.running_.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(NextIncarnationWhoseReportIsRejectedDoesNotKeepItsTasks)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout", 16, 5000);
+  fleet_.RunFor(Millis(100));
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 600) });
+  fleet_.RunFor(Millis(100));
+  fleet_.Restart("a");
+  a.record_.set_born_unix_ms(4000); // The time of day stepped back.
+  fleet_.AddInstance("b", "layout");
+  BOOST_TEST(fleet_.RunUntil(
+    [&] {
+      fleet_.Report(a);
+      return IsCompleted(job);
+    },
+    Seconds(14)));
+}
+
 // A listing for the former incarnation carries that one's end cursor.
 BOOST_AUTO_TEST_CASE(FormerEndCursorDoesNotConfirmEndsOfTheNextIncarnation)
 {
