Leave: mark the instance before the first look at its tasks

Change: the scheduler is told of the leave first, so that starts which are committed later are withheld; the 0.8 s are measured instead of counted. InstanceThatLeavesGetsNoStartThatIsCommittedLater fails if such a start is sent.

--- a/include/vanillahatch/core/jobs/report_changes.h
+++ b/include/vanillahatch/core/jobs/report_changes.h
@@ -12,6 +12,8 @@
 #include "vanillahatch/core/jobs/job_store.h"
 #include "vanillahatch/core/jobs/orders.h"
 
+#include <span>
+
 namespace vanillahatch {
 
 // Empty if the report contains no change, or is a late report of an earlier
@@ -22,11 +24,13 @@
 // same id; all of them if the report does not tell when it started (zero).
 v1::JobChanges ChangesForLeave(const JobStore& aStore,
                                const InstanceKey& aInstance);
-// The incarnations that `ChangesForLeave` would remove although tasks may run
-// on them. An instance goes on running its tasks until its leave is
-// acknowledged, so they have to end first.
-std::vector<InstanceKey> FindLeavingWithTasks(const JobStore& aStore,
-                                              const InstanceKey& aInstance);
+// The incarnations that `ChangesForLeave` removes.
+std::vector<InstanceKey> FindLeaving(const JobStore& aStore,
+                                     const InstanceKey& aInstance);
+// True if the store assigns tasks to one of the instances. One that leaves goes
+// on running them until its leave is acknowledged, so they have to end first.
+bool MayRunTasks(const JobStore& aStore,
+                 std::span<const InstanceKey> aInstances);
 // True if the store's state matches the report exactly. False for a late report
 // as well, because only the leader decides on reports that may be outdated.
 bool IsRecorded(const JobStore& aStore, const InstanceReport& aReport);
--- a/src/core/jobs/report_changes.cpp
+++ b/src/core/jobs/report_changes.cpp
@@ -1,5 +1,7 @@
 #include "vanillahatch/core/jobs/report_changes.h"
 
+#include <algorithm>
+
 namespace vanillahatch {
 
 namespace {
@@ -24,19 +26,6 @@
   return merged;
 }
 
-// The incarnation that leaves and earlier ones. A start time of 0 names all.
-std::vector<const Instance*> FindLeaving(const JobStore& aStore,
-                                         const InstanceKey& aInstance)
-{
-  std::vector<const Instance*> leaving =
-    aStore.FindInstancesById(aInstance.id_);
-  std::erase_if(leaving, [&](const Instance* aCandidate) {
-    return aInstance.startedUnixMs_ != 0 &&
-           aCandidate->key_.startedUnixMs_ > aInstance.startedUnixMs_;
-  });
-  return leaving;
-}
-
 bool IsSame(const v1::InstanceRecord& aLeft, const v1::InstanceRecord& aRight)
 {
   return aLeft.SerializeAsString() == aRight.SerializeAsString();
@@ -86,22 +75,35 @@
                                const InstanceKey& aInstance)
 {
   v1::JobChanges changes;
-  for (const Instance* instance : FindLeaving(aStore, aInstance)) {
-    AddRemoval(changes, instance->key_);
+  for (const InstanceKey& key : FindLeaving(aStore, aInstance)) {
+    AddRemoval(changes, key);
   }
   return changes;
 }
 
-std::vector<InstanceKey> FindLeavingWithTasks(const JobStore& aStore,
-                                              const InstanceKey& aInstance)
+std::vector<InstanceKey> FindLeaving(const JobStore& aStore,
+                                     const InstanceKey& aInstance)
 {
-  std::vector<InstanceKey> found;
-  for (const Instance* instance : FindLeaving(aStore, aInstance)) {
-    if (!instance->assigned_.empty()) {
-      found.push_back(instance->key_);
+  std::vector<InstanceKey> leaving;
+  for (const Instance* instance : aStore.FindInstancesById(aInstance.id_)) {
+    const bool isLater =
+      aInstance.startedUnixMs_ != 0 &&
+      instance->key_.startedUnixMs_ > aInstance.startedUnixMs_;
+    if (!isLater) {
+      leaving.push_back(instance->key_);
     }
   }
-  return found;
+  return leaving;
+}
+
+bool MayRunTasks(const JobStore& aStore,
+                 std::span<const InstanceKey> aInstances)
+{
+  return std::any_of(
+    aInstances.begin(), aInstances.end(), [&](const InstanceKey& aKey) {
+      const Instance* instance = aStore.FindInstance(aKey);
+      return instance != nullptr && !instance->assigned_.empty();
+    });
 }
 
 bool IsRecorded(const JobStore& aStore, const InstanceReport& aReport)
--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -176,28 +176,30 @@
 asio::awaitable<bool> FleetControl::AwaitEndOfTasks(
   const InstanceKey& aInstance)
 {
+  const std::vector<InstanceKey> leaving = store_.With(
+    [&](const JobStore& aStore) { return FindLeaving(aStore, aInstance); });
+  for (const InstanceKey& key : leaving) {
+    driver_.OnLeave(key);
+  }
+  const auto giveUpAt = std::chrono::steady_clock::now() +
+                        std::chrono::milliseconds(kMaxLeaveWait.Count());
   asio::steady_timer timer(co_await asio::this_coro::executor);
-  for (Millis waited; replica_.IsLeader();
-       waited = waited + kLeaveCheckInterval) {
-    const std::vector<InstanceKey> leaving =
-      store_.With([&](const JobStore& aStore) {
-        return FindLeavingWithTasks(aStore, aInstance);
-      });
-    if (leaving.empty()) {
+  // On another leader `Commit` names that one.
+  while (replica_.IsLeader()) {
+    const bool mayRun = store_.With(
+      [&](const JobStore& aStore) { return MayRunTasks(aStore, leaving); });
+    if (!mayRun) {
       co_return true;
     }
-    if (waited >= kMaxLeaveWait) {
+    if (std::chrono::steady_clock::now() >= giveUpAt) {
       co_return false;
     }
-    for (const InstanceKey& key : leaving) {
-      driver_.OnLeave(key);
-    }
     boost::system::error_code ignored;
     timer.expires_after(std::chrono::milliseconds(kLeaveCheckInterval.Count()));
     co_await timer.async_wait(
       asio::redirect_error(asio::use_awaitable, ignored));
   }
-  co_return true; // `Commit` names the leader.
+  co_return true;
 }
 
 asio::awaitable<ControlReply> FleetControl::Leave(InstanceKey aInstance)
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -442,6 +442,19 @@
     Seconds(14)));
 }
 
+BOOST_AUTO_TEST_CASE(InstanceThatLeavesGetsNoStartThatIsCommittedLater)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.holdsCommits_ = true;
+  fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 600) });
+  fleet_.RunFor(Millis(50));
+  fleet_.Scheduler().OnLeave(fleet_.Now(), ToKey(a.record_));
+  fleet_.CommitHeldProposals();
+  BOOST_TEST(a.startsAccepted_ == 0U);
+  BOOST_TEST(fleet_.StartsWithheld() == 1U);
+}
+
 // A listing for the former incarnation carries that one's end cursor.
 BOOST_AUTO_TEST_CASE(FormerEndCursorDoesNotConfirmEndsOfTheNextIncarnation)
 {
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -177,15 +177,15 @@
   bool Leave(const std::string& aId)
   {
     const InstanceKey key = ToKey(instances_.at(aId).record_);
-    const std::vector<InstanceKey> withTasks =
-      FindLeavingWithTasks(store_, key);
-    for (const InstanceKey& leaving : withTasks) {
-      scheduler_->OnLeave(now_, leaving);
+    const std::vector<InstanceKey> leaving = FindLeaving(store_, key);
+    for (const InstanceKey& each : leaving) {
+      scheduler_->OnLeave(now_, each);
     }
-    if (withTasks.empty()) {
+    const bool mayRun = MayRunTasks(store_, leaving);
+    if (!mayRun) {
       store_.Apply(ChangesForLeave(store_, key));
     }
-    return withTasks.empty();
+    return !mayRun;
   }
 
   // The instance starts again under its id, with a new clock and without its
