Process tests: tasks of runners that leave or start again under their id

The fake runner drops calls while it is unreachable, ends a stopped task with a delay, can start again under its id, and records when runs began and ended and its latest deadline; it does not end runs whose lease has expired.

--- a/test/process/fake_platform.py
+++ b/test/process/fake_platform.py
@@ -65,26 +65,45 @@
 
 
 class Runner:
-    """An instance whose tasks run for `run_s` seconds; records each start."""
+    """An instance whose tasks run for `run_s` seconds and end `stop_s` seconds
+    after a stop. Records each start, and when runs began and ended.
+
+    It does not end runs whose lease has expired."""
 
     def __init__(self, name, service, address, run_s=0.3):
         self.name = name
         self.service = service
         self.run_s = run_s
-        self.born = int(time.time() * 1000)
+        self.stop_s = 0
+        self.reachable = True
         self.lock = threading.Condition()
-        self.running = {}
-        self.ended = []
         self.started = []
-        self.fence = 0
-        self.sequence = 0
-        self.number = 0
+        self.began_at = {}
+        self.ended_at = {}
+        self.start_again()
         self.server = serve((address, 0), self.answer)
         self.address = self.server.server_address
 
+    def start_again(self):
+        """Begins the next incarnation, which knows nothing of the last one."""
+        with self.lock:
+            self.born = int(time.time() * 1000)
+            self.clock_zero = time.monotonic() - 5
+            self.deadline = 0
+            self.running = {}
+            self.ended = []
+            self.fence = 0
+            self.sequence = 0
+            self.number = 0
+            self.listings = 0
+
     def clock(self):
         """The runner's own clock in ms; differs from the test's."""
-        return int(time.monotonic() * 1000) + 5000
+        return int((time.monotonic() - self.clock_zero) * 1000)
+
+    def lease_expires_at(self):
+        """On the test's clock."""
+        return self.clock_zero + self.deadline / 1000
 
     def report(self, control):
         """Sends one heartbeat; True if it was acknowledged."""
@@ -94,44 +113,68 @@
                 "slots": 8, "born": self.born, "machine": "m-" + self.name,
                 "capacity": {"cpu": 16000, "mem_mb": 64000, "gpu": 0},
                 "labels": ["a", "r1"], "clock_ms": self.clock()}
-        path = "/api/instances/%s/heartbeat" % self.name
+        return self.post(control, "heartbeat", body) == 200
+
+    def leave(self, control):
+        """Says once that it leaves. Returns the status, 0 without a response."""
+        return self.post(control, "leave", {"born": self.born})
+
+    def post(self, control, what, body):
+        path = "/api/instances/%s/%s" % (self.name, what)
         try:
             for _ in range(3):
                 status, headers, _ = call(control, "POST", path, body)
                 if status != 307:
-                    return status == 200
+                    return status
                 host = headers["Location"].split("/")[2].split(":")
                 control = (host[0], int(host[1]))
         except OSError:
             pass
-        return False
+        return 0
 
     def end_due_runs(self):
         now = time.monotonic()
-        for task, (run, end) in list(self.running.items()):
+        for task, (run, end, how) in list(self.running.items()):
             if now >= end:
-                self.end(task, run, "done")
+                self.end(task, run, how)
 
     def end(self, task, run, how):
         del self.running[task]
+        self.ended_at[(task, run)] = time.monotonic()
         self.number += 1
         self.ended.append([self.number, task, run, how, ""])
         self.lock.notify_all()
 
     def answer(self, method, path, headers, body):
+        self.drop_if_unreachable()
+        reply = self.execute(path, body)
+        self.drop_if_unreachable()
+        return reply
+
+    def drop_if_unreachable(self):
+        if not self.reachable:
+            raise ConnectionAbortedError
+
+    def execute(self, path, body):
         with self.lock:
             token = body.get("fencing_token", 0)
             if token < self.fence:
                 return 409, {"clock_ms": self.clock(), "reason": "fence"}
             self.fence = token
+            self.deadline = max(self.deadline, body.get("deadline_ms", 0))
+            now = time.monotonic()
             if path == "/api/run-start":
-                self.started.append((body["task"], body["run"]))
-                self.running[body["task"]] = (body["run"],
-                                              time.monotonic() + self.run_s)
+                key = (body["task"], body["run"])
+                self.started.append(key)
+                self.began_at[key] = now
+                self.running[body["task"]] = (body["run"], now + self.run_s,
+                                              "done")
             elif path == "/api/run-stop":
                 run = self.running.get(body["task"])
                 if run and run[0] == body["run"]:
-                    self.end(body["task"], body["run"], "stopped")
+                    end = min(run[1], now + self.stop_s)
+                    self.running[body["task"]] = (run[0], end, "stopped")
+                    self.end_due_runs()
             elif path == "/api/hold":
                 self.ended = [row for row in self.ended
                               if row[0] > body["ack_cursor"]]
@@ -140,8 +183,9 @@
                 while not self.ended and time.monotonic() < until:
                     self.lock.wait(0.02)
                     self.end_due_runs()
+                self.listings += 1
                 rows = [[task, run, "", 100]
-                        for task, (run, _) in self.running.items()]
+                        for task, (run, *_) in self.running.items()]
                 return 200, {"clock_ms": self.clock(), "born": self.born,
                              "running": rows, "ended": self.ended}
             return 200, {"clock_ms": self.clock()}
--- a/test/process/platform_test.py
+++ b/test/process/platform_test.py
@@ -1,6 +1,7 @@
 """vh-scheduler and vh-gateway as processes, on a fake of the users' platform: a
 job from its POST to completion, a leader killed while tasks run, malformed
-messages, a reload of the settings and a graceful stop."""
+messages, a reload of the settings and a graceful stop; tasks of runners that
+leave or start again, which must not run twice."""
 
 import os
 import signal
@@ -30,6 +31,15 @@
     "limits": {}}
 
 
+def config_of(names):
+    """A queue and a service of its own for each name."""
+    return dict(
+        CONFIG,
+        routes=[dict(CONFIG["routes"][0], name=name, service=name,
+                     path_prefix="/%s/" % name) for name in names],
+        services=[dict(CONFIG["services"][0], name=name) for name in names])
+
+
 def free_port():
     with socket.socket() as probe:
         probe.bind((CORES[0], 0))
@@ -86,8 +96,8 @@
                 {"Host": "h.example", "X-Deadline-Ms": "3000"}, timeout=5)
 
 
-def state(job):
-    return client("GET", "/q/" + job)[2].get("state")
+def state(job, queue="q"):
+    return client("GET", "/%s/%s" % (queue, job))[2].get("state")
 
 
 def put_config(body):
@@ -127,7 +137,38 @@
         raise AssertionError(what)
 
 
-def run(folder, nodes):
+class Heartbeats:
+    """Reports each of its runners every 0.3 s."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.runners = []
+        self.stopped = False
+        threading.Thread(target=self.send, daemon=True).start()
+
+    def send(self):
+        while not self.stopped:
+            with self.lock:
+                for runner in self.runners:
+                    any(runner.report((core, CONTROL)) for core in CORES)
+            time.sleep(0.3)
+
+    def add(self, runner):
+        with self.lock:
+            self.runners.append(runner)
+
+    def remove(self, runner):
+        """No report of the runner is in flight afterwards."""
+        with self.lock:
+            self.runners.remove(runner)
+
+    def stop(self):
+        with self.lock:
+            self.stopped = True
+
+
+def start(folder, nodes, config):
+    """Starts three schedulers and a gateway. Returns the gateway."""
     cloud = serve((RUNNERS, 0),
                   lambda *_: (200, {"machines": [], "next_token": None}))
     cloud_text = "%s:%d" % cloud.server_address
@@ -140,20 +181,17 @@
     nodes.append(front)
     for node in nodes:
         node.start(first=True)
-    until("the configuration is accepted", lambda: put_config(CONFIG) == 200)
+    until("the configuration is accepted", lambda: put_config(config) == 200)
     until("the gateway is ready",
           lambda: call((FRONT, READY), "GET", "/api/ready")[0] == 200)
-    runner = Runner("i-1", "s", RUNNERS)
-    alive = [True]
+    return front
 
-    def beat():
-        while alive[0]:
-            for core in CORES:
-                if runner.report((core, CONTROL)):
-                    break
-            time.sleep(0.3)
 
-    threading.Thread(target=beat, daemon=True).start()
+def run(folder, nodes):
+    front = start(folder, nodes, CONFIG)
+    runner = Runner("i-1", "s", RUNNERS)
+    heartbeats = Heartbeats()
+    heartbeats.add(runner)
 
     # A job of two steps, from its POST to completed.
     job = {"spec": "text", "steps": [
@@ -207,15 +245,107 @@
     check(call((FRONT, READY), "GET", "/api/ready")[0] == 503, "not ready")
     check(state(first) == "completed", "it serves while it drains")
     check(front.process.wait(timeout=6) == 0, "it stops within its grace")
-    alive[0] = False
+    heartbeats.stop()
 
 
-def main():
+def submit(queue, job):
+    """A job of one task."""
+    status = client("POST", "/%s/%s" % (queue, job), {"spec": "", "steps": [
+        {"count": 1, "cpu": 500, "mem_mb": 10, "estimate_ms": 3000}]})[0]
+    check(status == 200, "job accepted: %s" % status)
+
+
+def add_runner(heartbeats, name, service, run_s=0.3):
+    """Adds a runner. Returns it once the leader has sent it an order."""
+    runner = Runner(name, service, RUNNERS, run_s)
+    heartbeats.add(runner)
+    until(name + " is in contact", lambda: runner.fence > 0)
+    return runner
+
+
+def leave(runner):
+    """The status of the reply, and after how many seconds it came."""
+    control = (leader(), CONTROL)
+    asked_at = time.monotonic()
+    status = runner.leave(control)
+    return status, time.monotonic() - asked_at
+
+
+def check_leave_is_not_acknowledged_while_its_task_runs(heartbeats):
+    job = "00000000000000a1"
+    leaving = add_runner(heartbeats, "i-1", "leave", run_s=60)
+    leaving.stop_s = 0.4
+    submit("leave", job)
+    until("its task runs", lambda: leaving.started)
+    other = add_runner(heartbeats, "i-2", "leave")
+    heartbeats.remove(leaving)
+    until("the leave is acknowledged", lambda: leave(leaving)[0] == 200)
+    check(not leaving.running, "acknowledged while the task runs")
+    until("the job completes", lambda: state(job, "leave") == "completed")
+    check(len(leaving.started) == 1, "one start there: %s" % leaving.started)
+    check(len(other.started) == 1, "one start elsewhere: %s" % other.started)
+    check(other.began_at[other.started[0]]
+          >= leaving.ended_at[leaving.started[0]],
+          "started elsewhere while it runs")
+
+
+def check_leave_of_an_unreachable_runner_frees_no_task_under_its_lease(
+        heartbeats):
+    job = "00000000000000b1"
+    silent = add_runner(heartbeats, "i-3", "silent", run_s=60)
+    submit("silent", job)
+    until("its task runs", lambda: silent.started)
+    other = add_runner(heartbeats, "i-4", "silent")
+    heartbeats.remove(silent)
+    silent.reachable = False
+    status, seconds = leave(silent)
+    check(status == 503, "not acknowledged: %s" % status)
+    check(seconds < 1, "replied before a caller gives up: %.2f s" % seconds)
+    until("the leave is acknowledged", lambda: leave(silent)[0] == 200)
+    check(time.monotonic() >= silent.lease_expires_at(),
+          "acknowledged under its lease")
+    until("the job completes", lambda: state(job, "silent") == "completed")
+    check(len(silent.started) == 1, "one start there: %s" % silent.started)
+    check(len(other.started) == 1, "one start elsewhere: %s" % other.started)
+    check(other.began_at[other.started[0]] >= silent.lease_expires_at(),
+          "started elsewhere under its lease")
+
+
+def check_task_started_on_the_next_incarnation_is_not_started_elsewhere(
+        heartbeats):
+    job = "00000000000000c1"
+    again = add_runner(heartbeats, "i-5", "again", run_s=5)
+    heartbeats.remove(again)
+    again.start_again()
+    submit("again", job)
+    until("the next incarnation runs the task", lambda: again.started)
+    other = add_runner(heartbeats, "i-6", "again")
+    until("it is listed before its report", lambda: again.listings > 0)
+    time.sleep(0.5)
+    check(not other.started, "started elsewhere before the report")
+    heartbeats.add(again)
+    until("the job completes", lambda: state(job, "again") == "completed")
+    check(len(again.started) == 1 and not other.started,
+          "one start: %s %s" % (again.started, other.started))
+
+
+def run_once(folder, nodes):
+    start(folder, nodes, config_of(("leave", "silent", "again")))
+    heartbeats = Heartbeats()
+    check_leave_is_not_acknowledged_while_its_task_runs(heartbeats)
+    check_leave_of_an_unreachable_runner_frees_no_task_under_its_lease(
+        heartbeats)
+    check_task_started_on_the_next_incarnation_is_not_started_elsewhere(
+        heartbeats)
+    heartbeats.stop()
+
+
+def run_in_deployment(scenario, what):
     nodes = []
     with tempfile.TemporaryDirectory() as folder:
         try:
-            run(folder, nodes)
-            print("platform: whole path, leader killed, reload, stop: ok")
+            scenario(folder, nodes)
+            print("platform: %s: ok" % what)
         except BaseException:
             for name in sorted(os.listdir(folder)):
                 if name.endswith(".log"):
@@ -228,5 +358,10 @@
                 node.stop()
 
 
+def main():
+    run_in_deployment(run, "whole path, leader killed, reload, stop")
+    run_in_deployment(run_once, "no task twice as runners leave or start again")
+
+
 if __name__ == "__main__":
     main()
