Gateway: a refusal after an attempt that may be stored is unknown

What callers saw: a submission or cancellation answered 503 with `ran: no` (JOB_CALL_REFUSED, "nothing was stored, nothing will run"), although an earlier attempt of the same call had been stored. A caller that submits the job under another id then has it run twice.

Cause: the gateway sends a call without a reply, or with an unknown outcome, again, and returned the reply to the later attempt as it was. The leader refuses an attempt that it has not appended, or when it holds too many jobs; it says nothing about earlier attempts, which a former leader may have committed or may yet commit. The gateway remembered them (`mayBeStored`) but only used this if no attempt was answered.

Change: a refused submission or cancellation is returned as JOB_CALL_UNKNOWN once an earlier attempt may be stored. A refused read stays a refusal, since it stores nothing.

--- a/src/gateway/job_gateway.cpp
+++ b/src/gateway/job_gateway.cpp
@@ -253,6 +253,13 @@
   const Millis elapsed = clock_.Now() - startedAt;
   metrics_.Observe("vh_call_milliseconds",
                    static_cast<double>(elapsed.Count()));
+  // The leader refused its attempt only; an earlier one may be stored.
+  const bool isRefusalUncertain = mayBeStored &&
+                                  aCall.kind_ != JobCallKind::kShow && result &&
+                                  result->status() == v1::JOB_CALL_REFUSED;
+  if (isRefusalUncertain) {
+    result->set_status(v1::JOB_CALL_UNKNOWN);
+  }
   if (!result) {
     result.emplace();
     result->set_status(mayBeStored ? v1::JOB_CALL_UNKNOWN
--- a/src/gateway/job_gateway.h
+++ b/src/gateway/job_gateway.h
@@ -9,7 +9,8 @@
 //   const v1::JobReply reply = co_await gateway.Handle(call);
 //
 // JOB_CALL_UNKNOWN: the change may or may not be stored. JOB_CALL_REFUSED: no
-// replica could serve the call. The caller may retry after either.
+// replica served the call, and no attempt has stored anything. The caller may
+// retry after either.
 #pragma once
 
 #include "gateway/leader_finder.h"
--- /dev/null
+++ b/test/job_gateway_test.cpp
@@ -0,0 +1,173 @@
+#define BOOST_TEST_MODULE job_gateway
+#include "gateway/job_gateway.h"
+
+#include "vanillahatch/shell/system_clock.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/test/unit_test.hpp>
+#include <deque>
+#include <mutex>
+#include <thread>
+
+using namespace vanillahatch;
+namespace asio = boost::asio;
+
+namespace {
+
+constexpr const char* kLoopback = "127.0.0.1";
+constexpr std::chrono::milliseconds kTimeUntilFailure(300);
+
+// One reply of the leader; without a status the RPC fails.
+using Step = std::optional<v1::JobCallStatus>;
+
+// A leader that replies to job calls as a test has planned.
+class FakeLeader : public v1::JobService::CallbackService
+{
+public:
+  explicit FakeLeader(std::deque<Step> aSteps)
+    : steps_(std::move(aSteps))
+  {
+  }
+
+  grpc::ServerUnaryReactor* Submit(grpc::CallbackServerContext* aContext,
+                                   const v1::SubmitRequest* /*aRequest*/,
+                                   v1::JobReply* aReply) override
+  {
+    return Reply(aContext, *aReply);
+  }
+
+  grpc::ServerUnaryReactor* Show(grpc::CallbackServerContext* aContext,
+                                 const v1::JobRequest* /*aRequest*/,
+                                 v1::JobReply* aReply) override
+  {
+    return Reply(aContext, *aReply);
+  }
+
+  grpc::ServerUnaryReactor* Cancel(grpc::CallbackServerContext* aContext,
+                                   const v1::JobRequest* /*aRequest*/,
+                                   v1::JobReply* aReply) override
+  {
+    return Reply(aContext, *aReply);
+  }
+
+  grpc::ServerUnaryReactor* Members(grpc::CallbackServerContext* aContext,
+                                    const v1::MembersRequest* /*aRequest*/,
+                                    v1::MembersReply* aReply) override
+  {
+    grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
+    aReply->set_leader(kLoopback);
+    aReply->set_in_force(true);
+    aReply->add_members(kLoopback);
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+
+  size_t StepsLeft()
+  {
+    const std::lock_guard lock(mutex_);
+    return steps_.size();
+  }
+
+private:
+  grpc::ServerUnaryReactor* Reply(grpc::CallbackServerContext* aContext,
+                                  v1::JobReply& aReply)
+  {
+    grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
+    const Step step = TakeStep();
+    if (step) {
+      aReply.set_status(*step);
+      reactor->Finish(grpc::Status::OK);
+    } else {
+      // The gateway must look for the leader again before it gives the call up.
+      std::this_thread::sleep_for(kTimeUntilFailure);
+      reactor->Finish({ grpc::StatusCode::UNAVAILABLE, "no reply" });
+    }
+    return reactor;
+  }
+
+  Step TakeStep()
+  {
+    const std::lock_guard lock(mutex_);
+    if (steps_.empty()) {
+      return std::nullopt;
+    }
+    const Step step = steps_.front();
+    steps_.pop_front();
+    return step;
+  }
+
+  std::mutex mutex_; // guards steps_
+  std::deque<Step> steps_;
+};
+
+// Returns the status of a call whose attempts the leader answers with `aSteps`.
+v1::JobCallStatus Call(JobCallKind aKind, std::deque<Step> aSteps)
+{
+  FakeLeader leader(std::move(aSteps));
+  grpc::ServerBuilder builder;
+  int port = 0;
+  builder.AddListeningPort(
+    std::string(kLoopback) + ":0", grpc::InsecureServerCredentials(), &port);
+  builder.RegisterService(&leader);
+  const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+  BOOST_REQUIRE(server);
+
+  asio::io_context io;
+  Metrics metrics;
+  const SystemClock clock;
+  JobGateway gateway(
+    io,
+    { .seeds_ = { kLoopback }, .port_ = static_cast<uint16_t>(port) },
+    metrics,
+    clock);
+  gateway.Start();
+  v1::JobReply reply;
+  asio::co_spawn(
+    io,
+    [&]() -> asio::awaitable<void> {
+      reply =
+        co_await gateway.Handle({ .kind_ = aKind, .timeout_ = Seconds(5) });
+      gateway.Stop();
+    },
+    asio::detached);
+  io.run();
+  BOOST_TEST(leader.StepsLeft() == 0U);
+  return reply.status();
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(RefusalAfterAnAttemptWithoutReplyIsUnknown)
+{
+  for (const JobCallKind kind :
+       { JobCallKind::kSubmit, JobCallKind::kCancel }) {
+    BOOST_TEST(Call(kind, { std::nullopt, v1::JOB_CALL_REFUSED }) ==
+               v1::JOB_CALL_UNKNOWN);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusalAfterAnAttemptOfUnknownOutcomeIsUnknown)
+{
+  BOOST_TEST(Call(JobCallKind::kSubmit,
+                  { v1::JOB_CALL_UNKNOWN, v1::JOB_CALL_REFUSED }) ==
+             v1::JOB_CALL_UNKNOWN);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalOfTheOnlyAttemptStaysARefusal)
+{
+  BOOST_TEST(Call(JobCallKind::kSubmit, { v1::JOB_CALL_REFUSED }) ==
+             v1::JOB_CALL_REFUSED);
+}
+
+BOOST_AUTO_TEST_CASE(AcceptanceAfterAnAttemptWithoutReplyIsKnown)
+{
+  BOOST_TEST(Call(JobCallKind::kSubmit, { std::nullopt, v1::JOB_CALL_OK }) ==
+             v1::JOB_CALL_OK);
+}
+
+BOOST_AUTO_TEST_CASE(RefusalOfAReadStaysARefusal)
+{
+  BOOST_TEST(Call(JobCallKind::kShow, { std::nullopt, v1::JOB_CALL_REFUSED }) ==
+             v1::JOB_CALL_REFUSED);
+}
