Grantor: recovery counts from the first request, not from the start of the process

An instance could be used for two pools at once after the list of control replicas had changed.

Cause: a grantor is created with the first request for its data centre, but counted its recovery from the start of the process, on the ground that every grant of a predecessor is older. That is so after a restart, not if another replica was the grantor until the entries got a new list: a replica that has run for 2 s longer than they gave grants at once, while entries held those of the other for up to 2 s more, and confirmed drains 30 s early.

Change: recovery counts from the first request. This also covers a replica that became the grantor long after its start.

--- a/src/control/grantor_host.cpp
+++ b/src/control/grantor_host.cpp
@@ -21,7 +21,6 @@
   , self_(aSelf)
   , state_(aState)
   , propose_(std::move(aPropose))
-  , startedAt_(clock_.Now())
   , incarnation_(aSelf.name_.Str() + "/" +
                  std::to_string(clock_.UnixNow().Count()))
 {
@@ -84,10 +83,10 @@
   for (const EntrySettings& entry : settings_.entries_) {
     options.expectedHolders_.insert(entry.name_);
   }
-  // Recovery counts from the start of the process: every grant of a predecessor
-  // is older.
+  // Recovery counts from the first request and not from the start of the
+  // process, during which another replica may have been the grantor.
   auto grantor = std::make_unique<Grantor>(
-    std::move(options), MakeUndividedSlots(), startedAt_);
+    std::move(options), MakeUndividedSlots(), clock_.Now());
   grantor->OnState(state_.State());
   return grantors_.emplace(aDataCentre, std::move(grantor)).first->second.get();
 }
--- a/src/control/grantor_host.h
+++ b/src/control/grantor_host.h
@@ -52,7 +52,6 @@
   ControlState& state_;
   ProposeFunction propose_;
   SystemClock clock_;
-  Millis startedAt_;
   std::string incarnation_;
 
   mutable std::mutex mutex_; // guards grantors_
