Entry: a dispatched job is not sent after its grant has expired

PROOF.md listed a freeze between the decision and the first byte as not proved.

Cause: the entry checks the grant when it decides (SlotTable::HasValidLeases). The request then goes to another thread and may wait for a connection for as long as the job's deadline allows, or the process stands still. The first byte left however old the grant was by then, when the instance may have been moved and granted to another pool. The model (grants.pml, Act) has the check and the act in one step; FROZEN_HOLDER_ACTS is the twin without it, and fails.

Change: Dispatch names the last time at which the job may be sent, 1 ms before its grant expires, and HttpClient, which already had such a bound for orders, checks it right before the first byte. The attempt ends as not sent, so the job is tried elsewhere or refused with `ran: no`. It counts against the instance's health like any attempt that was not sent.

Evidence: DispatchThatIsDelayedMustLeaveBeforeItsGrantExpires failed before (no bound instead of 99 ms) and passes. That the entry passes the bound to the client is read, not tested. entry_core_test and http_client_test pass; stop_test: 4360 calls in 6 stops, none lost.

--- a/include/vanillahatch/core/entry_core.h
+++ b/include/vanillahatch/core/entry_core.h
@@ -152,9 +152,10 @@
   AttemptNumber attempt_{};
   InstanceName instance_;
   Endpoint endpoint_;
-  Millis timeLeft_;         // until the job's deadline
-  uint32_t candidates_ = 0; // upstreams with a usable slot, for the log
-  std::string reason_;      // of the choice, for the log
+  Millis timeLeft_;               // until the job's deadline
+  Millis sendBy_ = Millis::Max(); // after it, the job must not be sent
+  uint32_t candidates_ = 0;       // upstreams with a usable slot, for the log
+  std::string reason_;            // of the choice, for the log
 };
 
 // Close the attempt's connection, so that a late answer is discarded.
--- a/models/grants.pml
+++ b/models/grants.pml
@@ -19,7 +19,7 @@
  *                      AssignInstance (drained, epoch + 1)
  *   Restart            Grantor's constructor (recoveryEndsAt_)
  *   Send, Reply        GrantHolder::Tick, GrantHolder::OnReply
- *   Act                the check of Grant::expiresAt_ at dispatch (EntryCore)
+ *   Act                the check of Dispatch::sendBy_ (HttpClient::Exchange)
  *   Tick               time: GrantHolder::ExpireTable, Grantor::ExpireSessions
  */
 
--- a/src/core/entry_core.cpp
+++ b/src/core/entry_core.cpp
@@ -391,6 +391,9 @@
     .instance_ = upstream.instance_,
     .endpoint_ = upstream.endpoint_,
     .timeLeft_ = aJob.request_.deadline_ - aNow,
+    .sendBy_ = options_.requireGrants_
+                 ? aChoice.upstream_->grant_->expiresAt_ - Millis(1)
+                 : Millis::Max(),
     .candidates_ = aChoice.candidates_,
     .reason_ = aJob.attempts_ > 1 ? "retry" : std::string(routingReason_) });
   timers_.push({ .at_ = aNow + StallTimeout(aJob, aService, aNow),
--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -392,8 +392,11 @@
   HttpRequest request = MakeUpstreamRequest(job->httpRequest_, job->publicId_);
   auto abort = std::make_shared<ExchangeAbort>();
   exchangesInFlight_[aDispatch.attempt_] = abort;
-  ExchangeResult result = co_await httpClient_.Exchange(
-    aDispatch.endpoint_, std::move(request), aDispatch.timeLeft_, abort);
+  ExchangeResult result = co_await httpClient_.Exchange(aDispatch.endpoint_,
+                                                        std::move(request),
+                                                        aDispatch.timeLeft_,
+                                                        abort,
+                                                        aDispatch.sendBy_);
   exchangesInFlight_.erase(aDispatch.attempt_);
   if (result.status_ == ExchangeStatus::kAnswered) {
     ended.result_ = AttemptResult::kAnswered;
--- a/test/entry_core_test.cpp
+++ b/test/entry_core_test.cpp
@@ -98,6 +98,19 @@
   BOOST_TEST(CountOf<Dispatch>(after) == 0U);
 }
 
+BOOST_AUTO_TEST_CASE(DispatchThatIsDelayedMustLeaveBeforeItsGrantExpires)
+{
+  EntryHarness harness(GrantsRequired());
+  harness.core_.Handle(MakeGrant(1, 2, Millis(100)), Millis(2));
+  const auto actions = harness.core_.Handle(MakeJob(1), Millis(3));
+  BOOST_REQUIRE(CountOf<Dispatch>(actions) == 1U);
+  for (const EntryAction& action : actions) {
+    if (const auto* dispatch = std::get_if<Dispatch>(&action)) {
+      BOOST_TEST(dispatch->sendBy_.Count() == 99);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(GrantOfLowerEpochIsIgnored)
 {
   EntryHarness harness(GrantsRequired());
