--- a/test/process/platform_test.py
+++ b/test/process/platform_test.py
@@ -289,6 +289,23 @@
           "started elsewhere while it runs")
 
 
+def check_start_under_way_is_not_sent_to_a_leaving_runner(heartbeats):
+    control = (leader(), CONTROL)
+    for i in range(40):
+        job = "%016x" % (0xd0 << 8 | i)
+        runner = add_runner(heartbeats, "i-d%d" % i, "race", run_s=60)
+        heartbeats.remove(runner)
+        submitting = threading.Thread(target=submit, args=("race", job))
+        submitting.start()
+        time.sleep(i * 0.0003)  # the leave meets each step of the start
+        until("the leave is acknowledged",
+              lambda: runner.leave(control) == 200)
+        submitting.join()
+        time.sleep(0.05)  # until a start that was sent has arrived
+        check(not runner.running, "acknowledged while the task runs, %d" % i)
+        check(client("DELETE", "/race/" + job)[0] == 200, "cancelled")
+
+
 def check_leave_of_an_unreachable_runner_frees_no_task_under_its_lease(
         heartbeats):
     job = "00000000000000b1"
@@ -330,9 +347,10 @@
 
 
 def run_once(folder, nodes):
-    start(folder, nodes, config_of(("leave", "silent", "again")))
+    start(folder, nodes, config_of(("leave", "race", "silent", "again")))
     heartbeats = Heartbeats()
     check_leave_is_not_acknowledged_while_its_task_runs(heartbeats)
+    check_start_under_way_is_not_sent_to_a_leaving_runner(heartbeats)
     check_leave_of_an_unreachable_runner_frees_no_task_under_its_lease(
         heartbeats)
     check_task_started_on_the_next_incarnation_is_not_started_elsewhere(
