Scheduler: an idle instance that started again is given up as well

An idle instance whose reports are rejected, since the time of day stepped back between its incarnations, was therefore never used again. And under a new leader the wait for its longest lease counted from no grant at all.

Change: such an instance is given up, with runs or without, once the longest lease has passed since any leader can have granted one.

Evidence: IdleInstanceWhoseReportIsRejectedIsUsedAgain failed before (not taken in within 40 s) and passes; so do the other tests of the scheduler.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -218,6 +218,7 @@
   {
     return aNow < leaderLeaseExpiresAt_;
   }
+  bool HasLostInstance(Millis aNow, const InstanceView& aView) const;
   void RemoveUnreachable(Millis aNow);
   void SendRequestedStops(Millis aNow);
   void RemoveFinishedJobs(Millis aNow);
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -144,9 +144,10 @@
   bool pollInFlight_ = false; // a listing with an immediate reply
   Millis nextHoldAt_;
   Millis lastReplyAt_;
-  Millis busySince_;             // an idle instance gets no listing requests
-  Millis lastReportAt_;          // its latest unsolicited report
-  Millis lastGrantAt_;           // of its latest start or renewal of the lease
+  Millis busySince_;    // an idle instance gets no listing requests
+  Millis lastReportAt_; // its latest unsolicited report
+  // Time of the latest start or renewal of the lease, by any leader.
+  Millis lastGrantAt_;
   uint64_t listings_ = 0;        // number of listings processed
   uint64_t confirmedCursor_ = 0; // end cursor last confirmed to the instance
   uint64_t proposedCursor_ = 0;  // end cursor including uncommitted proposals
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -240,8 +240,27 @@
   trace_.onInstance_(aView.StoredInstance().key_, aReason);
 }
 
-// Removes unreachable instances once their leases have expired, so that no task
-// can run there.
+// True once no task can run on the instance any more and it does not reply.
+bool FleetScheduler::HasLostInstance(Millis aNow,
+                                     const InstanceView& aView) const
+{
+  if (aView.isReplaced_) {
+    const InstanceLease ofNextIncarnation(options_.longestLease_,
+                                          aView.lastGrantAt_ + kMaxOrderDelay);
+    return ofNextIncarnation.HasExpired(aNow);
+  }
+  const bool isUnresponsive = aNow - aView.lastReplyAt_ > options_.lease_ &&
+                              aNow - aView.lastReportAt_ > options_.lease_;
+  const Millis unresponsiveSince =
+    std::max(aView.lastReplyAt_, aView.busySince_);
+  const bool isUnreachable =
+    aView.HasRuns() && aNow - unresponsiveSince > options_.lease_;
+  const bool isNeverContacted =
+    !aView.HasRuns() && isUnresponsive && !aView.contacted_;
+  return (isUnreachable || isNeverContacted) && aView.Lease().HasExpired(aNow);
+}
+
+// Removes instances that are lost, so that their tasks start elsewhere.
 void FleetScheduler::RemoveUnreachable(Millis aNow)
 {
   if (aNow - unreachableCheckedAt_ < kUnreachableCheckInterval) {
@@ -250,20 +269,7 @@
   unreachableCheckedAt_ = aNow;
   for (InstanceView* each : allViews_) {
     InstanceView& view = *each;
-    const bool isUnresponsive = aNow - view.lastReplyAt_ > options_.lease_ &&
-                                aNow - view.lastReportAt_ > options_.lease_;
-    const Millis unresponsiveSince =
-      std::max(view.lastReplyAt_, view.busySince_);
-    const bool isUnreachable =
-      view.HasRuns() && aNow - unresponsiveSince > options_.lease_;
-    const bool isNeverContacted =
-      !view.HasRuns() && isUnresponsive && !view.contacted_;
-    const bool hasExpired =
-      view.isReplaced_ ? InstanceLease(options_.longestLease_,
-                                       view.lastGrantAt_ + kMaxOrderDelay)
-                           .HasExpired(aNow)
-                       : view.Lease().HasExpired(aNow);
-    if ((isUnreachable || isNeverContacted) && hasExpired) {
+    if (HasLostInstance(aNow, view)) {
       ProposeRemoval(
         view, RemovalKind::kUnreachable, "lease expired while unreachable");
     }
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -31,6 +31,7 @@
   : lastBusyAt_(aNow)
   , lastReplyAt_(aNow)
   , lastReportAt_(aNow)
+  , lastGrantAt_(aLastGrantAt)
   , confirmedCursor_(0)
   , proposedCursor_(aInstance.record_.end_cursor())
   , instance_(&aInstance)
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -442,6 +442,21 @@
     Seconds(14)));
 }
 
+BOOST_AUTO_TEST_CASE(IdleInstanceWhoseReportIsRejectedIsUsedAgain)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout", 16, 5000);
+  fleet_.RunFor(Millis(100));
+  fleet_.Restart("a");
+  a.record_.set_born_unix_ms(4000); // The time of day stepped back.
+  BOOST_TEST(fleet_.RunUntil(
+    [&] {
+      fleet_.Report(a);
+      return fleet_.Store().FindInstance(ToKey(a.record_)) != nullptr;
+    },
+    Seconds(40)));
+  RunOneJob("j1");
+}
+
 BOOST_AUTO_TEST_CASE(InstanceThatLeavesGetsNoStartThatIsCommittedLater)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
