--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -45,6 +45,7 @@
   kLogDiskFailed = 423,
   kLogCompacted = 424,
   kLogRestored = 425,
+  kLogEntryUnreadable = 426,
   kOverloaded = 500,
   kLogLinesDropped = 501,
   kHandlerFailed = 502,
--- a/src/control/control_replica.cpp
+++ b/src/control/control_replica.cpp
@@ -33,6 +33,9 @@
     case ProposalStatus::kOverloaded:
       return MakeRejection(
         v1::CHANGE_UNAVAILABLE, "overloaded or stopping", aResult.leader_);
+    case ProposalStatus::kUnreadable:
+      return MakeRejection(
+        v1::CHANGE_INVALID, "the change cannot be parsed", aResult.leader_);
     case ProposalStatus::kUnknown:
       break;
   }
@@ -63,10 +66,13 @@
 
 } // namespace
 
-std::string ControlReplica::StateAdapter::Apply(const std::string& aPayload)
+std::optional<std::string> ControlReplica::StateAdapter::Apply(
+  const std::string& aPayload)
 {
   v1::Change change;
-  change.ParseFromString(aPayload);
+  if (!change.ParseFromString(aPayload)) {
+    return std::nullopt;
+  }
   return state_.ApplyCommitted(change).SerializeAsString();
 }
 
--- a/src/control/control_replica.h
+++ b/src/control/control_replica.h
@@ -74,7 +74,7 @@
       : state_(aState)
     {
     }
-    std::string Apply(const std::string& aPayload) override;
+    std::optional<std::string> Apply(const std::string& aPayload) override;
     std::string Snapshot() const override { return state_.Snapshot(); }
     bool Restore(const std::string& aBytes) override
     {
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -377,20 +377,28 @@
               { "bytes", aActions.restored_->size() } });
   }
   for (const v1::LogEntry& entry : aActions.committed_) {
-    std::string reply;
+    std::optional<std::string> reply = std::string();
     if (entry.has_payload()) {
       reply = state_.Apply(entry.payload());
     }
+    if (!reply) {
+      LogError(Event::kLogEntryUnreadable,
+               { { "index", entry.index() },
+                 { "term", entry.term() },
+                 { "bytes", entry.payload().size() } });
+    }
     const auto proposal = pendingProposals_.find(entry.index());
     if (proposal == pendingProposals_.end()) {
       continue;
     }
-    // An entry of another term at this index has overwritten the proposal.
-    const bool isSameEntry = proposal->second.term_ == entry.term();
-    proposal->second.done_({ .status_ = isSameEntry
-                                          ? ProposalStatus::kCommitted
-                                          : ProposalStatus::kNotLeader,
-                             .reply_ = std::move(reply),
+    ProposalStatus status = ProposalStatus::kCommitted;
+    if (proposal->second.term_ != entry.term()) {
+      status = ProposalStatus::kNotLeader; // overwritten by another entry
+    } else if (!reply) {
+      status = ProposalStatus::kUnreadable;
+    }
+    proposal->second.done_({ .status_ = status,
+                             .reply_ = std::move(reply).value_or(""),
                              .leader_ = log_->LeaderName() });
     pendingProposals_.erase(proposal);
   }
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -33,8 +33,9 @@
 public:
   virtual ~ReplicatedState() = default;
   // Applies one committed payload, in log order; the result is passed to the
-  // proposer.
-  virtual std::string Apply(const std::string& aPayload) = 0;
+  // proposer. `nullopt`, with the state unchanged, if the payload cannot be
+  // parsed.
+  virtual std::optional<std::string> Apply(const std::string& aPayload) = 0;
   // The serialized state, as `Restore` reads it.
   virtual std::string Snapshot() const = 0;
   // Replaces the state. False if the bytes cannot be parsed.
@@ -47,6 +48,7 @@
   kNotLeader,  // it will not be committed; `leader_` may name the leader
   kOverloaded, // it will not be committed
   kUnknown,    // it may have been committed
+  kUnreadable, // it cannot be parsed and has no effect on any replica
 };
 
 struct ProposalResult
--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -103,6 +103,9 @@
         SetStatus(*aReply, v1::JOB_CALL_REFUSED, "too many changes wait");
         aReply->set_retry_after_ms(kRetryAfterUnavailableMs);
         break;
+      case ProposalStatus::kUnreadable:
+        SetStatus(*aReply, v1::JOB_CALL_INVALID, "the job cannot be stored");
+        break;
       case ProposalStatus::kUnknown:
         SetStatus(*aReply, v1::JOB_CALL_UNKNOWN, "no quorum answered in time");
         break;
--- a/src/scheduler/job_store_replica.cpp
+++ b/src/scheduler/job_store_replica.cpp
@@ -2,13 +2,15 @@
 
 namespace vanillahatch {
 
-std::string JobStoreReplica::Apply(const std::string& aPayload)
+std::optional<std::string> JobStoreReplica::Apply(const std::string& aPayload)
 {
   v1::JobChanges changes;
-  changes.ParseFromString(aPayload);
+  if (!changes.ParseFromString(aPayload)) {
+    return std::nullopt;
+  }
   std::lock_guard lock(mutex_);
   store_.Apply(changes);
-  return {};
+  return std::string();
 }
 
 std::string JobStoreReplica::Snapshot() const
--- a/src/scheduler/job_store_replica.h
+++ b/src/scheduler/job_store_replica.h
@@ -16,7 +16,7 @@
 class JobStoreReplica : public ReplicatedState
 {
 public:
-  std::string Apply(const std::string& aPayload) override;
+  std::optional<std::string> Apply(const std::string& aPayload) override;
   std::string Snapshot() const override;
   bool Restore(const std::string& aBytes) override;
 
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -43,6 +43,7 @@
   EventEntry{ Event::kLogDiskFailed, "log-disk-failed" },
   EventEntry{ Event::kLogCompacted, "log-compacted" },
   EventEntry{ Event::kLogRestored, "log-restored" },
+  EventEntry{ Event::kLogEntryUnreadable, "log-entry-unreadable" },
   EventEntry{ Event::kOverloaded, "overloaded" },
   EventEntry{ Event::kLogLinesDropped, "log-lines-dropped" },
   EventEntry{ Event::kHandlerFailed, "handler-failed" },
