--- a/src/core/fleet_config.cpp
+++ b/src/core/fleet_config.cpp
@@ -82,7 +82,7 @@
   v1::AnsweredChange answered;
   answered.set_change_id(aChange.change_id());
   answered.set_proposed_at_unix_ms(aChange.proposed_at_unix_ms());
-  *answered.mutable_reply() = aReply;
+  answered.set_reply(aReply.SerializeAsString());
   answerById_[aChange.change_id()] = aReply;
   answers_.push_back(std::move(answered));
   if (answers_.size() > kMaxKeptAnswers) {
@@ -124,7 +124,12 @@
   answers_.assign(snapshot.answers().begin(), snapshot.answers().end());
   answerById_.clear();
   for (const v1::AnsweredChange& answered : answers_) {
-    answerById_[answered.change_id()] = answered.reply();
+    v1::ChangeReply& reply = answerById_[answered.change_id()];
+    if (!reply.ParseFromString(answered.reply())) {
+      // Earlier releases stored a `detail` that is not UTF-8. The fields before
+      // it have been parsed.
+      reply.clear_detail();
+    }
   }
   return true;
 }
--- a/src/core/fleet_config_checks.cpp
+++ b/src/core/fleet_config_checks.cpp
@@ -11,6 +11,7 @@
 namespace {
 
 constexpr size_t kMaxReasonBytes = 500;
+constexpr size_t kMaxQuotedBytes = 100;
 constexpr uint32_t kMaxPriority = 1000;
 constexpr std::string_view kNameRequirement =
   "accepted are 1 to 100 letters, digits and -_.";
@@ -48,13 +49,27 @@
   }
 }
 
+// The first `aMaxBytes` bytes of UTF-8 text without a partial character.
+std::string_view CutUtf8(std::string_view aText, size_t aMaxBytes)
+{
+  const auto isContinuation = [](char aByte) {
+    return (static_cast<unsigned char>(aByte) & 0xC0U) == 0x80U;
+  };
+  size_t length = std::min(aText.size(), aMaxBytes);
+  while (length > 0 && length < aText.size() && isContinuation(aText[length])) {
+    --length;
+  }
+  return aText.substr(0, length);
+}
+
 std::string CheckName(std::string_view aField, std::string_view aName)
 {
   if (IsValidConfigName(aName)) {
     return {};
   }
-  return std::string(aField) + ": \"" + std::string(aName.substr(0, 100)) +
-         "\"; " + std::string(kNameRequirement);
+  return std::string(aField) + ": \"" +
+         std::string(CutUtf8(aName, kMaxQuotedBytes)) + "\"; " +
+         std::string(kNameRequirement);
 }
 
 std::string CheckReason(std::string_view aReason)
--- a/test/fleet_config_test.cpp
+++ b/test/fleet_config_test.cpp
@@ -305,3 +305,34 @@
   BOOST_TEST(!entry.Adopt(SetDefault("c", "3"), 3));
   BOOST_TEST(entry.Revision() == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(RefusedNameThatIsCutDoesNotMakeTheSnapshotUnreadable)
+{
+  FleetConfig config;
+  const std::string twoBytes = "\u00fc";
+  const v1::ChangeReply reply =
+    config.Apply(PutPool(std::string(99, 'x') + twoBytes));
+  BOOST_TEST(reply.status() == v1::CHANGE_INVALID);
+  v1::ChangeReply parsed;
+  BOOST_TEST(parsed.ParseFromString(reply.SerializeAsString()));
+  FleetConfig restored;
+  BOOST_TEST(restored.RestoreSnapshot(config.Snapshot()));
+}
+
+BOOST_AUTO_TEST_CASE(SnapshotWithAnAnswerThatIsNotUtf8IsRestored)
+{
+  FleetConfig config;
+  v1::Change refused = PutPool(std::string(99, 'x') + "??");
+  refused.set_change_id("refused");
+  config.Apply(refused);
+  config.Apply(PutPool("loops-pool"));
+  // As earlier releases stored the answer to a name that was cut.
+  std::string bytes = config.Snapshot();
+  const size_t cut = bytes.find("x?");
+  BOOST_REQUIRE(cut != std::string::npos);
+  bytes[cut + 1] = '\xc3';
+  FleetConfig restored;
+  BOOST_REQUIRE(restored.RestoreSnapshot(bytes));
+  BOOST_TEST(restored.State().pools_size() == 1);
+  BOOST_TEST(restored.Apply(refused).status() == v1::CHANGE_INVALID);
+}
