Log: a replica whose disk fails during a compaction stops at once

The thread reported the failure and went on: the replica stayed leader, handled further events and sent messages until the process had ended.

Cause: MaybeCompact dropped the result of Store. control_log.h demands that a replica stops without sending when a disk operation fails.

Change: MaybeCompact returns it, and the thread ends as after any other failure.

--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -300,7 +300,9 @@
   }
   FailPendingProposals(!log_->IsLeader());
   FinishPendingReplies();
-  MaybeCompact();
+  if (!MaybeCompact()) {
+    return false;
+  }
   PublishStatus();
   return true;
 }
@@ -424,7 +426,7 @@
   }
 }
 
-void LogReplica::MaybeCompact()
+bool LogReplica::MaybeCompact()
 {
   const uint64_t appliedEntries =
     log_->AppliedIndex() - log_->History().SnapshotIndex();
@@ -432,15 +434,17 @@
   const bool isLarge =
     appliedEntries > 0 && store_.LogBytes() > options_.compactBytes_;
   if (log_->HasActions() || (!isLong && !isLarge)) {
-    return;
+    return true;
   }
   log_->Compact(state_.Snapshot());
   const LogActions actions = log_->TakeActions();
-  if (Store(actions)) {
-    log_->OnSynced();
-    LogInfo(Event::kLogCompacted,
-            { { "index", log_->History().SnapshotIndex() } });
+  if (!Store(actions)) {
+    return false;
   }
+  log_->OnSynced();
+  LogInfo(Event::kLogCompacted,
+          { { "index", log_->History().SnapshotIndex() } });
+  return true;
 }
 
 void LogReplica::PublishLeaderLease()
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -207,7 +207,8 @@
   void FinishPendingReplies();
   bool Apply(const LogActions& aActions);
   void FailPendingProposals(bool aAll);
-  void MaybeCompact();
+  // False if the store fails.
+  bool MaybeCompact();
   void PublishLeaderLease();
   void PublishStatus();
   void ReportDiskFailure(const StoreError& aError);
