vh-control: a change larger than 4 KiB is refused

What operators saw: one maintenance whose author has 5 MB is accepted (the HTTP API takes bodies of 8 MiB). Since then no entry that starts becomes ready: it gets the whole configuration in one reply, and gRPC clients take replies of 4 MiB.

Cause: only some texts of a change are bounded (names and reasons); its ids, its author and the names of instances are not, and the kept answers hold up to 4,096 of them as well.

Change: the replica refuses the change before it enters the log, so that replicas of two releases still apply the log alike. The largest change that an operator needs has less than 2 KB. Only a resend, after an upgrade, of a larger change that an earlier release has accepted gets another answer than before.

Test, seen failing before: ChangeThatIsTooLargeForEntriesIsRefused.

A configuration that is larger than 4 MiB because of many changes is not covered: MakeChannel sets no limit for replies.

--- a/src/control/control_replica.cpp
+++ b/src/control/control_replica.cpp
@@ -8,6 +8,8 @@
 
 constexpr Millis kRoutingTimeout = Seconds(5);
 constexpr Millis kRetryInterval = Millis(100);
+// Entries and replicas receive the whole configuration in one message.
+constexpr size_t kMaxChangeBytes = 4096;
 
 v1::ChangeReply MakeRejection(v1::ChangeStatus aStatus,
                               std::string_view aDetail,
@@ -106,6 +108,13 @@
   if (proposedAt <= 0 || proposedAt > now) {
     aChange.set_proposed_at_unix_ms(now);
   }
+  if (aChange.ByteSizeLong() > kMaxChangeBytes) {
+    aDone(MakeRejection(v1::CHANGE_INVALID,
+                        "the change is larger than " +
+                          std::to_string(kMaxChangeBytes) + " bytes",
+                        {}));
+    return;
+  }
   replica_.Propose(aChange.SerializeAsString(),
                    [done = std::move(aDone)](const ProposalResult& aResult) {
                      done(ToReply(aResult));
--- a/test/control_replica_test.cpp
+++ b/test/control_replica_test.cpp
@@ -104,3 +104,13 @@
   BOOST_REQUIRE(WaitFor([&] { return control.diskFailed_.load(); }));
   BOOST_TEST(WaitFor([&] { return !control.replica_.IsLeader(); }));
 }
+
+BOOST_AUTO_TEST_CASE(ChangeThatIsTooLargeForEntriesIsRefused)
+{
+  SingleReplica control;
+  v1::Change change = PutPool("large");
+  change.set_author(std::string(5U << 20U, 'x'));
+  BOOST_TEST(control.Propose(change).status() == v1::CHANGE_INVALID);
+  BOOST_TEST(control.state_.Revision() == 0U);
+  BOOST_TEST(control.Propose(PutPool("next")).status() == v1::CHANGE_ACCEPTED);
+}
