Entry: an answer with a content type that is not UTF-8 is recorded

What callers saw: a job that runs at most once, whose upstream answers with a byte that is not UTF-8 in Content-Type, is answered with 200; each resend gets 409 claim-held for as long as the ledger remembers the key.

Cause: the header went unchecked into a protobuf string. The client writes it, and each ledger replica refuses the message, so the outcome was never recorded; the entry tried for 300 s.

Change: a content type with bytes outside ASCII is recorded as application/octet-stream; the body and the status are kept. The caller of the first request still gets the header as it came. `content_type` stays a string: what a replica cannot read does not enter the ledger, and replicas of earlier releases read all that is stored.

Tests: OutcomeWithAContentTypeThatIsNotUtf8CanBeSentToTheLedger, and in ledger_test.py answer_with_an_odd_content_type_is_recorded, which failed before on real processes: "answer: (409, ... claim-held)".

--- a/src/entry/entry_process.cpp
+++ b/src/entry/entry_process.cpp
@@ -630,12 +630,8 @@
     if (!job) {
       return;
     }
-    const HttpResponse& answer = job->answers_[aAction.attempt_];
-    v1::RecordedOutcome outcome;
-    outcome.set_http_status(answer.result_int());
-    outcome.set_content_type(std::string(answer[http::field::content_type]));
-    outcome.set_body(answer.body());
-    ledgerClient_.Record(Claimant(aAction.job_), std::move(outcome));
+    ledgerClient_.Record(Claimant(aAction.job_),
+                         MakeOutcome(job->answers_[aAction.attempt_]));
   });
 }
 
--- a/src/entry/job_api.cpp
+++ b/src/entry/job_api.cpp
@@ -13,6 +13,14 @@
 constexpr std::string_view kServicesPrefix = "/v1/services/";
 constexpr std::string_view kJobsSuffix = "/jobs";
 constexpr size_t kMaxNameBytes = 200;
+constexpr std::string_view kUnknownContentType = "application/octet-stream";
+
+bool IsAscii(std::string_view aText)
+{
+  return std::all_of(aText.begin(), aText.end(), [](unsigned char aChar) {
+    return aChar < 0x80U;
+  });
+}
 
 bool IsValidName(std::string_view aText)
 {
@@ -142,6 +150,18 @@
   return request;
 }
 
+v1::RecordedOutcome MakeOutcome(const HttpResponse& aAnswer)
+{
+  const std::string_view contentType = aAnswer[http::field::content_type];
+  v1::RecordedOutcome outcome;
+  outcome.set_http_status(aAnswer.result_int());
+  // Replicas refuse a message with a string that is not UTF-8.
+  outcome.set_content_type(
+    std::string(IsAscii(contentType) ? contentType : kUnknownContentType));
+  outcome.set_body(aAnswer.body());
+  return outcome;
+}
+
 HttpResponse MakeRefusal(const Refusal& aRefusal)
 {
   const std::string_view ran =
--- a/src/entry/job_api.h
+++ b/src/entry/job_api.h
@@ -6,6 +6,8 @@
 #include "vanillahatch/shell/http_server.h"
 #include "vanillahatch/shell/settings.h"
 
+#include "ledger.pb.h"
+
 namespace vanillahatch {
 
 // The invalid field of a request, and what is wrong with it.
@@ -25,6 +27,9 @@
 HttpRequest MakeUpstreamRequest(const HttpRequest& aRequest,
                                 std::string_view aJobId);
 
+// Returns what the ledger keeps of an upstream's answer.
+v1::RecordedOutcome MakeOutcome(const HttpResponse& aAnswer);
+
 // Returns the problem response for a refusal, with `Retry-After` if it has one.
 HttpResponse MakeRefusal(const Refusal& aRefusal);
 
--- a/test/job_api_test.cpp
+++ b/test/job_api_test.cpp
@@ -102,3 +102,21 @@
   BOOST_TEST(response.body().find("\"ran\":\"no\"") != std::string::npos,
              response.body());
 }
+
+BOOST_AUTO_TEST_CASE(OutcomeWithAContentTypeThatIsNotUtf8CanBeSentToTheLedger)
+{
+  HttpResponse answer(http::status::ok, 11);
+  answer.set(http::field::content_type, "text/plain; name=\xff");
+  answer.body() = "kept";
+  v1::RecordedOutcome parsed;
+  BOOST_TEST(parsed.ParseFromString(MakeOutcome(answer).SerializeAsString()));
+  BOOST_TEST(parsed.http_status() == 200U);
+  BOOST_TEST(parsed.body() == "kept");
+}
+
+BOOST_AUTO_TEST_CASE(OutcomeKeepsTheContentType)
+{
+  HttpResponse answer(http::status::ok, 11);
+  answer.set(http::field::content_type, "text/plain; charset=utf-8");
+  BOOST_TEST(MakeOutcome(answer).content_type() == "text/plain; charset=utf-8");
+}
--- a/test/process/ledger_test.py
+++ b/test/process/ledger_test.py
@@ -4,6 +4,7 @@
 
 Run as: ledger_test.py BUILD_DIR"""
 
+import http.server
 import json
 import os
 import shutil
@@ -19,7 +20,8 @@
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../scripts"))
 # pylint: disable=wrong-import-position
 import demo  # noqa: E402
-from deployment import Deployment, http_get, wait_until  # noqa: E402
+from deployment import (DATA_CENTRES, UPSTREAM_TOKEN,  # noqa: E402
+                        Deployment, http_get, wait_until)
 
 JOBS = 4000
 CALLERS = 16
@@ -31,11 +33,12 @@
         raise AssertionError(what)
 
 
-def post_job(entry, key, issued_ms, deadline_ms=8000, timeout=30):
+def post_job(entry, key, issued_ms, deadline_ms=8000, timeout=30,
+             service="billing"):
     """(status, headers, body) of one non-repeatable job, or None if the
     connection broke. `issued_ms` is Unix time, `timeout` is in s."""
     request = urllib.request.Request(
-        f"http://127.0.0.1:{entry.http_port}/v1/services/billing/jobs",
+        f"http://127.0.0.1:{entry.http_port}/v1/services/{service}/jobs",
         data=f"body of {key}".encode(), method="POST",
         headers={"Vh-Member": "member-1", "Vh-Repeatable": "no",
                  "Idempotency-Key": key, "Vh-Issued-At": str(issued_ms),
@@ -78,6 +81,57 @@
     check(runs_of(deployment, "resend-1") == 1, "ran not exactly once")
 
 
+class OddUpstream(http.server.BaseHTTPRequestHandler):
+    """Answers with a content type that is not UTF-8."""
+
+    runs = Counter()
+
+    def do_POST(self):  # pylint: disable=invalid-name
+        key = self.headers["Idempotency-Key"]
+        OddUpstream.runs[key] += 1
+        self.rfile.read(int(self.headers["Content-Length"]))
+        self.send_response(200)
+        self.send_header("Content-Type", "text/plain; name=\xff")
+        self.send_header("Content-Length", str(len(key)))
+        self.end_headers()
+        self.wfile.write(key.encode())
+
+    def log_message(self, *_):
+        pass
+
+
+def announce(deployment, service, port):
+    body = {"instance": service + "-1", "service": service,
+            "address": "127.0.0.1", "port": port, "slots": 4,
+            "connections": 4, "data_centre": DATA_CENTRES[0], "rack": "r",
+            "worker": "w", "generation": unix_ms(), "sequence": 1,
+            "lease_ms": 60_000}
+    request = urllib.request.Request(
+        f"http://127.0.0.1:{deployment.entries[0].http_port}/v1/announce",
+        data=json.dumps(body).encode(),
+        headers={"Authorization": "Bearer " + UPSTREAM_TOKEN})
+    urllib.request.urlopen(request, timeout=10).close()
+
+
+def answer_with_an_odd_content_type_is_recorded(deployment):
+    upstream = http.server.ThreadingHTTPServer(("127.0.0.1", 0), OddUpstream)
+    threading.Thread(target=upstream.serve_forever, daemon=True).start()
+    try:
+        announce(deployment, "odd", upstream.server_port)
+        issued = unix_ms()
+        wait_until(lambda: (post_job(deployment.entries[0], "odd-1", issued,
+                                     service="odd") or (0,))[0] == 200,
+                   TIMEOUT_S, "the odd upstream answers")
+        time.sleep(1)  # the outcome is recorded in the background
+        again = post_job(deployment.entries[3], "odd-1", issued,
+                         deadline_ms=3000, service="odd")
+        check(again is not None and again[0] == 200 and again[2] == "odd-1"
+              and again[1].get("Vh-From-Record") == "yes", f"answer: {again}")
+        check(OddUpstream.runs["odd-1"] == 1, "ran not exactly once")
+    finally:
+        upstream.shutdown()
+
+
 def missing_issue_time_is_refused(deployment):
     entry = deployment.entries[0]
     request = urllib.request.Request(
@@ -174,6 +228,7 @@
 
 def faults(deployment):
     resend_gets_the_recorded_answer(deployment)
+    answer_with_an_odd_content_type_is_recorded(deployment)
     missing_issue_time_is_refused(deployment)
     issued = unix_ms()
     first = post_job(deployment.entries[0], "before-the-faults", issued)
