Machines: an outdated list does not move a machine that runs tasks

A list of machines may be older than the report of an instance. It then showed the machine as up in the spare pool, and the leader ordered its move to the pool that its instance serves already. The platform accepts that, since it is done, and the instance was removed as ended while its tasks ran: they were started again elsewhere.

A list that was requested before a report no longer replaces what the report said, and a machine on which an instance is known is not taken from the spare pool, however old the platform's list is.

--- a/include/vanillahatch/core/jobs/machine_tracker.h
+++ b/include/vanillahatch/core/jobs/machine_tracker.h
@@ -79,6 +79,8 @@
   MachineTrackerOptions options_;
   std::map<std::string, MachineView> machines_;
   std::map<std::string, MachineOp> ops_;
+  // Latest report from each machine that the next list may be older than.
+  std::map<std::string, Millis> reportedAt_;
   bool isListed_ = false;
 };
 
--- a/src/core/jobs/fleet_scheduler_pools.cpp
+++ b/src/core/jobs/fleet_scheduler_pools.cpp
@@ -97,7 +97,8 @@
       refused != avoidMachineUntil_.end() && aNow < refused->second;
     const bool isSpare = it != pools.end() && it->second.isSpare_ &&
                          machine.state_ == MachineState::kUp &&
-                         machines_.FindOp(name) == nullptr && !isRefused;
+                         machines_.FindOp(name) == nullptr && !isRefused &&
+                         !viewsByMachine_.contains(name);
     if (isSpare) {
       it->second.idle_.push_back({ .machine_ = name,
                                    .idleFor_ = kSpareIdleFor,
--- a/src/core/jobs/machine_tracker.cpp
+++ b/src/core/jobs/machine_tracker.cpp
@@ -26,13 +26,18 @@
     const bool isOutdated =
       op != ops_.end() && !MayBeAvailableAgain(op->second, aRequestedAt);
     const auto known = machines_.find(name);
-    if (isOutdated && known != machines_.end()) {
+    const auto reported = reportedAt_.find(name);
+    const bool isOlderThanReport =
+      reported != reportedAt_.end() && aRequestedAt < reported->second;
+    if ((isOutdated || isOlderThanReport) && known != machines_.end()) {
       updated.emplace(name, known->second);
       continue;
     }
     updated.emplace(name, std::move(machine));
   }
   machines_ = std::move(updated);
+  std::erase_if(reportedAt_,
+                [&](const auto& aItem) { return aItem.second < aRequestedAt; });
   isListed_ = true;
   // The list ends accepted operations of machines that are up again, because
   // the machines of a spare pool have no instance that would report it.
@@ -60,6 +65,7 @@
   machine.machine_ = aMachine;
   machine.pool_ = aPool;
   machine.state_ = MachineState::kUp;
+  reportedAt_[aMachine] = aNow;
   ops_.erase(aMachine);
 }
 
--- a/test/machine_tracker_test.cpp
+++ b/test/machine_tracker_test.cpp
@@ -76,3 +76,13 @@
                          .state_ = MachineState::kMaintenance } });
   BOOST_TEST(tracker.CountInMaintenance(1) == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(ListRequestedBeforeAReportDoesNotReplaceItsPool)
+{
+  MachineTracker tracker;
+  tracker.OnInstanceReport(Seconds(2), "m", "p", kNextInstance);
+  tracker.HandleList(
+    Seconds(1),
+    { { .machine_ = "m", .pool_ = "rest", .state_ = MachineState::kUp } });
+  BOOST_TEST(tracker.Machines().at("m").pool_ == "p");
+}
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -16,6 +16,7 @@
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <functional>
+#include <set>
 
 namespace vanillahatch::test {
 
@@ -336,6 +337,10 @@
   // little processor time.
   Millis replyDelay_;
   bool platformReplies_ = true;
+  // Orders that were carried out before: accepted without effect.
+  std::set<std::string> completedUpkeeps_; // machines
+  // Machines as the platform lists them, if its list is out of date.
+  std::map<std::string, MachineView> outdatedMachines_;
   bool advisorReplies_ = true;
   size_t AdviceCalls() const { return adviceCalls_; }
   // The advisor grants tickets for instances with an even last digit.
@@ -668,6 +673,15 @@
     }
     const std::string id = aOrder.machine_.substr(2);
     const auto it = instances_.find(id);
+    const bool isDone = aOrder.pool_.empty()
+                          ? completedUpkeeps_.contains(aOrder.machine_)
+                          : it != instances_.end() && it->second.isReachable_ &&
+                              it->second.record_.service() == aOrder.pool_;
+    if (isDone) {
+      scheduler_->OnMachineOrderResult(
+        now_, aOrder, MachineOrderStatus::kAccepted);
+      return;
+    }
     const std::string pool = aOrder.pool_.empty() && it != instances_.end()
                                ? it->second.record_.service()
                                : aOrder.pool_;
@@ -712,6 +726,11 @@
     for (const auto& item : instances_) {
       const std::string& id = item.first;
       const FakeInstance& instance = item.second;
+      const auto outdated = outdatedMachines_.find("m-" + id);
+      if (outdated != outdatedMachines_.end()) {
+        machines.push_back(outdated->second);
+        continue;
+      }
       const bool isUnavailable = std::any_of(
         unavailable_.begin(),
         unavailable_.end(),
