Machines: an upkeep that was done before does not exclude the next instance

If a leader ends before it has noted an upkeep that the platform carried out, its successor orders it again, perhaps when the machine's next instance has reported. The platform accepts the order, since it is done, and that instance was taken for the one that the upkeep had ended: its removal was final, all its later reports were dropped as late, and the machine had no work until its next life.

An accepted move proves that an instance of another pool has ended. An accepted upkeep, or a move to the pool of the instance, proves nothing about the instance that is known now. It is removed only while it has no tasks, and may report again.

UpkeepThatAnEarlierLeaderOrderedDoesNotExcludeTheNextLife fails without it: the job is not completed.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -321,6 +321,11 @@
                         MachineOrder aOrder,
                         std::string aFromPool,
                         std::string_view aReason);
+  // The platform accepted the order. It may have been carried out before, by
+  // an earlier leader as well.
+  void OnMachineOrderAccepted(Millis aNow,
+                              const MachineOrder& aOrder,
+                              MachineOp& aOp);
   void ResendUnansweredOrders(Millis aNow);
   bool MayOrderMachines(Millis aNow) const;
   std::vector<PoolLoad> MeasurePools(Millis aNow);
--- a/src/core/jobs/fleet_scheduler_maintenance.cpp
+++ b/src/core/jobs/fleet_scheduler_maintenance.cpp
@@ -83,6 +83,36 @@
     aNow, std::move(aOrder), std::move(aFromPool), std::move(former));
 }
 
+void FleetScheduler::OnMachineOrderAccepted(Millis aNow,
+                                            const MachineOrder& aOrder,
+                                            MachineOp& aOp)
+{
+  aOp.phase_ = MachineOpPhase::kAccepted;
+  aOp.since_ = aNow;
+  if (aOrder.wave_ != 0) {
+    v1::UpkeepBegun& begun =
+      *nextChanges_.add_changes()->mutable_upkeep_begun();
+    begun.set_wave(aOrder.wave_);
+    begun.set_machine(aOrder.machine_);
+  }
+  InstanceView* view = FindView(aOp.previousInstance_);
+  if (view == nullptr) {
+    return;
+  }
+  const bool hasLeftPool =
+    aOrder.wave_ == 0 && view->StoredRecord().service() != aOrder.pool_;
+  if (hasLeftPool) {
+    ProposeRemoval(*view, RemovalKind::kFinal, "moved");
+  } else if (!view->HasRuns()) {
+    // If it started after the operation, it reports again.
+    ProposeRemoval(*view,
+                   RemovalKind::kUnreachable,
+                   aOrder.wave_ != 0 ? "upkeep" : "moved before");
+  } else {
+    view->reserved_ = false;
+  }
+}
+
 void FleetScheduler::OnMachineOrderResult(Millis aNow,
                                           const MachineOrder& aOrder,
                                           MachineOrderStatus aStatus)
@@ -96,20 +126,7 @@
   InstanceView* view = FindOnMachine(aOrder.machine_);
   switch (aStatus) {
     case MachineOrderStatus::kAccepted:
-      op->phase_ = MachineOpPhase::kAccepted;
-      op->since_ = aNow;
-      // A repeated order is accepted again after the next instance has started.
-      if (view != nullptr &&
-          view->StoredInstance().key_ == op->previousInstance_) {
-        ProposeRemoval(
-          *view, RemovalKind::kFinal, aOrder.wave_ != 0 ? "upkeep" : "moved");
-      }
-      if (aOrder.wave_ != 0) {
-        v1::UpkeepBegun& begun =
-          *nextChanges_.add_changes()->mutable_upkeep_begun();
-        begun.set_wave(aOrder.wave_);
-        begun.set_machine(aOrder.machine_);
-      }
+      OnMachineOrderAccepted(aNow, aOrder, *op);
       return;
     case MachineOrderStatus::kFenced:
       deposed_ = true;
--- a/test/machine_orders_test.cpp
+++ b/test/machine_orders_test.cpp
@@ -16,6 +16,16 @@
                      { { "drafts", "layout" } });
   }
 
+  void StartWave(const std::string& aMachine)
+  {
+    v1::JobChanges changes;
+    v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+    wave.set_wave(1);
+    wave.set_max_concurrent(1);
+    wave.add_machines(aMachine);
+    fleet_.Store().Apply(changes);
+  }
+
   // Runs one task on the instance.
   const Job& OccupyInstance(const FakeInstance& aInstance)
   {
@@ -65,4 +75,26 @@
   BOOST_TEST(fleet_.MachineOrders().empty());
 }
 
+BOOST_AUTO_TEST_CASE(UpkeepThatAnEarlierLeaderOrderedDoesNotExcludeTheNextLife)
+{
+  fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  fleet_.platformReplies_ = false; // The upkeep is carried out all the same.
+  StartWave("m-a");
+  BOOST_REQUIRE(fleet_.RunUntil([&] { return !fleet_.MachineOrders().empty(); },
+                                Seconds(1)));
+  FakeInstance& a = fleet_.AddInstance("a", "layout", 16, 2000);
+  fleet_.completedUpkeeps_.insert("m-a");
+  fleet_.platformReplies_ = true;
+  fleet_.StartLeader(2);
+  BOOST_REQUIRE(fleet_.RunUntil(
+    [&] { return fleet_.Scheduler().IsWaveCompleted(1); }, Seconds(3)));
+  fleet_.Report(a);
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500) });
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.Store().PhaseOf(job) == v1::JOB_COMPLETED; },
+    Seconds(3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
