Instances: the reply of another instance frees no running task

Status 421 says that another instance is at the address that the last report named. That address may be wrong, or given to another instance while the one that was meant works on elsewhere; the leader took the reply for its end, freed its tasks at once and dropped all its later reports.

Such a reply now counts as no reply: the tasks are placed again when the lease has expired, or when the next instance of the machine reports. A start that was answered so was not executed. The clock in such a reply is another instance's and is not used for the lease.

ReplyOfAnotherInstanceAtItsAddressFreesNoRunningTask fails without it: 2 runs at once, 2 starts. RunningTaskOfAnInstanceThatIsGoneStartsElsewhere holds before and after.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -253,6 +253,8 @@
                      const RunView& aRun,
                      std::optional<Millis> aEndClock);
   void MarkReplaced(InstanceView& aView);
+  void OnOtherInstanceReplied(Millis aNow, InstanceView& aView);
+  static void SetUnresponsive(Millis aNow, InstanceView& aView);
   void ProcessRunning(Millis aNow,
                       InstanceView& aView,
                       const InstanceListing& aListing);
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -27,7 +27,7 @@
 // A reply with the clock of the instance proves that it is reachable.
 void RecordReply(Millis aNow, InstanceView& aView, const OrderResult& aResult)
 {
-  if (aResult.clock_) {
+  if (aResult.clock_ && aResult.status_ != OrderStatus::kOtherIncarnation) {
     aView.Lease().Observe(*aResult.clock_, aNow);
     aView.lastReplyAt_ = aNow;
   }
@@ -75,6 +75,30 @@
   }
 }
 
+// The instance may run its tasks at another address, so they are freed only
+// once their lease has expired.
+void FleetScheduler::OnOtherInstanceReplied(Millis aNow, InstanceView& aView)
+{
+  if (!aView.isUnresponsive_) {
+    trace_.onInstance_(aView.StoredInstance().key_,
+                       "another instance replied at its address");
+  }
+  SetUnresponsive(aNow, aView);
+  if (!aView.HasRuns()) {
+    ProposeRemoval(aView,
+                   RemovalKind::kUnreachable,
+                   "another instance replied; it had no tasks");
+  }
+}
+
+void FleetScheduler::SetUnresponsive(Millis aNow, InstanceView& aView)
+{
+  aView.isUnresponsive_ = true;
+  aView.nextHoldAt_ = aNow + kListingRetryInterval;
+  aView.confirmedCursor_ = 0;
+  aView.avoidUntil_ = aNow + kAvoidAfterNoReply;
+}
+
 void FleetScheduler::OnStart(Millis aNow,
                              const StartOrder& aOrder,
                              const OrderResult& aResult)
@@ -107,8 +131,8 @@
       deposed_ = true;
       return;
     case OrderStatus::kOtherIncarnation:
-      ProposeRemoval(*view, RemovalKind::kFinal, "another incarnation replied");
-      return;
+      OnOtherInstanceReplied(aNow, *view);
+      break;
     case OrderStatus::kUnknown:
       view->avoidUntil_ = aNow + kAvoidAfterNoReply;
       if (isUnresolved) {
@@ -147,8 +171,7 @@
   RecordReply(aNow, *view, aResult);
   deposed_ = deposed_ || aResult.status_ == OrderStatus::kFenced;
   if (aResult.status_ == OrderStatus::kOtherIncarnation) {
-    ProposeRemoval(*view, RemovalKind::kFinal, "another incarnation replied");
-    return;
+    OnOtherInstanceReplied(aNow, *view);
   }
   if (RunView* run = view->FindRun(aOrder.ref_, aOrder.run_)) {
     run->stopInFlight_ = false;
@@ -180,7 +203,7 @@
     return;
   }
   if (aResult.status_ == OrderStatus::kOtherIncarnation) {
-    ProposeRemoval(*view, RemovalKind::kFinal, "another instance replied");
+    OnOtherInstanceReplied(aNow, *view);
     return;
   }
   const bool isReplaced =
@@ -190,10 +213,7 @@
     MarkReplaced(*view);
   }
   if (isReplaced || aResult.status_ != OrderStatus::kAccepted) {
-    view->isUnresponsive_ = true;
-    view->nextHoldAt_ = aNow + kListingRetryInterval;
-    view->confirmedCursor_ = 0;
-    view->avoidUntil_ = aNow + kAvoidAfterNoReply;
+    SetUnresponsive(aNow, *view);
     return;
   }
   if (!view->contacted_) {
--- a/test/machine_orders_test.cpp
+++ b/test/machine_orders_test.cpp
@@ -97,4 +97,45 @@
     Seconds(3)));
 }
 
+BOOST_AUTO_TEST_CASE(ReplyOfAnotherInstanceAtItsAddressFreesNoRunningTask)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  const Job& job = OccupyInstance(a);
+  fleet_.AddInstance("b", "layout");
+  fleet_.RunFor(Millis(100));
+  a.isReachable_ = false;
+  fleet_.Scheduler().OnListing(fleet_.Now(),
+                               { .target_ = { .instance_ = ToKey(a.record_) } },
+                               fleet_.Now(),
+                               { .status_ = OrderStatus::kOtherIncarnation },
+                               {});
+  BOOST_TEST(MaxCopies(job, Seconds(2)) == 1U);
+  a.isReachable_ = true;
+  fleet_.Report(a);
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.Store().PhaseOf(job) == v1::JOB_COMPLETED; },
+    Seconds(9)));
+  BOOST_TEST(fleet_.Starts() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RunningTaskOfAnInstanceThatIsGoneStartsElsewhere)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  const Job& job = OccupyInstance(a);
+  fleet_.AddInstance("b", "layout");
+  fleet_.RunFor(Millis(100));
+  a.isReachable_ = false;
+  a.running_.clear();
+  fleet_.Scheduler().OnListing(fleet_.Now(),
+                               { .target_ = { .instance_ = ToKey(a.record_) } },
+                               fleet_.Now(),
+                               { .status_ = OrderStatus::kOtherIncarnation },
+                               {});
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.At("b").running_.size() == 1; }, Seconds(7)));
+  BOOST_TEST(fleet_.Store().PhaseOf(job) == v1::JOB_RUNNING);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
