--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -253,6 +253,8 @@
                      const RunView& aRun,
                      std::optional<Millis> aEndClock);
   void MarkReplaced(InstanceView& aView);
+  void OnOtherInstanceReplied(Millis aNow, InstanceView& aView);
+  static void SetUnresponsive(Millis aNow, InstanceView& aView);
   void ProcessRunning(Millis aNow,
                       InstanceView& aView,
                       const InstanceListing& aListing);
@@ -321,6 +323,11 @@
                         MachineOrder aOrder,
                         std::string aFromPool,
                         std::string_view aReason);
+  // The platform accepted the order. It may have been carried out before, by
+  // an earlier leader as well.
+  void OnMachineOrderAccepted(Millis aNow,
+                              const MachineOrder& aOrder,
+                              MachineOp& aOp);
   void ResendUnansweredOrders(Millis aNow);
   bool MayOrderMachines(Millis aNow) const;
   std::vector<PoolLoad> MeasurePools(Millis aNow);
--- /dev/null
+++ b/test/machine_orders_test.cpp
@@ -0,0 +1,141 @@
+#define BOOST_TEST_MODULE machine_orders
+#include "simulated_fleet.h"
+
+#include <boost/test/unit_test.hpp>
+
+using namespace vanillahatch;
+using namespace vanillahatch::test;
+
+namespace {
+
+struct MachineOrdersFixture
+{
+  MachineOrdersFixture()
+  {
+    fleet_.Configure({ { "layout", false }, { "rest", true } },
+                     { { "drafts", "layout" } });
+  }
+
+  void StartWave(const std::string& aMachine)
+  {
+    v1::JobChanges changes;
+    v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+    wave.set_wave(1);
+    wave.set_max_concurrent(1);
+    wave.add_machines(aMachine);
+    fleet_.Store().Apply(changes);
+  }
+
+  // Runs one task on the instance.
+  const Job& OccupyInstance(const FakeInstance& aInstance)
+  {
+    const Job& job = fleet_.Submit(
+      "running", "drafts", { SimulatedFleet::StepOf(1, 500, 9000) });
+    BOOST_REQUIRE(fleet_.RunUntil(
+      [&] { return aInstance.running_.size() == 1; }, Seconds(1)));
+    return job;
+  }
+
+  // The largest number of copies of the job's first task that run at once.
+  size_t MaxCopies(const Job& aJob, Millis aWithin)
+  {
+    v1::TaskName task;
+    task.set_job(aJob.id_);
+    size_t copies = 0;
+    fleet_.RunUntil(
+      [&] {
+        copies = std::max(copies, fleet_.RunningCopies(task));
+        return false;
+      },
+      aWithin);
+    return copies;
+  }
+
+  SimulatedFleet fleet_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_SUITE(MachineOrders, MachineOrdersFixture)
+
+BOOST_AUTO_TEST_CASE(MoveThatAnOutdatedListSuggestsFreesNoRunningTask)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  const Job& job = OccupyInstance(a);
+  fleet_.AddInstance("b", "layout");
+  fleet_.outdatedMachines_["m-a"] = { .machine_ = "m-a",
+                                      .pool_ = "rest",
+                                      .state_ = MachineState::kUp };
+  fleet_.RunFor(Seconds(5)); // until the next list
+  fleet_.Submit(
+    "waiting", "drafts", { SimulatedFleet::StepOf(200, 2000, 300) });
+  BOOST_TEST(MaxCopies(job, Seconds(3)) == 1U);
+  BOOST_TEST(fleet_.Store().FindInstance(ToKey(a.record_)) != nullptr);
+  BOOST_TEST(fleet_.MachineOrders().empty());
+}
+
+BOOST_AUTO_TEST_CASE(UpkeepThatAnEarlierLeaderOrderedDoesNotExcludeTheNextLife)
+{
+  fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  fleet_.platformReplies_ = false; // The upkeep is carried out all the same.
+  StartWave("m-a");
+  BOOST_REQUIRE(fleet_.RunUntil([&] { return !fleet_.MachineOrders().empty(); },
+                                Seconds(1)));
+  FakeInstance& a = fleet_.AddInstance("a", "layout", 16, 2000);
+  fleet_.completedUpkeeps_.insert("m-a");
+  fleet_.platformReplies_ = true;
+  fleet_.StartLeader(2);
+  BOOST_REQUIRE(fleet_.RunUntil(
+    [&] { return fleet_.Scheduler().IsWaveCompleted(1); }, Seconds(3)));
+  fleet_.Report(a);
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500) });
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.Store().PhaseOf(job) == v1::JOB_COMPLETED; },
+    Seconds(3)));
+}
+
+BOOST_AUTO_TEST_CASE(ReplyOfAnotherInstanceAtItsAddressFreesNoRunningTask)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  const Job& job = OccupyInstance(a);
+  fleet_.AddInstance("b", "layout");
+  fleet_.RunFor(Millis(100));
+  a.isReachable_ = false;
+  fleet_.Scheduler().OnListing(fleet_.Now(),
+                               { .target_ = { .instance_ = ToKey(a.record_) } },
+                               fleet_.Now(),
+                               { .status_ = OrderStatus::kOtherIncarnation },
+                               {});
+  BOOST_TEST(MaxCopies(job, Seconds(2)) == 1U);
+  a.isReachable_ = true;
+  fleet_.Report(a);
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.Store().PhaseOf(job) == v1::JOB_COMPLETED; },
+    Seconds(9)));
+  BOOST_TEST(fleet_.Starts() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(RunningTaskOfAnInstanceThatIsGoneStartsElsewhere)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  const Job& job = OccupyInstance(a);
+  fleet_.AddInstance("b", "layout");
+  fleet_.RunFor(Millis(100));
+  a.isReachable_ = false;
+  a.running_.clear();
+  fleet_.Scheduler().OnListing(fleet_.Now(),
+                               { .target_ = { .instance_ = ToKey(a.record_) } },
+                               fleet_.Now(),
+                               { .status_ = OrderStatus::kOtherIncarnation },
+                               {});
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.At("b").running_.size() == 1; }, Seconds(7)));
+  BOOST_TEST(fleet_.Store().PhaseOf(job) == v1::JOB_RUNNING);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
