Gateway: a missing queue after an attempt that may be stored is unknown

What callers saw: a submission or cancellation answered 404, 400 or 410 with `ran: no`, although an earlier attempt of the same call may have been stored.

Cause: the gateway sends a call without a reply, or with an unknown outcome, again, and returned the reply to the later attempt as it was.

Change: after an attempt that may be stored, only statuses that say something about all attempts are returned: OK, and NO_JOB for a cancellation, which the leader confirms through the log. Every other one becomes JOB_CALL_UNKNOWN (504).

The fake leader listens on all addresses, so that a test can name another replica without waiting for a search.

--- a/src/gateway/job_gateway.cpp
+++ b/src/gateway/job_gateway.cpp
@@ -45,6 +45,21 @@
   v1::JobReply reply_;
 };
 
+// Whether a reply with `aStatus` excludes that an earlier attempt of the same
+// call, whose outcome is unknown, has stored a change or will.
+bool CoversEarlierAttempts(JobCallKind aKind, v1::JobCallStatus aStatus)
+{
+  switch (aKind) {
+    case JobCallKind::kSubmit:
+      return aStatus == v1::JOB_CALL_OK;
+    case JobCallKind::kCancel:
+      return aStatus == v1::JOB_CALL_OK || aStatus == v1::JOB_CALL_NO_JOB;
+    case JobCallKind::kShow:
+      break;
+  }
+  return true; // A read stores nothing.
+}
+
 // Calls `aStartCall` with a callback for the status of the RPC, and resumes on
 // the caller's executor.
 template<class Begin>
@@ -253,11 +268,8 @@
   const Millis elapsed = clock_.Now() - startedAt;
   metrics_.Observe("vh_call_milliseconds",
                    static_cast<double>(elapsed.Count()));
-  // The leader refused its attempt only; an earlier one may be stored.
-  const bool isRefusalUncertain = mayBeStored &&
-                                  aCall.kind_ != JobCallKind::kShow && result &&
-                                  result->status() == v1::JOB_CALL_REFUSED;
-  if (isRefusalUncertain) {
+  if (result && mayBeStored &&
+      !CoversEarlierAttempts(aCall.kind_, result->status())) {
     result->set_status(v1::JOB_CALL_UNKNOWN);
   }
   if (!result) {
--- a/test/job_gateway_test.cpp
+++ b/test/job_gateway_test.cpp
@@ -16,6 +16,7 @@
 namespace {
 
 constexpr const char* kLoopback = "127.0.0.1";
+constexpr const char* kOtherLoopback = "127.0.0.2"; // of the same leader
 constexpr std::chrono::milliseconds kTimeUntilFailure(300);
 
 // One reply of the leader; without a status the RPC fails.
@@ -77,6 +78,9 @@
     const Step step = TakeStep();
     if (step) {
       aReply.set_status(*step);
+      if (*step == v1::JOB_CALL_NOT_LEADER) {
+        aReply.set_leader(kOtherLoopback);
+      }
       reactor->Finish(grpc::Status::OK);
     } else {
       // The gateway must look for the leader again before it gives the call up.
@@ -108,7 +112,7 @@
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddListeningPort(
-    std::string(kLoopback) + ":0", grpc::InsecureServerCredentials(), &port);
+    "0.0.0.0:0", grpc::InsecureServerCredentials(), &port);
   builder.RegisterService(&leader);
   const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
   BOOST_REQUIRE(server);
@@ -154,12 +158,65 @@
              v1::JOB_CALL_UNKNOWN);
 }
 
+BOOST_AUTO_TEST_CASE(MissingQueueAfterAnAttemptWithoutReplyIsUnknown)
+{
+  for (const JobCallKind kind :
+       { JobCallKind::kSubmit, JobCallKind::kCancel }) {
+    BOOST_TEST(Call(kind, { std::nullopt, v1::JOB_CALL_NO_QUEUE }) ==
+               v1::JOB_CALL_UNKNOWN);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(InvalidJobAfterAnAttemptWithoutReplyIsUnknown)
+{
+  BOOST_TEST(
+    Call(JobCallKind::kSubmit, { std::nullopt, v1::JOB_CALL_INVALID }) ==
+    v1::JOB_CALL_UNKNOWN);
+}
+
+BOOST_AUTO_TEST_CASE(MissingJobAfterASubmissionWithoutReplyIsUnknown)
+{
+  BOOST_TEST(
+    Call(JobCallKind::kSubmit, { std::nullopt, v1::JOB_CALL_NO_JOB }) ==
+    v1::JOB_CALL_UNKNOWN);
+}
+
+BOOST_AUTO_TEST_CASE(UncertaintyOutlastsAnAttemptAtAnotherReplica)
+{
+  BOOST_TEST(Call(JobCallKind::kSubmit,
+                  { v1::JOB_CALL_UNKNOWN,
+                    v1::JOB_CALL_NOT_LEADER,
+                    v1::JOB_CALL_REFUSED }) == v1::JOB_CALL_UNKNOWN);
+}
+
+BOOST_AUTO_TEST_CASE(MissingJobAfterACancellationWithoutReplyIsDefinite)
+{
+  BOOST_TEST(
+    Call(JobCallKind::kCancel, { std::nullopt, v1::JOB_CALL_NO_JOB }) ==
+    v1::JOB_CALL_NO_JOB);
+}
+
 BOOST_AUTO_TEST_CASE(RefusalOfTheOnlyAttemptStaysARefusal)
 {
   BOOST_TEST(Call(JobCallKind::kSubmit, { v1::JOB_CALL_REFUSED }) ==
              v1::JOB_CALL_REFUSED);
 }
 
+BOOST_AUTO_TEST_CASE(StatusOfTheOnlyAttemptIsReturned)
+{
+  for (const v1::JobCallStatus status :
+       { v1::JOB_CALL_NO_QUEUE, v1::JOB_CALL_INVALID }) {
+    BOOST_TEST(Call(JobCallKind::kSubmit, { status }) == status);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RefusalAfterAnAttemptAtAnotherReplicaStaysARefusal)
+{
+  BOOST_TEST(Call(JobCallKind::kSubmit,
+                  { v1::JOB_CALL_NOT_LEADER, v1::JOB_CALL_REFUSED }) ==
+             v1::JOB_CALL_REFUSED);
+}
+
 BOOST_AUTO_TEST_CASE(AcceptanceAfterAnAttemptWithoutReplyIsKnown)
 {
   BOOST_TEST(Call(JobCallKind::kSubmit, { std::nullopt, v1::JOB_CALL_OK }) ==
