Gateway: a status that this version does not know is no refusal

A reply of the leader without a status, or with one that a later version adds, was answered 503, "never ran".

Cause: EncodeReply took every status that it doesn't list for a refusal.

--- a/test/job_gateway_test.cpp
+++ b/test/job_gateway_test.cpp
@@ -1,6 +1,7 @@
 #define BOOST_TEST_MODULE job_gateway
 #include "gateway/job_gateway.h"
 
+#include "platform/job_messages.h"
 #include "vanillahatch/shell/system_clock.h"
 
 #include <boost/asio/co_spawn.hpp>
@@ -228,3 +229,14 @@
   BOOST_TEST(Call(JobCallKind::kShow, { std::nullopt, v1::JOB_CALL_REFUSED }) ==
              v1::JOB_CALL_REFUSED);
 }
+
+BOOST_AUTO_TEST_CASE(ReplyOfAnUnrecognizedStatusDoesNotPromiseThatNothingRan)
+{
+  constexpr auto kLaterStatus = static_cast<v1::JobCallStatus>(99);
+  for (const v1::JobCallStatus status :
+       { v1::JOB_CALL_UNSPECIFIED, kLaterStatus }) {
+    v1::JobReply reply;
+    reply.set_status(status);
+    BOOST_TEST(platform::EncodeReply(reply).result_int() == 504U);
+  }
+}
