Scheduler: a submission whose queue has just appeared is refused

What callers saw: a submission answered 410, "no such job".

Cause: a submission looks for its queue when it arrives. If there is none, it proposes nothing and waits for a round through the log that confirms the answer; the answer is filled from the state after that round. If the queue appeared in between (a new configuration, or a replica that has just begun to lead and had not applied it yet), the answer was the one of a read of the job: NO_JOB, or the count of the queue as OK.

Change: such a submission is refused and may be retried. It stays OK if another call has submitted the job by then, and NO_QUEUE if there is still no queue.

--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -66,6 +66,15 @@
   aReply.set_phase(aStore.PhaseOf(*job));
 }
 
+// For a change whose target had not been found, so that nothing was proposed,
+// but which exists by now. This replica may have just begun to lead.
+void RefuseUnproposedChange(v1::JobReply& aReply)
+{
+  aReply.Clear();
+  SetStatus(aReply, v1::JOB_CALL_REFUSED, "the queue or job has just appeared");
+  aReply.set_retry_after_ms(kRetryAfterUnavailableMs);
+}
+
 } // namespace
 
 JobServiceImpl::JobServiceImpl(JobStoreReplica& aStore,
@@ -164,6 +173,11 @@
                                                       v1::JobReply& aOut) {
            if (!isNew) {
              FillState(aStore, place, aOut);
+             const bool isStored =
+               aOut.status() == v1::JOB_CALL_OK && !aOut.is_count();
+             if (!isStored && aOut.status() != v1::JOB_CALL_NO_QUEUE) {
+               RefuseUnproposedChange(aOut);
+             }
              return;
            }
            aOut.set_status(v1::JOB_CALL_OK);
--- /dev/null
+++ b/test/job_service_test.cpp
@@ -0,0 +1,178 @@
+#define BOOST_TEST_MODULE job_service
+#include "scheduler/job_service_impl.h"
+
+#include "vanillahatch/shell/rpc.h"
+#include "vanillahatch/shell/system_clock.h"
+
+#include <boost/test/unit_test.hpp>
+#include <filesystem>
+#include <future>
+#include <thread>
+
+using namespace vanillahatch;
+namespace fs = std::filesystem;
+
+namespace {
+
+constexpr const char* kSelf = "127.0.0.1";
+constexpr const char* kHost = "h.example";
+constexpr const char* kService = "drafts";
+constexpr std::chrono::milliseconds kPollInterval(10);
+constexpr std::chrono::milliseconds kTimeForFirstLook(100);
+constexpr int kMaxTrials = 20;
+
+struct TemporaryFolder
+{
+  TemporaryFolder()
+  {
+    std::string name = (fs::temp_directory_path() / "vh-jobs-XXXXXX").string();
+    path_ = mkdtemp(name.data());
+  }
+  ~TemporaryFolder() { fs::remove_all(path_); }
+
+  fs::path path_;
+};
+
+// Holds up the replica's thread until `Release`.
+class HeldReplica
+{
+public:
+  explicit HeldReplica(LogReplica& aReplica)
+  {
+    std::promise<void> held;
+    aReplica.RunAt(
+      Millis(),
+      [&held, release = release_.get_future().share()] {
+        held.set_value();
+        release.wait();
+      },
+      [] {});
+    held.get_future().wait();
+  }
+
+  void Release() { release_.set_value(); }
+
+private:
+  std::promise<void> release_;
+};
+
+// A scheduler of one replica.
+class JobServiceFixture
+{
+public:
+  JobServiceFixture()
+    : replica_({ .self_ = kSelf,
+                 .replicas_ = { kSelf },
+                 .dataFolder_ = folder_.path_ / "log",
+                 .sync_ = false },
+               store_,
+               clock_)
+    , service_(store_, replica_, metrics_, [] {})
+  {
+    BOOST_REQUIRE(replica_.Start());
+    grpc::ServerBuilder builder;
+    builder.RegisterService(&service_);
+    server_ = builder.BuildAndStart();
+    BOOST_REQUIRE(server_);
+    stub_ = v1::JobService::NewStub(server_->InProcessChannel({}));
+    while (!replica_.IsLeader()) {
+      std::this_thread::sleep_for(kPollInterval);
+    }
+  }
+
+  ~JobServiceFixture()
+  {
+    replica_.Stop();
+    server_->Shutdown();
+  }
+
+  // Proposes a configuration with the queues "/1/", "/2/", ... up to `aCount`.
+  void ProposeQueues(int aCount)
+  {
+    v1::JobChanges changes;
+    v1::FleetDocument& config = *changes.add_changes()->mutable_put_config();
+    config.set_version(static_cast<uint64_t>(aCount));
+    config.add_services()->set_name(kService);
+    for (int i = 1; i <= aCount; ++i) {
+      v1::QueueSpec& queue = *config.add_queues();
+      queue.set_name(std::to_string(i));
+      queue.set_host(kHost);
+      queue.set_path_prefix("/" + std::to_string(i) + "/");
+      queue.set_service(kService);
+    }
+    Propose(changes);
+  }
+
+  v1::JobReply Submit(int aQueue, const std::string& aId)
+  {
+    grpc::ClientContext context;
+    v1::SubmitRequest request;
+    *request.mutable_place() = PlaceOf(aQueue, aId);
+    v1::JobReply reply;
+    BOOST_TEST(stub_->Submit(&context, request, &reply).ok());
+    return reply;
+  }
+
+  v1::JobReply Show(int aQueue, const std::string& aId)
+  {
+    grpc::ClientContext context;
+    v1::JobReply reply;
+    BOOST_TEST(stub_->Show(&context, Request(aQueue, aId), &reply).ok());
+    return reply;
+  }
+
+  LogReplica& Replica() { return replica_; }
+
+private:
+  static v1::JobPlace PlaceOf(int aQueue, const std::string& aId)
+  {
+    v1::JobPlace place;
+    place.set_host(kHost);
+    place.set_path("/" + std::to_string(aQueue) + "/" + aId);
+    return place;
+  }
+
+  static v1::JobRequest Request(int aQueue, const std::string& aId)
+  {
+    v1::JobRequest request;
+    *request.mutable_place() = PlaceOf(aQueue, aId);
+    return request;
+  }
+
+  void Propose(const v1::JobChanges& aChanges)
+  {
+    replica_.Propose(aChanges.SerializeAsString(),
+                     [](const ProposalResult&) {});
+  }
+
+  TemporaryFolder folder_;
+  const SystemClock clock_;
+  Metrics metrics_;
+  JobStoreReplica store_;
+  LogReplica replica_;
+  JobServiceImpl service_;
+  std::unique_ptr<grpc::Server> server_;
+  std::unique_ptr<v1::JobService::Stub> stub_;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(SubmissionToAQueueThatAppearsMeanwhileIsRefused,
+                        JobServiceFixture)
+{
+  v1::JobReply reply;
+  int queue = 0;
+  do {
+    ++queue;
+    HeldReplica held(Replica());
+    ProposeQueues(queue);
+    auto submitted =
+      std::async(std::launch::async, [&] { return Submit(queue, "a"); });
+    std::this_thread::sleep_for(kTimeForFirstLook);
+    held.Release();
+    reply = submitted.get();
+    // OK: the call arrived after the configuration was applied.
+  } while (reply.status() == v1::JOB_CALL_OK && queue < kMaxTrials);
+  BOOST_TEST(reply.status() == v1::JOB_CALL_REFUSED);
+  BOOST_TEST(Show(queue, "a").status() == v1::JOB_CALL_NO_JOB);
+}
