Scheduler: a cancellation of a job that has just appeared is refused

Cause: a cancellation looks for its job when it arrives. If there is none, it proposes nothing and waits for a round through the log; the answer is filled from the state after that round. A replica that has just begun to lead may not have applied the job when the call arrives. The answer was then the state of the job, OK, for a cancellation that was never proposed.

Change: such a cancellation is refused and may be retried.

Evidence: CancellationOfAJobThatAppearsMeanwhileIsRefused failed before: the reply was OK, and the job is queued afterwards.

--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -229,12 +229,18 @@
       changes.add_changes()->mutable_cancel_job()->set_id(place.id_);
     }
   });
+  const bool isProposed = changes.changes_size() > 0;
   Commit(changes,
          reactor,
          aReply,
-         [this, place = aRequest->place()](const JobStore& aStore,
-                                           v1::JobReply& aOut) {
+         [this, isProposed, place = aRequest->place()](const JobStore& aStore,
+                                                       v1::JobReply& aOut) {
            FillState(aStore, place, aOut);
+           const bool isJob =
+             aOut.status() == v1::JOB_CALL_OK && !aOut.is_count();
+           if (!isProposed && isJob) {
+             RefuseUnproposedChange(aOut);
+           }
            LogInfo(Event::kJobCancelled,
                    { { "path", place.path() },
                      { "status", static_cast<int>(aOut.status()) } });
--- a/test/job_service_test.cpp
+++ b/test/job_service_test.cpp
@@ -103,6 +103,16 @@
     Propose(changes);
   }
 
+  void ProposeJob(int aQueue, const std::string& aId)
+  {
+    v1::JobChanges changes;
+    v1::AcceptJob& job = *changes.add_changes()->mutable_accept_job();
+    job.set_id(aId);
+    job.set_queue(std::to_string(aQueue));
+    job.set_service(kService);
+    Propose(changes);
+  }
+
   v1::JobReply Submit(int aQueue, const std::string& aId)
   {
     grpc::ClientContext context;
@@ -121,6 +131,14 @@
     return reply;
   }
 
+  v1::JobReply Cancel(int aQueue, const std::string& aId)
+  {
+    grpc::ClientContext context;
+    v1::JobReply reply;
+    BOOST_TEST(stub_->Cancel(&context, Request(aQueue, aId), &reply).ok());
+    return reply;
+  }
+
   LogReplica& Replica() { return replica_; }
 
 private:
@@ -176,3 +194,24 @@
   BOOST_TEST(reply.status() == v1::JOB_CALL_REFUSED);
   BOOST_TEST(Show(queue, "a").status() == v1::JOB_CALL_NO_JOB);
 }
+
+BOOST_FIXTURE_TEST_CASE(CancellationOfAJobThatAppearsMeanwhileIsRefused,
+                        JobServiceFixture)
+{
+  ProposeQueues(1);
+  v1::JobReply reply;
+  std::string id;
+  do {
+    id += 'a';
+    HeldReplica held(Replica());
+    ProposeJob(1, id);
+    auto cancelled =
+      std::async(std::launch::async, [&] { return Cancel(1, id); });
+    std::this_thread::sleep_for(kTimeForFirstLook);
+    held.Release();
+    reply = cancelled.get();
+    // Cancelled: the call arrived after the job was applied.
+  } while (reply.phase() == v1::JOB_CANCELLED && id.size() < kMaxTrials);
+  BOOST_TEST(reply.status() == v1::JOB_CALL_REFUSED);
+  BOOST_TEST(Show(1, id).phase() == v1::JOB_QUEUED);
+}
