Gateway: log what earlier attempts of a call may have stored

Event 603 did not tell a refusal of the only attempt from one after an attempt that may be stored, and 602 had no count of attempts. Both say `tries` and `may_be_stored` now; 603 also the status of the last reply, which the caller may not have been given. Refusals that became unknown are counted (vh_refusals_made_unknown_total, test RefusalsMadeUnknownAreCounted).

--- a/src/gateway/job_gateway.cpp
+++ b/src/gateway/job_gateway.cpp
@@ -268,9 +268,11 @@
   const Millis elapsed = clock_.Now() - startedAt;
   metrics_.Observe("vh_call_milliseconds",
                    static_cast<double>(elapsed.Count()));
+  const auto lastReply = result ? result->status() : v1::JOB_CALL_UNSPECIFIED;
   if (result && mayBeStored &&
       !CoversEarlierAttempts(aCall.kind_, result->status())) {
     result->set_status(v1::JOB_CALL_UNKNOWN);
+    metrics_.Count("vh_refusals_made_unknown_total");
   }
   if (!result) {
     result.emplace();
@@ -292,6 +294,8 @@
             { { "request", aCall.place_.path() },
               { "kind", static_cast<int>(aCall.kind_) },
               { "status", static_cast<int>(result->status()) },
+              { "tries", attempts },
+              { "may_be_stored", mayBeStored ? "yes" : "no" },
               { "ms", elapsed.Count() } });
   } else {
     const Millis age = clock_.Now() - finder_.ConfirmedAt();
@@ -301,6 +305,8 @@
                  { "status", static_cast<int>(result->status()) },
                  { "reason", result->detail() },
                  { "tries", attempts },
+                 { "may_be_stored", mayBeStored ? "yes" : "no" },
+                 { "last_reply", static_cast<int>(lastReply) },
                  { "leader_confirmed_ms_ago", age.Count() },
                  { "ms", elapsed.Count() } });
   }
--- a/test/job_gateway_test.cpp
+++ b/test/job_gateway_test.cpp
@@ -107,7 +107,9 @@
 };
 
 // Returns the status of a call whose attempts the leader answers with `aSteps`.
-v1::JobCallStatus Call(JobCallKind aKind, std::deque<Step> aSteps)
+v1::JobCallStatus Call(JobCallKind aKind,
+                       std::deque<Step> aSteps,
+                       Metrics& aMetrics)
 {
   FakeLeader leader(std::move(aSteps));
   grpc::ServerBuilder builder;
@@ -119,12 +121,11 @@
   BOOST_REQUIRE(server);
 
   asio::io_context io;
-  Metrics metrics;
   const SystemClock clock;
   JobGateway gateway(
     io,
     { .seeds_ = { kLoopback }, .port_ = static_cast<uint16_t>(port) },
-    metrics,
+    aMetrics,
     clock);
   gateway.Start();
   v1::JobReply reply;
@@ -141,6 +142,12 @@
   return reply.status();
 }
 
+v1::JobCallStatus Call(JobCallKind aKind, std::deque<Step> aSteps)
+{
+  Metrics metrics;
+  return Call(aKind, std::move(aSteps), metrics);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(RefusalAfterAnAttemptWithoutReplyIsUnknown)
@@ -230,6 +237,18 @@
              v1::JOB_CALL_REFUSED);
 }
 
+BOOST_AUTO_TEST_CASE(RefusalsMadeUnknownAreCounted)
+{
+  const std::string kCounter = "vh_refusals_made_unknown_total 1";
+  Metrics metrics;
+  Call(JobCallKind::kSubmit, { v1::JOB_CALL_REFUSED }, metrics);
+  BOOST_TEST(metrics.Render().find(kCounter) == std::string::npos);
+  Call(JobCallKind::kSubmit,
+       { v1::JOB_CALL_UNKNOWN, v1::JOB_CALL_REFUSED },
+       metrics);
+  BOOST_TEST(metrics.Render().find(kCounter) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ReplyOfAnUnrecognizedStatusDoesNotPromiseThatNothingRan)
 {
   constexpr auto kLaterStatus = static_cast<v1::JobCallStatus>(99);
