Test: a call in flight when the gateway stops is unknown

The gateway cancels its attempts when it stops; the leader may have read them. Passes without a change of the code: a cancelled attempt counts as one without a reply.

--- a/test/job_gateway_test.cpp
+++ b/test/job_gateway_test.cpp
@@ -6,6 +6,8 @@
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 #include <mutex>
@@ -19,6 +21,7 @@
 constexpr const char* kLoopback = "127.0.0.1";
 constexpr const char* kOtherLoopback = "127.0.0.2"; // of the same leader
 constexpr std::chrono::milliseconds kTimeUntilFailure(300);
+constexpr std::chrono::milliseconds kPollInterval(5);
 
 // One reply of the leader; without a status the RPC fails.
 using Step = std::optional<v1::JobCallStatus>;
@@ -106,40 +109,73 @@
   std::deque<Step> steps_;
 };
 
+// A gateway whose leader answers attempts with `aSteps`.
+class Deployment
+{
+public:
+  Deployment(std::deque<Step> aSteps, Metrics& aMetrics)
+    : leader_(std::move(aSteps))
+  {
+    grpc::ServerBuilder builder;
+    int port = 0;
+    builder.AddListeningPort(
+      "0.0.0.0:0", grpc::InsecureServerCredentials(), &port);
+    builder.RegisterService(&leader_);
+    server_ = builder.BuildAndStart();
+    BOOST_REQUIRE(server_);
+    JobGatewayOptions options{ .seeds_ = { kLoopback },
+                               .port_ = static_cast<uint16_t>(port) };
+    gateway_.emplace(io_, std::move(options), aMetrics, clock_);
+    gateway_->Start();
+  }
+
+  // Returns the status of a call. The leader's steps must last as long as it.
+  v1::JobCallStatus Call(JobCallKind aKind)
+  {
+    v1::JobReply reply;
+    asio::co_spawn(
+      io_,
+      [&]() -> asio::awaitable<void> {
+        reply =
+          co_await gateway_->Handle({ .kind_ = aKind, .timeout_ = Seconds(5) });
+        gateway_->Stop();
+      },
+      asio::detached);
+    io_.run();
+    BOOST_TEST(leader_.StepsLeft() == 0U);
+    return reply.status();
+  }
+
+  // Stops the gateway once the leader has received the last planned attempt.
+  void StopDuringLastAttempt()
+  {
+    asio::co_spawn(
+      io_,
+      [this]() -> asio::awaitable<void> {
+        asio::steady_timer timer(io_);
+        while (leader_.StepsLeft() > 0) {
+          timer.expires_after(kPollInterval);
+          co_await timer.async_wait(asio::use_awaitable);
+        }
+        gateway_->Stop();
+      },
+      asio::detached);
+  }
+
+private:
+  FakeLeader leader_;
+  std::unique_ptr<grpc::Server> server_;
+  asio::io_context io_;
+  const SystemClock clock_;
+  std::optional<JobGateway> gateway_;
+};
+
 // Returns the status of a call whose attempts the leader answers with `aSteps`.
 v1::JobCallStatus Call(JobCallKind aKind,
                        std::deque<Step> aSteps,
                        Metrics& aMetrics)
 {
-  FakeLeader leader(std::move(aSteps));
-  grpc::ServerBuilder builder;
-  int port = 0;
-  builder.AddListeningPort(
-    "0.0.0.0:0", grpc::InsecureServerCredentials(), &port);
-  builder.RegisterService(&leader);
-  const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
-  BOOST_REQUIRE(server);
-
-  asio::io_context io;
-  const SystemClock clock;
-  JobGateway gateway(
-    io,
-    { .seeds_ = { kLoopback }, .port_ = static_cast<uint16_t>(port) },
-    aMetrics,
-    clock);
-  gateway.Start();
-  v1::JobReply reply;
-  asio::co_spawn(
-    io,
-    [&]() -> asio::awaitable<void> {
-      reply =
-        co_await gateway.Handle({ .kind_ = aKind, .timeout_ = Seconds(5) });
-      gateway.Stop();
-    },
-    asio::detached);
-  io.run();
-  BOOST_TEST(leader.StepsLeft() == 0U);
-  return reply.status();
+  return Deployment(std::move(aSteps), aMetrics).Call(aKind);
 }
 
 v1::JobCallStatus Call(JobCallKind aKind, std::deque<Step> aSteps)
@@ -237,6 +273,14 @@
              v1::JOB_CALL_REFUSED);
 }
 
+BOOST_AUTO_TEST_CASE(CallInFlightWhenTheGatewayStopsIsUnknown)
+{
+  Metrics metrics;
+  Deployment deployment({ std::nullopt }, metrics);
+  deployment.StopDuringLastAttempt();
+  BOOST_TEST(deployment.Call(JobCallKind::kSubmit) == v1::JOB_CALL_UNKNOWN);
+}
+
 BOOST_AUTO_TEST_CASE(RefusalsMadeUnknownAreCounted)
 {
   const std::string kCounter = "vh_refusals_made_unknown_total 1";
