Test: a request in progress when the HTTP server stops gets its handler's answer

A server that drains or stops must not answer a request that it has passed on with a status of its own. Passes without a change of the code.

--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -3,7 +3,10 @@
 #include "vanillahatch/shell/http_server.h"
 
 #include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/steady_timer.hpp>
+#include <boost/asio/use_awaitable.hpp>
 #include <boost/test/unit_test.hpp>
 #include <stdexcept>
 
@@ -15,6 +18,7 @@
 namespace {
 
 constexpr unsigned kHttpVersion = 11;
+constexpr std::chrono::milliseconds kSlowTime(200);
 
 uint16_t FreePort()
 {
@@ -24,8 +28,17 @@
     .port();
 }
 
+asio::awaitable<void> SleepFor(std::chrono::milliseconds aDuration)
+{
+  asio::steady_timer timer(co_await asio::this_coro::executor, aDuration);
+  co_await timer.async_wait(asio::use_awaitable);
+}
+
 asio::awaitable<HttpResponse> Answer(HttpRequest aRequest)
 {
+  if (aRequest.target() == "/slow") {
+    co_await SleepFor(kSlowTime);
+  }
   if (aRequest.target() == "/throws") {
     throw std::runtime_error("unexpected");
   }
@@ -69,4 +82,17 @@
   BOOST_TEST(Get("/succeeds") == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(RequestInProgressWhenTheServerStopsGetsTheHandlersAnswer)
+{
+  asio::co_spawn(
+    io_,
+    [this]() -> asio::awaitable<void> {
+      co_await SleepFor(kSlowTime / 2);
+      server_.BeginDrain();
+      server_.StopAccepting();
+    },
+    asio::detached);
+  BOOST_TEST(Get("/slow") == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
