Instances: one whose address another instance has taken is removed at once

What callers saw: nothing yet. Since the reply of another instance at an address no longer ends the one that was meant, tasks of an instance that crashed and whose address was given to another waited for its lease to expire (5 s) before they started elsewhere.

Cause: status 421 was taken as no proof at all. It proves the end of an instance that has answered a listing at that very address itself, since an instance keeps its address.

Change: the view keeps the endpoint of the latest accepted listing; 421 from there removes the instance as ended, 421 from any other endpoint still frees nothing before the lease ends.

Test: TaskOfAnInstanceWhoseAddressIsTakenStartsElsewhereAtOnce, seen failing with the condition switched off; ReplyOfAnotherInstanceAtItsAddressFreesNoRunningTask still holds.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -253,7 +253,9 @@
                      const RunView& aRun,
                      std::optional<Millis> aEndClock);
   void MarkReplaced(InstanceView& aView);
-  void OnOtherInstanceReplied(Millis aNow, InstanceView& aView);
+  void OnOtherInstanceReplied(Millis aNow,
+                              InstanceView& aView,
+                              const Endpoint& aEndpoint);
   static void SetUnresponsive(Millis aNow, InstanceView& aView);
   void ProcessRunning(Millis aNow,
                       InstanceView& aView,
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -129,7 +129,9 @@
   // The latest listing request got no reply.
   bool isUnresponsive_ = false;
   bool isReplaced_ = false; // a reply came from the next incarnation
-  bool isLeaving_ = false;  // its runs are stopped; it ends soon
+  // Where the instance itself has replied to a listing request.
+  std::optional<Endpoint> confirmedEndpoint_;
+  bool isLeaving_ = false; // its runs are stopped; it ends soon
   // Reserved for an operation on its machine: gets no new work.
   bool reserved_ = false;
   // Its runs are moved elsewhere, for an operation on its machine.
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -75,10 +75,18 @@
   }
 }
 
-// The instance may run its tasks at another address, so they are freed only
-// once their lease has expired.
-void FleetScheduler::OnOtherInstanceReplied(Millis aNow, InstanceView& aView)
+// An instance keeps its address, so one that has replied there itself has
+// ended. Else the address may be wrong, and the instance may run its tasks
+// elsewhere: they are freed only once their lease has expired.
+void FleetScheduler::OnOtherInstanceReplied(Millis aNow,
+                                            InstanceView& aView,
+                                            const Endpoint& aEndpoint)
 {
+  if (aView.confirmedEndpoint_ == aEndpoint) {
+    ProposeRemoval(
+      aView, RemovalKind::kFinal, "another instance has taken its address");
+    return;
+  }
   if (!aView.isUnresponsive_) {
     trace_.onInstance_(aView.StoredInstance().key_,
                        "another instance replied at its address");
@@ -131,7 +139,7 @@
       deposed_ = true;
       return;
     case OrderStatus::kOtherIncarnation:
-      OnOtherInstanceReplied(aNow, *view);
+      OnOtherInstanceReplied(aNow, *view, aOrder.target_.endpoint_);
       break;
     case OrderStatus::kUnknown:
       view->avoidUntil_ = aNow + kAvoidAfterNoReply;
@@ -171,7 +179,7 @@
   RecordReply(aNow, *view, aResult);
   deposed_ = deposed_ || aResult.status_ == OrderStatus::kFenced;
   if (aResult.status_ == OrderStatus::kOtherIncarnation) {
-    OnOtherInstanceReplied(aNow, *view);
+    OnOtherInstanceReplied(aNow, *view, aOrder.target_.endpoint_);
   }
   if (RunView* run = view->FindRun(aOrder.ref_, aOrder.run_)) {
     run->stopInFlight_ = false;
@@ -203,7 +211,7 @@
     return;
   }
   if (aResult.status_ == OrderStatus::kOtherIncarnation) {
-    OnOtherInstanceReplied(aNow, *view);
+    OnOtherInstanceReplied(aNow, *view, aOrder.target_.endpoint_);
     return;
   }
   const bool isReplaced =
@@ -221,6 +229,7 @@
     trace_.onInstance_(aOrder.target_.instance_, "in contact");
   }
   view->isUnresponsive_ = false;
+  view->confirmedEndpoint_ = aOrder.target_.endpoint_;
   view->lastReplyAt_ = aNow;
   view->nextHoldAt_ = aNow + kMinListingInterval;
   if (aResult.clock_) {
--- a/test/machine_orders_test.cpp
+++ b/test/machine_orders_test.cpp
@@ -119,6 +119,28 @@
   BOOST_TEST(fleet_.Starts() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(TaskOfAnInstanceWhoseAddressIsTakenStartsElsewhereAtOnce)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  OccupyInstance(a);
+  fleet_.AddInstance("b", "layout");
+  fleet_.RunFor(Millis(100));
+  a.isReachable_ = false;
+  a.running_.clear();
+  fleet_.Scheduler().OnListing(
+    fleet_.Now(),
+    { .target_ = { .instance_ = ToKey(a.record_),
+                   .endpoint_ = { .address_ = a.record_.address(),
+                                  .port_ = static_cast<uint16_t>(
+                                    a.record_.port()) } } },
+    fleet_.Now(),
+    { .status_ = OrderStatus::kOtherIncarnation },
+    {});
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.At("b").running_.size() == 1; }, Millis(500)));
+}
+
 BOOST_AUTO_TEST_CASE(RunningTaskOfAnInstanceThatIsGoneStartsElsewhere)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
