Reports: an instance id that is not printable ASCII, or is too long, is refused

Cause: hosts and paths of clients are checked, ids of instances were not. Event 310 wrote the path as it came, control characters included.

Change: an id has 1 to 128 printable ASCII characters and no slash; any other is answered with 400. Paths and details in event 310 are made printable and cut at 256 characters.

Test: InstanceIdThatIsNotPrintableOrTooLongIsRejected failed without the check (14 of 15 checks). DecodeLeave returns a Result, so LeaveNamesItsIncarnation reads its value; what it checks is the same.

--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -6,6 +6,7 @@
 #include "platform/job_messages.h"
 #include "platform/machine_client.h"
 #include "platform/settings.h"
+#include "platform/text.h"
 
 #include <boost/test/unit_test.hpp>
 
@@ -20,6 +21,12 @@
   R"("max_attempts":4,"stretch":1.6}],"services":[{"name":"s",)"
   R"("enforces_capacity":true,"spare":false}],"limits":{}})";
 
+constexpr std::string_view kReport =
+  R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+  R"("slots":8,"state":"ready","cold_remaining_ms":0,"born":1700000000123,)"
+  R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},"labels":["a","r1-3"],)"
+  R"("machine":"m-1","clock_ms":482113,"seq":4})";
+
 std::string ReplaceFirst(std::string aText,
                          const std::string& aPattern,
                          const std::string& aReplacement)
@@ -265,10 +272,32 @@
 }
 BOOST_AUTO_TEST_CASE(LeaveNamesItsIncarnation)
 {
-  const InstanceKey key = DecodeLeave("i-1", R"({"born":1700000000123})");
+  const InstanceKey key =
+    DecodeLeave("i-1", R"({"born":1700000000123})").value();
   BOOST_TEST(key.id_ == "i-1");
   BOOST_TEST(key.startedUnixMs_ == 1700000000123);
   for (const char* body : { "", "[]", R"({"born":"x"})", R"({"seq":1})" }) {
-    BOOST_TEST(DecodeLeave("i-1", body).startedUnixMs_ == 0);
+    BOOST_TEST(DecodeLeave("i-1", body).value().startedUnixMs_ == 0);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(InstanceIdThatIsNotPrintableOrTooLongIsRejected)
+{
+  for (const std::string& id : { std::string("\xff\x31"),
+                                 std::string("i\x01"),
+                                 std::string("i\0", 2),
+                                 std::string("i 1"),
+                                 std::string("i/1"),
+                                 std::string(),
+                                 std::string(129, 'i') }) {
+    BOOST_TEST(!DecodeReport(id, kReport).has_value(), ToLogText(id));
+    BOOST_TEST(!DecodeLeave(id, "{}").has_value(), ToLogText(id));
   }
+  BOOST_TEST(DecodeReport(std::string(128, 'i'), kReport).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(LoggedTextOfOtherProgramsIsPrintableAndShort)
+{
+  BOOST_TEST(ToLogText("/api/\xff\x1b[2J x") == "/api/??[2J x");
+  BOOST_TEST(ToLogText(std::string(10000, 'x')).size() == 256U);
 }
