Reports: a sequence number no longer makes an instance's later reports count as late

What callers saw: after one report under an instance's id with seq 2^62 (or negative, or 10^12) the leader dropped all later reports of that instance, and still acknowledged them with 200. So a draining report was acknowledged and not recorded, and work was started on the instance. The map of sequence numbers also grew with each incarnation.

Cause: the leader remembered the highest number that it had seen, without a bound.

Change: that memory is gone. Within one incarnation only draining changes, and it is recorded as final, so a late report has nothing to undo; an address or a service that a false report named is put right by the next true one.

--- a/include/vanillahatch/core/jobs/report_changes.h
+++ b/include/vanillahatch/core/jobs/report_changes.h
@@ -17,7 +17,9 @@
 namespace vanillahatch {
 
 // Empty if the report contains no change, or is a late report of an earlier
-// incarnation.
+// incarnation. A late report of the same incarnation needs no sequence number
+// to be recognized: within one incarnation only draining changes, which is
+// final.
 v1::JobChanges ChangesForReport(const JobStore& aStore,
                                 const InstanceReport& aReport);
 // Removes the incarnation that has reported its end, and earlier ones of the
--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -144,12 +144,6 @@
                             .reportTo_ = selfName_ };
   }
   const InstanceKey key = ToKey(aReport.record_);
-  uint64_t& latest = latestSequences_[key];
-  if (aReport.sequence_ < latest) { // a later report was received first
-    co_return ControlReply{ .status_ = ControlStatus::kOk,
-                            .reportTo_ = selfName_ };
-  }
-  latest = aReport.sequence_;
   v1::JobChanges changes = store_.With(
     [&](const JobStore& aStore) { return ChangesForReport(aStore, aReport); });
   const bool changesState = changes.changes_size() > 0;
--- a/src/scheduler/fleet_control.h
+++ b/src/scheduler/fleet_control.h
@@ -68,8 +68,6 @@
   LogReplica& replica_;
   FleetDriver& driver_;
   const std::string selfName_;
-  // Sequence number of the latest report, by incarnation.
-  std::map<InstanceKey, uint64_t> latestSequences_;
 };
 
 } // namespace vanillahatch
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -301,3 +301,16 @@
   BOOST_TEST(ToLogText("/api/\xff\x1b[2J x") == "/api/??[2J x");
   BOOST_TEST(ToLogText(std::string(10000, 'x')).size() == 256U);
 }
+
+BOOST_AUTO_TEST_CASE(ReportWithSequenceNumberOutOfRangeIsRejected)
+{
+  for (const char* sequence : { "-1",
+                                "4294967296",
+                                "1000000000000",
+                                "4611686018427387904",
+                                "1e300" }) {
+    const std::string body = ReplaceFirst(
+      std::string(kReport), R"("seq":4)", R"("seq":)" + std::string(sequence));
+    BOOST_TEST(!DecodeReport("i", body).has_value(), sequence);
+  }
+}
