Reports: a start in the future is refused

What callers saw: after one report under an instance's id with born 2^62, or years ahead, the instance got no work any more, also after a restart of all schedulers.

Cause: the highest start counts as the latest incarnation. The false one was stored, the true one was recorded as ended, and its reports were ignored as late ones of an earlier incarnation.

Change: a start that is more than an hour ahead of this replica's time of day is answered with 400 on every replica, in reports and in leaves. The hour is for clocks that jump or differ between machines.

--- a/include/vanillahatch/core/jobs/report_changes.h
+++ b/include/vanillahatch/core/jobs/report_changes.h
@@ -22,6 +22,11 @@
 // final.
 v1::JobChanges ChangesForReport(const JobStore& aStore,
                                 const InstanceReport& aReport);
+// False if the start is in the future. It and `aUnixNow` are read from the
+// clocks of different machines, which may differ by `kMaxClockDifference`.
+constexpr Millis kMaxClockDifference = Seconds(3600);
+bool IsPlausibleStart(int64_t aStartedUnixMs, Millis aUnixNow);
+
 // Removes the incarnation that has reported its end, and earlier ones of the
 // same id; all of them if the report does not tell when it started (zero).
 v1::JobChanges ChangesForLeave(const JobStore& aStore,
--- a/src/core/jobs/report_changes.cpp
+++ b/src/core/jobs/report_changes.cpp
@@ -71,6 +71,11 @@
   return changes;
 }
 
+bool IsPlausibleStart(int64_t aStartedUnixMs, Millis aUnixNow)
+{
+  return Millis(aStartedUnixMs) <= aUnixNow + kMaxClockDifference;
+}
+
 v1::JobChanges ChangesForLeave(const JobStore& aStore,
                                const InstanceKey& aInstance)
 {
--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -32,10 +32,12 @@
 FleetControl::FleetControl(JobStoreReplica& aStore,
                            LogReplica& aReplica,
                            FleetDriver& aDriver,
+                           const Clock& aClock,
                            std::string aSelfName)
   : store_(aStore)
   , replica_(aReplica)
   , driver_(aDriver)
+  , clock_(aClock)
   , selfName_(std::move(aSelfName))
 {
 }
@@ -132,6 +134,10 @@
 asio::awaitable<ControlReply> FleetControl::Report(InstanceReport aReport,
                                                    Millis aClock)
 {
+  const int64_t startedUnixMs = aReport.record_.born_unix_ms();
+  if (!IsPlausibleStart(startedUnixMs, clock_.UnixNow())) {
+    co_return ControlReply{ .status_ = ControlStatus::kImplausible };
+  }
   if (!replica_.IsLeader()) {
     const LogReplicaStatus status = replica_.Status();
     const bool isRecorded =
@@ -198,6 +204,9 @@
 
 asio::awaitable<ControlReply> FleetControl::Leave(InstanceKey aInstance)
 {
+  if (!IsPlausibleStart(aInstance.startedUnixMs_, clock_.UnixNow())) {
+    co_return ControlReply{ .status_ = ControlStatus::kImplausible };
+  }
   if (!co_await AwaitEndOfTasks(aInstance)) {
     const ControlReply reply{ .status_ = ControlStatus::kRetryLater };
     LogLeave(aInstance, reply);
--- a/src/scheduler/fleet_control.h
+++ b/src/scheduler/fleet_control.h
@@ -18,7 +18,8 @@
   kNotLeader,   // `leader_` names the leader, if it is known
   kUnavailable, // no quorum, or overloaded; the outcome may be unknown
   kNotFound,
-  kRetryLater, // not done yet; the call has to be repeated
+  kRetryLater,  // not done yet; the call has to be repeated
+  kImplausible, // no instance can have sent the report; without effect
 };
 
 struct ControlReply
@@ -38,6 +39,7 @@
   FleetControl(JobStoreReplica& aStore,
                LogReplica& aReplica,
                FleetDriver& aDriver,
+               const Clock& aClock,
                std::string aSelfName);
 
   boost::asio::awaitable<ControlReply> PutConfig(v1::FleetDocument aConfig);
@@ -67,6 +69,7 @@
   JobStoreReplica& store_;
   LogReplica& replica_;
   FleetDriver& driver_;
+  const Clock& clock_;
   const std::string selfName_;
 };
 
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -314,3 +314,12 @@
     BOOST_TEST(!DecodeReport("i", body).has_value(), sequence);
   }
 }
+
+BOOST_AUTO_TEST_CASE(ReportWithoutAStartTimeIsRejected)
+{
+  for (const char* start : { "-1", "0", "null", "\"x\"", "4.5", "1e300" }) {
+    const std::string body =
+      ReplaceFirst(std::string(kReport), "1700000000123", start);
+    BOOST_TEST(!DecodeReport("i", body).has_value(), start);
+  }
+}
--- a/test/report_changes_test.cpp
+++ b/test/report_changes_test.cpp
@@ -127,3 +127,16 @@
   BOOST_REQUIRE(restored.Restore(store.Snapshot()));
   BOOST_TEST(!restored.InstancesChangedSince(0).has_value());
 }
+
+BOOST_AUTO_TEST_CASE(StartTimeInTheFutureIsNotPlausible)
+{
+  const Millis now(1700000000000);
+  const auto isPlausible = [&](Millis aStart) {
+    return IsPlausibleStart(aStart.Count(), now);
+  };
+  BOOST_TEST(isPlausible(now - Seconds(86400)));
+  BOOST_TEST(isPlausible(now + Seconds(60)));
+  BOOST_TEST(!isPlausible(now + Seconds(86400)));
+  BOOST_TEST(!isPlausible(Millis(int64_t(1) << 62)));
+  BOOST_TEST(!isPlausible(Millis::Max()));
+}
