Reports: an instance that was taken for ended or draining by mistake comes back into use

What callers saw: one false report for an instance (a later start, "draining") or a false leave took it from use for good, though it ran and went on reporting.

Cause: that an incarnation has ended, or drains, is final, and what contradicts it is taken for a late report. That is right for reports that were delayed, but a false one can't be told from a true one when it comes.

Change: an incarnation that reports for 10 s, with rising numbers and no gap of over 5 s, that it takes work has neither ended nor does it drain (ContradictionTracker, on the leader). Reports that were delayed arrive together and don't last. The leader then commits the record again; for one taken for ended, preceded by a removal that isn't final, which JobStore takes as the end of the false one. Such an incarnation may be stored beside the false later one; its reports count, so that it can drain.

JobStore::RemoveInstance changes in one point: a removal that isn't final, of an incarnation that isn't stored, takes it off the list of ended ones.

Tests: IncarnationTakenForEndedByMistakeReturns, IncarnationThatReturnedCanDrainBesideAFalseLater- One, DrainingTakenFromAFalseReportIsUndone, and two on the tracker.

--- a/include/vanillahatch/core/jobs/report_changes.h
+++ b/include/vanillahatch/core/jobs/report_changes.h
@@ -12,6 +12,7 @@
 #include "vanillahatch/core/jobs/job_store.h"
 #include "vanillahatch/core/jobs/orders.h"
 
+#include <map>
 #include <span>
 
 namespace vanillahatch {
@@ -27,6 +28,37 @@
 constexpr Millis kMaxClockDifference = Seconds(3600);
 bool IsPlausibleStart(int64_t aStartedUnixMs, Millis aUnixNow);
 
+// True if the instance reports that it takes work, while the store holds that
+// this incarnation has ended or drains. Both are final, so `ChangesForReport`
+// takes such a report for a late one.
+bool ContradictsFinalState(const JobStore& aStore,
+                           const InstanceReport& aReport);
+// Makes the incarnation usable again.
+v1::JobChanges ChangesForReturn(const JobStore& aStore,
+                                const InstanceReport& aReport);
+
+// Tells late reports from those of an incarnation that was taken for ended or
+// draining by mistake: it goes on reporting, while late reports arrive
+// together.
+class ContradictionTracker
+{
+public:
+  // Records a report that contradicts the final state of its incarnation.
+  // Returns true once the incarnation has sent such reports for 10 s.
+  bool Add(const InstanceKey& aInstance, uint64_t aSequence, Millis aNow);
+
+private:
+  struct Span
+  {
+    Millis firstAt_;
+    Millis lastAt_;
+    uint64_t lastSequence_ = 0;
+  };
+
+  // Of incarnations with a report in the last seconds.
+  std::map<InstanceKey, Span> spans_;
+};
+
 // Removes the incarnation that has reported its end, and earlier ones of the
 // same id; all of them if the report does not tell when it started (zero).
 v1::JobChanges ChangesForLeave(const JobStore& aStore,
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -567,6 +567,9 @@
   }
   const auto it = instances_.find(key);
   if (it == instances_.end()) {
+    if (!aGone.final() && departedSet_.erase(key) > 0) {
+      std::erase(departed_, key);
+    }
     return;
   }
   const std::set<TaskRef> assigned = it->second->assigned_;
--- a/src/core/jobs/report_changes.cpp
+++ b/src/core/jobs/report_changes.cpp
@@ -6,6 +6,10 @@
 
 namespace {
 
+constexpr Millis kMinContradiction = Seconds(10);
+// Instances report every one or two seconds.
+constexpr Millis kMaxReportGap = Seconds(5);
+
 void AddRemoval(v1::JobChanges& aChanges, const InstanceKey& aKey)
 {
   v1::InstanceGone& removal = *aChanges.add_changes()->mutable_instance_gone();
@@ -43,7 +47,8 @@
   }
   const std::vector<const Instance*> incarnations =
     aStore.FindInstancesById(key.id_);
-  if (!incarnations.empty() &&
+  const Instance* known = aStore.FindInstance(key);
+  if (known == nullptr && !incarnations.empty() &&
       incarnations.back()->key_.startedUnixMs_ > key.startedUnixMs_) {
     return changes; // a late report of an earlier incarnation
   }
@@ -57,7 +62,6 @@
       }
     }
   }
-  const Instance* known = aStore.FindInstance(key);
   v1::InstanceRecord merged = MergedRecord(known, aReport.record_);
   if (known == nullptr || !IsSame(merged, known->record_)) {
     *changes.add_changes()->mutable_put_instance() = std::move(merged);
@@ -71,6 +75,56 @@
   return changes;
 }
 
+bool ContradictsFinalState(const JobStore& aStore,
+                           const InstanceReport& aReport)
+{
+  const InstanceKey key = ToKey(aReport.record_);
+  const Instance* known = aStore.FindInstance(key);
+  return !aReport.record_.draining() &&
+         (aStore.HasDeparted(key) ||
+          (known != nullptr && known->record_.draining()));
+}
+
+v1::JobChanges ChangesForReturn(const JobStore& aStore,
+                                const InstanceReport& aReport)
+{
+  v1::JobChanges changes;
+  const InstanceKey key = ToKey(aReport.record_);
+  if (aStore.HasDeparted(key)) {
+    // Not final: it may report again.
+    *changes.add_changes()->mutable_instance_gone()->mutable_key() =
+      ToMessage(key);
+  }
+  v1::InstanceRecord& record = *changes.add_changes()->mutable_put_instance();
+  record = aReport.record_;
+  if (const Instance* known = aStore.FindInstance(key)) {
+    record.set_end_cursor(known->record_.end_cursor());
+  }
+  return changes;
+}
+
+bool ContradictionTracker::Add(const InstanceKey& aInstance,
+                               uint64_t aSequence,
+                               Millis aNow)
+{
+  std::erase_if(spans_, [&](const auto& aItem) {
+    return aNow - aItem.second.lastAt_ > kMaxReportGap;
+  });
+  const auto [it, isNew] =
+    spans_.try_emplace(aInstance, Span{ aNow, aNow, aSequence });
+  Span& span = it->second;
+  if (isNew || aSequence <= span.lastSequence_) {
+    return false;
+  }
+  span.lastAt_ = aNow;
+  span.lastSequence_ = aSequence;
+  const bool isLasting = aNow - span.firstAt_ >= kMinContradiction;
+  if (isLasting) {
+    spans_.erase(it);
+  }
+  return isLasting;
+}
+
 bool IsPlausibleStart(int64_t aStartedUnixMs, Millis aUnixNow)
 {
   return Millis(aStartedUnixMs) <= aUnixNow + kMaxClockDifference;
--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -1,7 +1,6 @@
 #include "scheduler/fleet_control.h"
 
 #include "scheduler/await_proposal.h"
-#include "vanillahatch/core/jobs/report_changes.h"
 #include "vanillahatch/shell/log.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -150,8 +149,13 @@
                             .reportTo_ = selfName_ };
   }
   const InstanceKey key = ToKey(aReport.record_);
-  v1::JobChanges changes = store_.With(
-    [&](const JobStore& aStore) { return ChangesForReport(aStore, aReport); });
+  v1::JobChanges changes = store_.With([&](const JobStore& aStore) {
+    const bool returns =
+      ContradictsFinalState(aStore, aReport) &&
+      contradictions_.Add(key, aReport.sequence_, clock_.Now());
+    return returns ? ChangesForReturn(aStore, aReport)
+                   : ChangesForReport(aStore, aReport);
+  });
   const bool changesState = changes.changes_size() > 0;
   ControlReply reply{ .status_ = ControlStatus::kOk };
   if (changesState) {
--- a/src/scheduler/fleet_control.h
+++ b/src/scheduler/fleet_control.h
@@ -7,6 +7,7 @@
 
 #include "scheduler/fleet_driver.h"
 #include "scheduler/job_store_replica.h"
+#include "vanillahatch/core/jobs/report_changes.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -71,6 +72,7 @@
   FleetDriver& driver_;
   const Clock& clock_;
   const std::string selfName_;
+  ContradictionTracker contradictions_;
 };
 
 } // namespace vanillahatch
--- a/test/report_changes_test.cpp
+++ b/test/report_changes_test.cpp
@@ -111,6 +111,47 @@
   BOOST_TEST(!IsRecorded(restarted, report));
 }
 
+BOOST_AUTO_TEST_CASE(IncarnationTakenForEndedByMistakeReturns)
+{
+  const InstanceReport report = MakeReport("a", 1000);
+  Process(report);
+  Process(MakeReport("a", 2000)); // names a start that never was
+  BOOST_TEST(Process(report).changes_size() == 0);
+  BOOST_TEST(ContradictsFinalState(store_, report));
+  store_.Apply(ChangesForReturn(store_, report));
+  BOOST_TEST(store_.FindInstance(ToKey(report.record_)) != nullptr);
+  BOOST_TEST(!ContradictsFinalState(store_, report));
+  JobStore restarted;
+  BOOST_REQUIRE(restarted.Restore(store_.Snapshot()));
+  BOOST_TEST(!restarted.HasDeparted(ToKey(report.record_)));
+}
+
+// A draining report that is ignored but acknowledged would be followed by
+// starts.
+BOOST_AUTO_TEST_CASE(IncarnationThatReturnedCanDrainBesideAFalseLaterOne)
+{
+  InstanceReport report = MakeReport("a", 1000);
+  Process(report);
+  Process(MakeReport("a", 2000));
+  store_.Apply(ChangesForReturn(store_, report));
+  report.record_.set_draining(true);
+  Process(report);
+  BOOST_TEST(store_.FindInstance(ToKey(report.record_))->record_.draining());
+}
+
+BOOST_AUTO_TEST_CASE(DrainingTakenFromAFalseReportIsUndone)
+{
+  InstanceReport report = MakeReport("a", 1000);
+  Process(report);
+  InstanceReport draining = report;
+  draining.record_.set_draining(true);
+  Process(draining);
+  BOOST_TEST(ContradictsFinalState(store_, report));
+  BOOST_TEST(!ContradictsFinalState(store_, draining));
+  store_.Apply(ChangesForReturn(store_, report));
+  BOOST_TEST(IsRecorded(store_, report));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(InstancesChangedSinceACounterAreListed)
@@ -140,3 +181,28 @@
   BOOST_TEST(!isPlausible(Millis(int64_t(1) << 62)));
   BOOST_TEST(!isPlausible(Millis::Max()));
 }
+
+BOOST_AUTO_TEST_CASE(LateReportsDoNotContradictForLong)
+{
+  const InstanceKey key{ .id_ = "a", .startedUnixMs_ = 1000 };
+  ContradictionTracker together;
+  for (int64_t i = 0; i < 20; ++i) {
+    BOOST_TEST(!together.Add(key, 10 + i, Millis(5 * i)));
+  }
+  ContradictionTracker withGaps;
+  ContradictionTracker repeated;
+  for (int64_t i = 0; i < 20; ++i) {
+    BOOST_TEST(!withGaps.Add(key, 10 + i, Seconds(6 * i)));
+    BOOST_TEST(!repeated.Add(key, 10, Seconds(i)));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(IncarnationThatGoesOnReportingContradicts)
+{
+  const InstanceKey key{ .id_ = "a", .startedUnixMs_ = 1000 };
+  ContradictionTracker tracker;
+  for (int64_t i = 0; i < 5; ++i) {
+    BOOST_TEST(!tracker.Add(key, 10 + i, Seconds(2 * i)));
+  }
+  BOOST_TEST(tracker.Add(key, 15, Seconds(10)));
+}
