Reports: the clock that a report names is no reading of the instance's clock

What could happen: a report with clock_ms far ahead, from another writer, gave the leader a clock that runs ahead of the instance's. A lease is granted as a deadline on that clock; the instance shortens a deadline too far ahead to the longest lease (10 s), while the leader counts with 5 s. So it could give up an instance and start its tasks elsewhere while they ran. Near 2^63 the sum overflowed.

Change: FleetControl::Report passes no clock on. An instance gets work only after it has answered a listing, and that answer has its clock; reports go to followers, except those with news, so hardly any reading is lost.

--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -127,11 +127,10 @@
 }
 
 // Only a report that changes the state is proposed to the log, by the leader. A
-// follower in contact with the leader acknowledges any other. The leader takes
-// each report that it receives as contact with the instance, and as a reading
-// of the instance's clock.
-asio::awaitable<ControlReply> FleetControl::Report(InstanceReport aReport,
-                                                   Millis aClock)
+// follower in contact with the leader acknowledges any other. A report is
+// neither contact with the instance nor a reading of its clock, since another
+// program may have sent it; only the instance's replies to orders are.
+asio::awaitable<ControlReply> FleetControl::Report(InstanceReport aReport)
 {
   const int64_t startedUnixMs = aReport.record_.born_unix_ms();
   if (!IsPlausibleStart(startedUnixMs, clock_.UnixNow())) {
@@ -167,9 +166,6 @@
               { "ready", aReport.isReady_ ? "yes" : "no" },
               { "outcome", static_cast<int>(reply.status_) } });
   }
-  if (reply.status_ == ControlStatus::kOk) {
-    driver_.OnReport(key, aClock);
-  }
   if (changesState) {
     driver_.Wake();
   }
--- a/src/scheduler/fleet_control.h
+++ b/src/scheduler/fleet_control.h
@@ -48,10 +48,8 @@
   boost::asio::awaitable<ControlReply> GetConfig();
   boost::asio::awaitable<ControlReply> StartWave(v1::StartWave aWave);
   boost::asio::awaitable<ControlReply> GetWave(uint64_t aWave);
-  // Handles an instance's report of its state. `aClock` is the instance's
-  // clock.
-  boost::asio::awaitable<ControlReply> Report(InstanceReport aReport,
-                                              Millis aClock);
+  // Handles an instance's report of its state.
+  boost::asio::awaitable<ControlReply> Report(InstanceReport aReport);
   // Records that an instance ends. Its tasks are stopped first.
   boost::asio::awaitable<ControlReply> Leave(InstanceKey aInstance);
 
