Reports: a report with a field missing, of another type or out of range is refused

What callers saw: a report without capacity, labels, zone or machine, with labels that are no strings, strings of any length, 500 labels, capacity of 2^32 - 1, or a body of some MiB was acknowledged and went into the log as what the instance is. A capacity at its largest attracts work that a service which doesn't guard its capacity then starts.

--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -333,3 +333,46 @@
     BOOST_TEST(!DecodeReport("i", body).has_value(), clock);
   }
 }
+
+BOOST_AUTO_TEST_CASE(ReportWithAFieldMissingOrOutOfRangeIsRejected)
+{
+  const std::string labels(400, 'x');
+  std::string manyLabels = R"("a")";
+  for (int i = 0; i < 300; ++i) {
+    manyLabels += R"(,"a")";
+  }
+  for (const auto& [pattern, replacement] :
+       std::vector<std::pair<std::string, std::string>>{
+         { R"("service":"s",)", "" },
+         { R"("address":"10.0.0.9:8080",)", "" },
+         { R"("zone":"z",)", "" },
+         { R"("machine":"m-1",)", "" },
+         { R"("state":"ready",)", "" },
+         { R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)", "" },
+         { R"("cpu":16000,)", "" },
+         { R"("labels":["a","r1-3"],)", "" },
+         { R"("clock_ms":482113,)", "" },
+         { R"(,"seq":4)", "" },
+         { R"("s")", R"("")" },
+         { R"("s")", R"("\u0000")" },
+         { R"("s")", '"' + labels + '"' },
+         { R"("z")", '"' + labels + '"' },
+         { R"("m-1")", R"("m\n1")" },
+         { "8080", "99999" },
+         { "8080", "0" },
+         { "8080", "-1" },
+         { "16000", "4294967295" },
+         { "32768", "4294967295" },
+         { R"("gpu":0)", R"("gpu":4294967295)" },
+         { R"("a")", "7" },
+         { R"("a")", '"' + labels + '"' },
+         { R"("a")", manyLabels },
+         { R"("v1")", "7" },
+         { R"("slots":8)", R"("slots":-8)" },
+         { R"("ready")", R"("asleep")" } }) {
+    BOOST_TEST(!DecodeReport(
+                  "i", ReplaceFirst(std::string(kReport), pattern, replacement))
+                  .has_value(),
+               pattern << " -> " << replacement);
+  }
+}
