Reports: one that contradicts the store's other records is refused

What callers saw: a report under an instance's id with a service that the configuration doesn't name moved the instance into that service, so it got no work. By reading: one with the address of another instance lets orders for the first reach the second, which answers 421, and the first is removed as ended with its tasks, which start elsewhere while they run; one with another instance's machine removes that one in the same way if it started earlier.

Cause: each report was taken at its word, also where it changes what can't change within one incarnation.

Change: the leader answers 400 to a report for a service that isn't configured (unless the instance is stored with it, or there is no configuration yet) and to one that moves a known incarnation to the address or the machine of another instance. A new incarnation may succeed another one at its address and on its machine, as before.

--- a/include/vanillahatch/core/jobs/report_changes.h
+++ b/include/vanillahatch/core/jobs/report_changes.h
@@ -28,6 +28,11 @@
 constexpr Millis kMaxClockDifference = Seconds(3600);
 bool IsPlausibleStart(int64_t aStartedUnixMs, Millis aUnixNow);
 
+// False if the report contradicts what the store holds: it names a service that
+// is not configured, or moves a known incarnation to the address or the machine
+// of another instance. Only a new incarnation can succeed another one there.
+bool IsConsistent(const JobStore& aStore, const InstanceReport& aReport);
+
 // True if the instance reports that it takes work, while the store holds that
 // this incarnation has ended or drains. Both are final, so `ChangesForReport`
 // takes such a report for a late one.
--- a/src/core/jobs/report_changes.cpp
+++ b/src/core/jobs/report_changes.cpp
@@ -130,6 +130,37 @@
   return Millis(aStartedUnixMs) <= aUnixNow + kMaxClockDifference;
 }
 
+bool IsConsistent(const JobStore& aStore, const InstanceReport& aReport)
+{
+  const v1::InstanceRecord& reported = aReport.record_;
+  const Instance* known = aStore.FindInstance(ToKey(reported));
+  const bool isNewService =
+    known == nullptr || known->record_.service() != reported.service();
+  const bool isConfigured = aStore.Config().version() == 0 ||
+                            aStore.FindService(reported.service()) != nullptr;
+  if (isNewService && !isConfigured) {
+    return false;
+  }
+  if (known == nullptr) {
+    return true;
+  }
+  if (known->record_.machine() != reported.machine() &&
+      !aStore.FindInstancesOnMachine(reported.machine()).empty()) {
+    return false;
+  }
+  const auto isAt = [](const v1::InstanceRecord& aRecord,
+                       const v1::InstanceRecord& aOther) {
+    return aRecord.address() == aOther.address() &&
+           aRecord.port() == aOther.port();
+  };
+  return isAt(known->record_, reported) ||
+         std::none_of(aStore.Instances().begin(),
+                      aStore.Instances().end(),
+                      [&](const auto& aItem) {
+                        return isAt(aItem.second->record_, reported);
+                      });
+}
+
 v1::JobChanges ChangesForLeave(const JobStore& aStore,
                                const InstanceKey& aInstance)
 {
--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -147,6 +147,11 @@
                             .leader_ = status.leader_,
                             .reportTo_ = selfName_ };
   }
+  const bool isConsistent = store_.With(
+    [&](const JobStore& aStore) { return IsConsistent(aStore, aReport); });
+  if (!isConsistent) {
+    co_return ControlReply{ .status_ = ControlStatus::kImplausible };
+  }
   const InstanceKey key = ToKey(aReport.record_);
   v1::JobChanges changes = store_.With([&](const JobStore& aStore) {
     const bool returns =
--- a/test/report_changes_test.cpp
+++ b/test/report_changes_test.cpp
@@ -152,6 +152,46 @@
   BOOST_TEST(IsRecorded(store_, report));
 }
 
+BOOST_AUTO_TEST_CASE(ReportForAServiceThatIsNotConfiguredIsInconsistent)
+{
+  const InstanceReport report = MakeReport("a", 1000);
+  BOOST_TEST(IsConsistent(store_, report)); // no configuration yet
+  Process(report);
+  v1::JobChanges changes;
+  v1::FleetDocument& config = *changes.add_changes()->mutable_put_config();
+  config.set_version(1);
+  config.add_services()->set_name("render");
+  store_.Apply(changes);
+  BOOST_TEST(IsConsistent(store_, report)); // its service was removed
+  BOOST_TEST(!IsConsistent(store_, MakeReport("a", 2000)));
+  InstanceReport moved = report;
+  moved.record_.set_service("render");
+  BOOST_TEST(IsConsistent(store_, moved));
+  moved.record_.set_service("none");
+  BOOST_TEST(!IsConsistent(store_, moved));
+}
+
+BOOST_AUTO_TEST_CASE(KnownIncarnationDoesNotTakeOverAnAddressOrAMachine)
+{
+  InstanceReport a = MakeReport("a", 2000, "m-1");
+  InstanceReport b = MakeReport("b", 1000, "m-2");
+  b.record_.set_port(81);
+  Process(a);
+  Process(b);
+  a.record_.set_port(81);
+  BOOST_TEST(!IsConsistent(store_, a));
+  a.record_.set_port(82);
+  BOOST_TEST(IsConsistent(store_, a));
+  a.record_.set_machine("m-2");
+  BOOST_TEST(!IsConsistent(store_, a));
+  a.record_.set_machine("m-3");
+  BOOST_TEST(IsConsistent(store_, a));
+  // The next incarnation may be anywhere.
+  InstanceReport next = MakeReport("a", 3000, "m-2");
+  next.record_.set_port(81);
+  BOOST_TEST(IsConsistent(store_, next));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_CASE(InstancesChangedSinceACounterAreListed)
