--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -409,3 +409,52 @@
     BOOST_TEST(!DecodeListing(body).has_value(), start);
   }
 }
+
+BOOST_AUTO_TEST_CASE(WaveWithDurationOutOfRangeIsRejected)
+{
+  for (const char* duration : { "1e300", "-1", "-1e300", "1e10" }) {
+    BOOST_TEST(!DecodeWave(R"({"wave":1,"machines":["m"],"cap":1,)"
+                           R"("duration_s":)" +
+                           std::string(duration) + "}")
+                  .has_value(),
+               duration);
+  }
+  const auto wave =
+    DecodeWave(R"({"wave":1,"machines":["m"],"cap":1,"duration_s":0.5})");
+  BOOST_REQUIRE(wave.has_value());
+  BOOST_TEST(wave.value().duration_ms() == 500);
+}
+
+BOOST_AUTO_TEST_CASE(ConfigWithNumbersOutOfRangeIsRejected)
+{
+  for (const auto& [pattern, replacement] :
+       std::vector<std::pair<std::string, std::string>>{
+         { "1.6", "1e300" },
+         { "1.6", "-1" },
+         { R"("version":7)", R"("version":1e300)" },
+         { R"("version":7)", R"("version":-7)" },
+         { R"("priority":1)", R"("priority":4294967296)" },
+         { R"("max_attempts":4)", R"("max_attempts":-1)" },
+         { "600", "1e12" },
+         { "3000", "1e400" } }) {
+    BOOST_TEST(
+      !DecodeConfig(ReplaceFirst(std::string(kConfig), pattern, replacement))
+         .has_value(),
+      pattern << " -> " << replacement);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AdviceWithValidityOutOfRangeIsRejected)
+{
+  for (const char* validity : { "-1", "4611686018427387904", "1e300" }) {
+    BOOST_TEST(!DecodeAdvice(R"({"good":[],"validity_ms":)" +
+                             std::string(validity) + "}"),
+               validity);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(PageTokenIsPercentEncoded)
+{
+  BOOST_TEST(PercentEncode("aZ09-._~") == "aZ09-._~");
+  BOOST_TEST(PercentEncode("a b&c=\r\n\xff") == "a%20b%26c%3D%0D%0A%FF");
+}
