--- a/src/scheduler/fleet_control.cpp
+++ b/src/scheduler/fleet_control.cpp
@@ -1,7 +1,6 @@
 #include "scheduler/fleet_control.h"
 
 #include "scheduler/await_proposal.h"
-#include "vanillahatch/core/jobs/report_changes.h"
 #include "vanillahatch/shell/log.h"
 
 #include <boost/asio/redirect_error.hpp>
@@ -32,10 +31,12 @@
 FleetControl::FleetControl(JobStoreReplica& aStore,
                            LogReplica& aReplica,
                            FleetDriver& aDriver,
+                           const Clock& aClock,
                            std::string aSelfName)
   : store_(aStore)
   , replica_(aReplica)
   , driver_(aDriver)
+  , clock_(aClock)
   , selfName_(std::move(aSelfName))
 {
 }
@@ -126,12 +127,15 @@
 }
 
 // Only a report that changes the state is proposed to the log, by the leader. A
-// follower in contact with the leader acknowledges any other. The leader takes
-// each report that it receives as contact with the instance, and as a reading
-// of the instance's clock.
-asio::awaitable<ControlReply> FleetControl::Report(InstanceReport aReport,
-                                                   Millis aClock)
+// follower in contact with the leader acknowledges any other. A report is
+// neither contact with the instance nor a reading of its clock, since another
+// program may have sent it; only the instance's replies to orders are.
+asio::awaitable<ControlReply> FleetControl::Report(InstanceReport aReport)
 {
+  const int64_t startedUnixMs = aReport.record_.born_unix_ms();
+  if (!IsPlausibleStart(startedUnixMs, clock_.UnixNow())) {
+    co_return ControlReply{ .status_ = ControlStatus::kImplausible };
+  }
   if (!replica_.IsLeader()) {
     const LogReplicaStatus status = replica_.Status();
     const bool isRecorded =
@@ -143,15 +147,19 @@
                             .leader_ = status.leader_,
                             .reportTo_ = selfName_ };
   }
-  const InstanceKey key = ToKey(aReport.record_);
-  uint64_t& latest = latestSequences_[key];
-  if (aReport.sequence_ < latest) { // a later report was received first
-    co_return ControlReply{ .status_ = ControlStatus::kOk,
-                            .reportTo_ = selfName_ };
+  const bool isConsistent = store_.With(
+    [&](const JobStore& aStore) { return IsConsistent(aStore, aReport); });
+  if (!isConsistent) {
+    co_return ControlReply{ .status_ = ControlStatus::kImplausible };
   }
-  latest = aReport.sequence_;
-  v1::JobChanges changes = store_.With(
-    [&](const JobStore& aStore) { return ChangesForReport(aStore, aReport); });
+  const InstanceKey key = ToKey(aReport.record_);
+  v1::JobChanges changes = store_.With([&](const JobStore& aStore) {
+    const bool returns =
+      ContradictsFinalState(aStore, aReport) &&
+      contradictions_.Add(key, aReport.sequence_, clock_.Now());
+    return returns ? ChangesForReturn(aStore, aReport)
+                   : ChangesForReport(aStore, aReport);
+  });
   const bool changesState = changes.changes_size() > 0;
   ControlReply reply{ .status_ = ControlStatus::kOk };
   if (changesState) {
@@ -163,9 +171,6 @@
               { "ready", aReport.isReady_ ? "yes" : "no" },
               { "outcome", static_cast<int>(reply.status_) } });
   }
-  if (reply.status_ == ControlStatus::kOk) {
-    driver_.OnReport(key, aClock);
-  }
   if (changesState) {
     driver_.Wake();
   }
@@ -204,6 +209,9 @@
 
 asio::awaitable<ControlReply> FleetControl::Leave(InstanceKey aInstance)
 {
+  if (!IsPlausibleStart(aInstance.startedUnixMs_, clock_.UnixNow())) {
+    co_return ControlReply{ .status_ = ControlStatus::kImplausible };
+  }
   if (!co_await AwaitEndOfTasks(aInstance)) {
     const ControlReply reply{ .status_ = ControlStatus::kRetryLater };
     LogLeave(aInstance, reply);
--- a/src/scheduler/fleet_control.h
+++ b/src/scheduler/fleet_control.h
@@ -7,6 +7,7 @@
 
 #include "scheduler/fleet_driver.h"
 #include "scheduler/job_store_replica.h"
+#include "vanillahatch/core/jobs/report_changes.h"
 
 #include <boost/asio/awaitable.hpp>
 
@@ -18,7 +19,8 @@
   kNotLeader,   // `leader_` names the leader, if it is known
   kUnavailable, // no quorum, or overloaded; the outcome may be unknown
   kNotFound,
-  kRetryLater, // not done yet; the call has to be repeated
+  kRetryLater,  // not done yet; the call has to be repeated
+  kImplausible, // no instance can have sent the report; without effect
 };
 
 struct ControlReply
@@ -38,6 +40,7 @@
   FleetControl(JobStoreReplica& aStore,
                LogReplica& aReplica,
                FleetDriver& aDriver,
+               const Clock& aClock,
                std::string aSelfName);
 
   boost::asio::awaitable<ControlReply> PutConfig(v1::FleetDocument aConfig);
@@ -45,10 +48,8 @@
   boost::asio::awaitable<ControlReply> GetConfig();
   boost::asio::awaitable<ControlReply> StartWave(v1::StartWave aWave);
   boost::asio::awaitable<ControlReply> GetWave(uint64_t aWave);
-  // Handles an instance's report of its state. `aClock` is the instance's
-  // clock.
-  boost::asio::awaitable<ControlReply> Report(InstanceReport aReport,
-                                              Millis aClock);
+  // Handles an instance's report of its state.
+  boost::asio::awaitable<ControlReply> Report(InstanceReport aReport);
   // Records that an instance ends. Its tasks are stopped first.
   boost::asio::awaitable<ControlReply> Leave(InstanceKey aInstance);
 
@@ -67,9 +68,9 @@
   JobStoreReplica& store_;
   LogReplica& replica_;
   FleetDriver& driver_;
+  const Clock& clock_;
   const std::string selfName_;
-  // Sequence number of the latest report, by incarnation.
-  std::map<InstanceKey, uint64_t> latestSequences_;
+  ContradictionTracker contradictions_;
 };
 
 } // namespace vanillahatch
