Instances: only a successor that has replied ends the former instance of its machine

What callers could see: two runs of a task at once, after one report of another id that named the machine of a working instance and a later start (another writer, or a late report after the time of day had stepped back).

Cause: the report alone removed the other instance for good and freed its tasks.

Change: a report removes no other id. The leader removes the former instance of a machine once the next one has replied to it and the former has no runs or does not reply. A view that inherits runs counts the longest lease from then. A done end counts if any incarnation of the id holds the run. InstanceGone says mistaken if it takes an incarnation off the list of ended ones, so that a removal as unreachable cannot. An idle instance that drains is removed for good, so that a late report from before does not make it usable.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -210,7 +210,8 @@
   // the instance since the last event.
   void SyncViews(Millis aNow);
   void SyncView(Millis aNow, const InstanceKey& aKey);
-  void AddInheritedRuns(Millis aNow, InstanceView& aView);
+  // Returns whether there are any.
+  bool AddInheritedRuns(Millis aNow, InstanceView& aView);
   void AddToIndex(InstanceView& aView);
   void RemoveFromIndex(const InstanceView& aView);
   void PollInstances(Millis aNow);
@@ -219,6 +220,7 @@
     return aNow < leaderLeaseExpiresAt_;
   }
   bool HasLostInstance(Millis aNow, const InstanceView& aView) const;
+  bool HasSuccessorInContact(const InstanceView& aView) const;
   void RemoveUnreachable(Millis aNow);
   void SendRequestedStops(Millis aNow);
   void RemoveFinishedJobs(Millis aNow);
@@ -242,6 +244,8 @@
   void ProposeRemoval(InstanceView& aView,
                       RemovalKind aKind,
                       std::string_view aReason);
+  // Removes an instance without runs that has probably ended.
+  void RemoveIdle(InstanceView& aView, std::string_view aReason);
 
   // fleet_scheduler_runs.cpp
   void ProcessEnded(Millis aNow,
--- a/include/vanillahatch/core/jobs/instance_lease.h
+++ b/include/vanillahatch/core/jobs/instance_lease.h
@@ -22,6 +22,10 @@
   // `aLastGrantAt`: an earlier leader may have granted one until then.
   InstanceLease(Millis aLongestLease, Millis aLastGrantAt);
 
+  // The instance may hold a lease of up to `aLongestLease` that was granted
+  // until `aNow` on other clocks than the known one.
+  void ExpectUnknownLease(Millis aLongestLease, Millis aNow);
+
   // Records a reply that arrived at `aNow` with the instance's clock `aClock`.
   void Observe(Millis aClock, Millis aNow);
   bool IsClockKnown() const { return sample_.has_value(); }
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -115,14 +115,16 @@
 
 // An assigned task without a run in the view was started by an earlier leader,
 // or on the previous incarnation of the instance.
-void FleetScheduler::AddInheritedRuns(Millis aNow, InstanceView& aView)
+bool FleetScheduler::AddInheritedRuns(Millis aNow, InstanceView& aView)
 {
+  bool isAnyAdded = false;
   for (const TaskRef& task : aView.StoredInstance().assigned_) {
     const uint32_t run = JobStore::TaskAt(task).run_;
     if (aView.FindRun(task, run) != nullptr) {
       continue;
     }
     RunView& added = aView.AddRun(task, { .run_ = run });
+    isAnyAdded = true;
     if (aNow > leaderSince_) {
       MarkInDoubt(aNow, task, added, "its instance started again");
     } else {
@@ -130,6 +132,7 @@
       added.since_ = aNow;
     }
   }
+  return isAnyAdded;
 }
 
 void FleetScheduler::SyncView(Millis aNow, const InstanceKey& aKey)
@@ -149,7 +152,11 @@
     RemoveFromIndex(*known);
     known->RefreshCapacity();
     AddToIndex(*known);
-    AddInheritedRuns(aNow, *known);
+    if (AddInheritedRuns(aNow, *known)) {
+      known->Lease().ExpectUnknownLease(options_.longestLease_, aNow);
+      known->busySince_ = aNow;
+      known->lastGrantAt_ = aNow;
+    }
     return;
   }
   const bool mayHoldFormerLease =
@@ -240,6 +247,16 @@
   trace_.onInstance_(aView.StoredInstance().key_, aReason);
 }
 
+// It may report again, unless it drains: a late report from before that would
+// make it usable.
+void FleetScheduler::RemoveIdle(InstanceView& aView, std::string_view aReason)
+{
+  ProposeRemoval(aView,
+                 aView.StoredRecord().draining() ? RemovalKind::kFinal
+                                                 : RemovalKind::kUnreachable,
+                 aReason);
+}
+
 // True once no task can run on the instance any more and it does not reply.
 bool FleetScheduler::HasLostInstance(Millis aNow,
                                      const InstanceView& aView) const
@@ -260,6 +277,26 @@
   return (isUnreachable || isNeverContacted) && aView.Lease().HasExpired(aNow);
 }
 
+// True if the next instance of the same machine has replied and this one has
+// no runs or does not reply. A report of the next one alone proves nothing:
+// another program may have sent it.
+bool FleetScheduler::HasSuccessorInContact(const InstanceView& aView) const
+{
+  if (aView.HasRuns() && !aView.isUnresponsive_) {
+    return false;
+  }
+  const InstanceKey& key = aView.StoredInstance().key_;
+  const auto [first, last] =
+    viewsByMachine_.equal_range(aView.StoredRecord().machine());
+  return std::any_of(first, last, [&](const auto& aItem) {
+    const InstanceView& other = *aItem.second;
+    const InstanceKey& otherKey = other.StoredInstance().key_;
+    return other.contacted_ && !other.isUnresponsive_ &&
+           otherKey.id_ != key.id_ &&
+           otherKey.startedUnixMs_ > key.startedUnixMs_;
+  });
+}
+
 // Removes instances that are lost, so that their tasks start elsewhere.
 void FleetScheduler::RemoveUnreachable(Millis aNow)
 {
@@ -269,7 +306,10 @@
   unreachableCheckedAt_ = aNow;
   for (InstanceView* each : allViews_) {
     InstanceView& view = *each;
-    if (HasLostInstance(aNow, view)) {
+    if (!view.StoredRecord().machine().empty() && HasSuccessorInContact(view)) {
+      ProposeRemoval(
+        view, RemovalKind::kFinal, "the next instance of its machine replied");
+    } else if (HasLostInstance(aNow, view)) {
       ProposeRemoval(
         view, RemovalKind::kUnreachable, "lease expired while unreachable");
     }
--- a/src/core/jobs/fleet_scheduler_maintenance.cpp
+++ b/src/core/jobs/fleet_scheduler_maintenance.cpp
@@ -105,9 +105,7 @@
     ProposeRemoval(*view, RemovalKind::kFinal, "moved");
   } else if (!view->HasRuns()) {
     // If it started after the operation, it reports again.
-    ProposeRemoval(*view,
-                   RemovalKind::kUnreachable,
-                   aOrder.wave_ != 0 ? "upkeep" : "moved before");
+    RemoveIdle(*view, aOrder.wave_ != 0 ? "upkeep" : "moved before");
   } else {
     view->reserved_ = false;
   }
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -93,9 +93,7 @@
   }
   SetUnresponsive(aNow, aView);
   if (!aView.HasRuns()) {
-    ProposeRemoval(aView,
-                   RemovalKind::kUnreachable,
-                   "another instance replied; it had no tasks");
+    RemoveIdle(aView, "another instance replied; it had no tasks");
   }
 }
 
--- a/src/core/jobs/instance_lease.cpp
+++ b/src/core/jobs/instance_lease.cpp
@@ -25,6 +25,12 @@
 {
 }
 
+void InstanceLease::ExpectUnknownLease(Millis aLongestLease, Millis aNow)
+{
+  longestLease_ = std::max(longestLease_, aLongestLease);
+  earlierGrantsEndAt_ = std::max(earlierGrantsEndAt_, aNow);
+}
+
 void InstanceLease::Observe(Millis aClock, Millis aNow)
 {
   if (!sample_) {
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -354,11 +354,11 @@
   const bool wasRemoved = task.phase_ == TaskPhase::kPending &&
                           task.run_ == aEnd.run() &&
                           aEnd.outcome() == v1::RUN_DONE;
-  // The next incarnation took the task over after the run had ended.
-  const bool wasReplaced =
-    task.phase_ == TaskPhase::kAssigned && task.run_ == aEnd.run() &&
-    aEnd.outcome() == v1::RUN_DONE && instance == nullptr &&
-    task.instance_->key_.id_ == aEnd.instance().id();
+  // Another incarnation took the task over after the run had ended.
+  const bool wasReplaced = task.phase_ == TaskPhase::kAssigned &&
+                           task.run_ == aEnd.run() &&
+                           aEnd.outcome() == v1::RUN_DONE &&
+                           task.instance_->key_.id_ == aEnd.instance().id();
   if (isCurrent || wasReplaced) {
     FinishRun(*ref, aEnd.outcome(), aEnd.checkpoint());
   } else if (wasRemoved && !SpecOf(*ref).lasting()) {
@@ -567,7 +567,7 @@
   }
   const auto it = instances_.find(key);
   if (it == instances_.end()) {
-    if (!aGone.final() && departedSet_.erase(key) > 0) {
+    if (aGone.mistaken() && departedSet_.erase(key) > 0) {
       std::erase(departed_, key);
     }
     return;
--- a/src/core/jobs/report_changes.cpp
+++ b/src/core/jobs/report_changes.cpp
@@ -52,16 +52,6 @@
       incarnations.back()->key_.startedUnixMs_ > key.startedUnixMs_) {
     return changes; // a late report of an earlier incarnation
   }
-  const std::string& machine = aReport.record_.machine();
-  if (!machine.empty()) {
-    for (const Instance* other : aStore.FindInstancesOnMachine(machine)) {
-      const bool isPrevious = other->key_.id_ != key.id_ &&
-                              other->key_.startedUnixMs_ < key.startedUnixMs_;
-      if (isPrevious) {
-        AddRemoval(changes, other->key_);
-      }
-    }
-  }
   v1::InstanceRecord merged = MergedRecord(known, aReport.record_);
   if (known == nullptr || !IsSame(merged, known->record_)) {
     *changes.add_changes()->mutable_put_instance() = std::move(merged);
@@ -91,9 +81,9 @@
   v1::JobChanges changes;
   const InstanceKey key = ToKey(aReport.record_);
   if (aStore.HasDeparted(key)) {
-    // Not final: it may report again.
-    *changes.add_changes()->mutable_instance_gone()->mutable_key() =
-      ToMessage(key);
+    v1::InstanceGone& gone = *changes.add_changes()->mutable_instance_gone();
+    *gone.mutable_key() = ToMessage(key);
+    gone.set_mistaken(true);
   }
   v1::InstanceRecord& record = *changes.add_changes()->mutable_put_instance();
   record = aReport.record_;
--- a/test/machine_orders_test.cpp
+++ b/test/machine_orders_test.cpp
@@ -8,6 +8,8 @@
 
 namespace {
 
+constexpr Millis kUntilReturn = Seconds(10);
+
 struct MachineOrdersFixture
 {
   MachineOrdersFixture()
@@ -160,4 +162,83 @@
   BOOST_TEST(fleet_.Store().PhaseOf(job) == v1::JOB_RUNNING);
 }
 
+BOOST_AUTO_TEST_CASE(InstanceWhoseSuccessorRepliesIsRemovedAtOnce)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  OccupyInstance(a);
+  a.isReachable_ = false;
+  a.running_.clear();
+  FakeInstance& b = fleet_.AddInstance("b", "layout", 16, 2000);
+  b.record_.set_machine("m-a");
+  fleet_.Report(b);
+  BOOST_TEST(
+    fleet_.RunUntil([&] { return b.running_.size() == 1; }, Seconds(3)));
+  BOOST_TEST(fleet_.Store().FindInstance(ToKey(a.record_)) == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(ReportOfAnotherInstanceFreesNoRunningTaskOfItsMachine)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  const Job& job = OccupyInstance(a);
+  fleet_.AddInstance("b", "layout");
+  fleet_.RunFor(Millis(100));
+  FakeInstance odd;
+  odd.record_ = a.record_;
+  odd.record_.set_id("x");
+  odd.record_.set_address("10.0.0.2");
+  odd.record_.set_born_unix_ms(2000);
+  BOOST_TEST(IsConsistent(fleet_.Store(), { .record_ = odd.record_ }));
+  fleet_.Report(odd);
+  BOOST_TEST(MaxCopies(job, Seconds(3)) == 1U);
+  BOOST_TEST(fleet_.Starts() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(SecondReportOfAFalseLaterStartFreesNoRunningTask)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  FakeInstance odd;
+  odd.record_ = a.record_;
+  odd.record_.set_born_unix_ms(2000);
+  fleet_.Report(odd);
+  fleet_.RunFor(kUntilReturn);
+  v1::JobChanges changes =
+    ChangesForReturn(fleet_.Store(), { .record_ = a.record_ });
+  fleet_.Store().Apply(changes);
+  fleet_.RunFor(Millis(500));
+  const bool isFalseOneKnown =
+    fleet_.Store().FindInstance(ToKey(odd.record_)) != nullptr;
+  BOOST_REQUIRE(isFalseOneKnown);
+  const Job& job = OccupyInstance(a);
+  fleet_.AddInstance("b", "layout");
+  fleet_.RunFor(Millis(100));
+  BOOST_TEST(IsConsistent(fleet_.Store(), { .record_ = odd.record_ }));
+  fleet_.Report(odd);
+  BOOST_TEST(MaxCopies(job, Seconds(5)) == 1U);
+  BOOST_TEST(fleet_.Starts() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TaskThatEndedBeforeItsInstanceCameBackIsNotRunAgain)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(500));
+  const Job& job =
+    fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 1000) });
+  fleet_.RunUntil([&] { return a.running_.size() == 1; }, Seconds(1));
+  FakeInstance odd;
+  odd.record_ = a.record_;
+  odd.record_.set_born_unix_ms(2000);
+  fleet_.Report(odd);
+  fleet_.RunFor(kUntilReturn);
+  BOOST_REQUIRE(fleet_.Store().FindInstance(ToKey(odd.record_)) != nullptr);
+  v1::JobChanges changes =
+    ChangesForReturn(fleet_.Store(), { .record_ = a.record_ });
+  fleet_.Store().Apply(changes);
+  fleet_.RunFor(Seconds(9));
+  BOOST_TEST(fleet_.Store().PhaseOf(job) == v1::JOB_COMPLETED);
+  BOOST_TEST(fleet_.Starts() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
