--- a/test/parser_mutation_test.cpp
+++ b/test/parser_mutation_test.cpp
@@ -4,9 +4,14 @@
 #include "config.pb.h"
 #include "entry/announce_api.h"
 #include "entry/job_api.h"
+#include "platform/advisor_client.h"
+#include "platform/config_messages.h"
+#include "platform/instance_messages.h"
+#include "platform/machine_client.h"
 #include "vanillahatch/core/fleet_config.h"
 #include "vanillahatch/shell/settings.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <fstream>
 #include <google/protobuf/util/json_util.h>
@@ -119,3 +124,65 @@
     return parsed.ok() && config.Apply(change).status() == v1::CHANGE_ACCEPTED;
   });
 }
+
+BOOST_AUTO_TEST_CASE(ReportsSurviveMutation)
+{
+  const std::string valid =
+    R"({"service":"s","address":"10.0.0.9:8080","zone":"z","version":"v1",)"
+    R"("slots":8,"state":"ready","cold_remaining_ms":0,"born":17,)"
+    R"("capacity":{"cpu":16000,"mem_mb":32768,"gpu":0},)"
+    R"("labels":["a","r1-3"],"machine":"m-1","clock_ms":482113,"seq":4})";
+  BOOST_REQUIRE(platform::DecodeReport("i", valid).has_value());
+  FeedMutations(valid, [](const std::string& aText) {
+    const auto report = platform::DecodeReport("i", aText);
+    if (report) {
+      const v1::InstanceRecord& record = report.value().record_;
+      BOOST_REQUIRE(!record.service().empty() && !record.machine().empty());
+      BOOST_REQUIRE(record.port() > 0 && record.port() < 65536);
+      BOOST_REQUIRE(record.born_unix_ms() > 0);
+    }
+    return report.has_value();
+  });
+  FeedMutations("/api/instances/i-1", [&](const std::string& aId) {
+    const auto report = platform::DecodeReport(aId, valid);
+    return report.has_value() && platform::DecodeLeave(aId, valid).has_value();
+  });
+}
+
+BOOST_AUTO_TEST_CASE(ListingsSurviveMutation)
+{
+  const std::string valid =
+    R"({"clock_ms":4,"born":17,"running":[["ab.0.1.17",2,"cp",41,950],)"
+    R"(["ab.0.1.18",1,"",100]],"ended":[[58,"ab.0.1.9",1,"failed",""],)"
+    R"([59,"ab.0.1.8",1,"lapsed","x"],[60,"ab.0.1.7",1,"done",""]]})";
+  BOOST_REQUIRE(platform::DecodeListing(valid).value().oddRows_ == 0U);
+  FeedMutations(valid, [](const std::string& aText) {
+    const auto listing = platform::DecodeListing(aText);
+    if (listing) {
+      uint64_t last = 0;
+      for (const EndedTask& ended : listing.value().listing_.ended_) {
+        BOOST_REQUIRE(ended.number_ == 0 || ended.number_ > last);
+        last = std::max(last, ended.number_);
+      }
+    }
+    return listing.has_value();
+  });
+}
+
+BOOST_AUTO_TEST_CASE(PlatformMessagesSurviveMutation)
+{
+  FeedMutations(
+    R"({"machines":[{"machine":"m","pool":"p","state":"up","id":"i"}],)"
+    R"("next_token":"t"})",
+    [](const std::string& aText) {
+      return platform::DecodeMachinePage(aText).has_value();
+    });
+  FeedMutations(R"({"good":[["i-2","c81e"]],"validity_ms":3000})",
+                [](const std::string& aText) {
+                  return platform::DecodeAdvice(aText).has_value();
+                });
+  FeedMutations(R"({"wave":1,"machines":["m"],"duration_s":2.5e3,"cap":1})",
+                [](const std::string& aText) {
+                  return platform::DecodeWave(aText).has_value();
+                });
+}
