Log: a payload that is too large to send to other replicas is refused

What callers saw: nothing by a run of real processes; the limits of the programs keep payloads smaller unless max_body_bytes is raised.

Cause: a replica receives messages of up to 64 MiB, but nothing bounded a payload. The leader appends a larger one to its own log and can never replicate it; whenever that log has to win the election, as with one of three replicas down, nothing is committed any more. Above 256 MiB the store refuses the record, which ends the process as a failure of the disk.

Change: the log refuses payloads of more than 32 MiB before it appends them. The proposer gets kUnreadable: it has no effect on any replica.

--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -80,6 +80,9 @@
   size_t maxUncommitted_ = 4096; // entries; more are rejected
   // Entries are added to a message until their size reaches this.
   size_t maxMessageBytes_ = 256 << 10;
+  // Larger payloads are rejected. A message with one must be within what a
+  // replica receives.
+  size_t maxPayloadBytes_ = 32 << 20;
 };
 
 enum class LogRole
@@ -102,6 +105,7 @@
 {
   kNotLeader,  // nothing was appended; see LeaderName()
   kOverloaded, // nothing was appended; too many entries are uncommitted
+  kTooLarge,   // nothing was appended; see maxPayloadBytes_
 };
 
 // Replacement of the whole store: serialized LogSnapshot and LogRecords.
--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -302,6 +302,9 @@
                                                       std::string aPayload)
 {
   AdvanceTime(aNow);
+  if (aPayload.size() > options_.maxPayloadBytes_) {
+    return ProposeError::kTooLarge;
+  }
   if (!IsLeader()) {
     return ProposeError::kNotLeader;
   }
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -34,6 +34,18 @@
   }
 }
 
+ProposalStatus ToStatus(ProposeError aError)
+{
+  switch (aError) {
+    case ProposeError::kNotLeader:
+      return ProposalStatus::kNotLeader;
+    case ProposeError::kTooLarge:
+      return ProposalStatus::kUnreadable;
+    default:
+      return ProposalStatus::kOverloaded;
+  }
+}
+
 } // namespace
 
 std::vector<std::string> LogReplicaStatus::OtherMembers(
@@ -257,10 +269,8 @@
     };
     return;
   }
-  const bool isNotLeader = position.error() == ProposeError::kNotLeader;
-  aEvent.done_({ .status_ = isNotLeader ? ProposalStatus::kNotLeader
-                                        : ProposalStatus::kOverloaded,
-                 .leader_ = log_->LeaderName() });
+  aEvent.done_(
+    { .status_ = ToStatus(position.error()), .leader_ = log_->LeaderName() });
 }
 
 void LogReplica::Handle(WorkEvent& aEvent)
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -48,7 +48,7 @@
   kNotLeader,  // it will not be committed; `leader_` may name the leader
   kOverloaded, // it will not be committed
   kUnknown,    // it may have been committed
-  kUnreadable, // it cannot be parsed and has no effect on any replica
+  kUnreadable, // no replica can read it, or it is too large to send: no effect
 };
 
 struct ProposalResult
--- a/test/control_log_test.cpp
+++ b/test/control_log_test.cpp
@@ -46,6 +46,24 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(PayloadThatIsTooLargeToSendDoesNotStopTheLog)
+{
+  constexpr size_t kMaxReceivedBytes = 64 << 10;
+  LogCluster cluster(
+    3, 1, { .maxMessageBytes_ = 1 << 10, .maxPayloadBytes_ = 32 << 10 });
+  cluster.SetMaxMessageBytes(kMaxReceivedBytes);
+  cluster.StartAll();
+  const std::string leader = cluster.WaitForLeader();
+  BOOST_REQUIRE(cluster.RunUntil([&] { return cluster.AllMembersEqual(); }));
+  cluster.Isolate(AllBut(cluster, leader).front()); // the leader's log must win
+  BOOST_TEST(!cluster.Propose(leader, std::string(kMaxReceivedBytes, 'x')));
+  BOOST_TEST(cluster.RunUntil([&] {
+    const std::string current = cluster.Leader();
+    return !current.empty() && cluster.Propose(current, "next") &&
+           cluster.IsApplied("next");
+  }));
+}
+
 BOOST_AUTO_TEST_CASE(EntriesWithinAppendGapAreSentTogether)
 {
   LogCluster cluster(3, 1, { .timing_ = { .appendGap_ = Millis(60) } });
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -116,6 +116,8 @@
     }
   }
   void Heal() { cutLinks_.clear(); }
+  // Larger messages are dropped.
+  void SetMaxMessageBytes(size_t aBytes) { maxMessageBytes_ = aBytes; }
 
   // Advances the time in steps of 20 ms and delivers all messages in each.
   void Run(Millis aFor)
@@ -172,7 +174,8 @@
     const auto to = replicas_.find(message.to());
     const bool isCut =
       cutLinks_.contains({ message.from().name(), message.to() });
-    if (isCut || to == replicas_.end() || !to->second.IsUp()) {
+    const bool isTooLarge = message.ByteSizeLong() > maxMessageBytes_;
+    if (isCut || isTooLarge || to == replicas_.end() || !to->second.IsUp()) {
       return;
     }
     if (now_ < to->second.suspendedUntil_) {
@@ -482,6 +485,7 @@
   std::vector<v1::PeerMessage> pending_;
   std::vector<v1::PeerMessage> heldMessages_;
   std::set<std::pair<std::string, std::string>> cutLinks_;
+  size_t maxMessageBytes_ = std::numeric_limits<size_t>::max();
   Millis now_ = Seconds(1000);
   uint64_t seed_;
   ControlLogOptions common_;
