Entry: an instance that announces another service counts for that one

What callers saw: nothing by a run; the finding was read in the code. Jobs of the new service are refused as no-such-service although an upstream is live, and after the instance is removed a service that has none counts as known.

Cause: the count of a service's instances went up for the service of the first fact and down for that of the latest; the second count wrapped below zero.

Change: each fact moves the count.

Test, seen failing before: InstanceThatAnnouncesAnotherServiceCountsForThatOne. OddlyHighGenerationHidesAnInstanceForABoundedTime passed before as well: after an announcement with the highest generation and sequence, the instance's own are taken again once the tombstone is removed.

--- a/src/core/upstream_directory.cpp
+++ b/src/core/upstream_directory.cpp
@@ -20,9 +20,10 @@
       return false;
     }
   }
-  if (isNew) {
-    ++instanceCounts_[aFact.service_];
+  if (!isNew) {
+    --instanceCounts_[record.fact_.service_];
   }
+  ++instanceCounts_[aFact.service_];
   record.fact_ = aFact;
   record.expiresAt_ = aNow + aFact.lease_;
   record.removeAt_ = record.expiresAt_ + kTombstoneSpan;
--- a/test/upstream_directory_test.cpp
+++ b/test/upstream_directory_test.cpp
@@ -2,6 +2,7 @@
 #include "vanillahatch/core/upstream_directory.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 
 using namespace vanillahatch;
 
@@ -52,3 +53,32 @@
   BOOST_TEST(directory.Apply(MakeFact(2, 1), Millis(20)));
   BOOST_TEST(directory.LiveCount(Millis(30)) == 1U);
 }
+
+BOOST_AUTO_TEST_CASE(InstanceThatAnnouncesAnotherServiceCountsForThatOne)
+{
+  UpstreamDirectory directory;
+  directory.Apply(MakeFact(1, 1), Millis(0));
+  UpstreamFact other = MakeFact(2, 1);
+  other.service_ = ServiceName("billing");
+  BOOST_REQUIRE(directory.Apply(other, Millis(10)));
+  BOOST_TEST(directory.HasService(ServiceName("billing")));
+  BOOST_TEST(!directory.HasService(ServiceName("loops")));
+  directory.Expire(Millis(10) + kLease + UpstreamDirectory::kTombstoneSpan);
+  BOOST_TEST(!directory.HasService(ServiceName("billing")));
+  BOOST_TEST(!directory.HasService(ServiceName("loops")));
+}
+
+BOOST_AUTO_TEST_CASE(OddlyHighGenerationHidesAnInstanceForABoundedTime)
+{
+  constexpr uint64_t kHighest = std::numeric_limits<int64_t>::max();
+  UpstreamDirectory directory;
+  directory.Apply(MakeFact(kHighest, kHighest), Millis(0));
+  const Millis removed = kLease + UpstreamDirectory::kTombstoneSpan;
+  uint64_t sequence = 1;
+  for (Millis now; now < removed; now = now + Millis(500)) {
+    directory.Expire(now);
+    BOOST_REQUIRE(!directory.Apply(MakeFact(1, sequence++), now));
+  }
+  directory.Expire(removed);
+  BOOST_TEST(directory.Apply(MakeFact(1, sequence), removed));
+}
