Announcements: tests of odd text and numbers

No fault was found: names that are not UTF-8, lone surrogates, nesting of a million levels, and numbers beyond 64 bits are refused. The tests passed at once.

--- a/test/announce_api_test.cpp
+++ b/test/announce_api_test.cpp
@@ -50,6 +50,10 @@
   { "slots", "-8" },
   { "slots", "1.5" },
   { "slots", "1e30" },
+  { "generation", "9223372036854775808" },
+  { "generation", "1e300" },
+  { "generation", "-1" },
+  { "sequence", "100000000000000000000000000000" },
   { "connections", "0" },
   { "lease_ms", "0" },
   { "lease_ms", "3600000" },
@@ -90,3 +94,20 @@
   BOOST_REQUIRE(fact.has_error());
   BOOST_TEST(fact.error().field_ == "(body)");
 }
+
+BOOST_DATA_TEST_CASE(NameThatIsNotUtf8IsRejected,
+                     data::make({ "\xff", "\xc0\xaf", "\\ud800" }),
+                     name)
+{
+  std::string text = json::serialize(MakeValidAnnouncement());
+  const size_t position = text.find("r1");
+  BOOST_REQUIRE(position != std::string::npos);
+  text.replace(position, 2, name);
+  BOOST_TEST(ParseAnnouncement(text).has_error());
+}
+
+BOOST_AUTO_TEST_CASE(DeeplyNestedTextIsRejected)
+{
+  const std::string text = "{\"instance\":" + std::string(1'000'000, '[');
+  BOOST_TEST(ParseAnnouncement(text).has_error());
+}
