vhctl: arguments that are not UTF-8 are refused

What operators saw: `vhctl default set SETTING VALUE` with a byte that is not UTF-8 as the value is accepted and resets the setting to its built-in default; a reason or an author loses the byte.

Cause: MessageToJsonString drops such bytes and reports no error, and an empty value is the request to reset.

Change: vhctl sends a change only if its JSON reads back as the same change.

Test, in vhctl_test.py, failed before: exit 0, "accepted as revision 3".

--- a/src/ctl/api_client.cpp
+++ b/src/ctl/api_client.cpp
@@ -3,6 +3,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <google/protobuf/util/json_util.h>
+#include <google/protobuf/util/message_differencer.h>
 
 namespace vanillahatch::ctl {
 
@@ -14,6 +15,19 @@
 constexpr int kMaxRounds = 3; // over all replicas, for one change
 constexpr unsigned kHttpOk = 200;
 
+// JSON as `JsonStringToMessage` reads it back. Nothing if it cannot represent
+// the message: text that is not UTF-8 is dropped without an error.
+std::optional<std::string> ToJson(const v1::Change& aChange)
+{
+  std::string text;
+  v1::Change copy;
+  const bool isSame =
+    json::MessageToJsonString(aChange, &text).ok() &&
+    json::JsonStringToMessage(text, &copy).ok() &&
+    google::protobuf::util::MessageDifferencer::Equals(aChange, copy);
+  return isSame ? std::optional(text) : std::nullopt;
+}
+
 } // namespace
 
 ApiClient::ApiClient(const Settings& aSettings,
@@ -42,16 +56,16 @@
   v1::ChangeReply lastReply;
   lastReply.set_status(v1::CHANGE_UNAVAILABLE);
   lastReply.set_detail("no control replica answers");
-  std::string body;
-  if (!json::MessageToJsonString(aChange, &body).ok()) {
+  const std::optional<std::string> body = ToJson(aChange);
+  if (!body) {
     lastReply.set_status(v1::CHANGE_INVALID);
-    lastReply.set_detail("the change cannot be written as JSON");
+    lastReply.set_detail("the arguments are not UTF-8");
     return lastReply;
   }
   for (int round = 0; round < kMaxRounds; ++round) {
     for (const ControlSettings& control : settings_.controls_) {
       HttpRequest request(http::verb::post, "/v1/changes", 11);
-      request.body() = body;
+      request.body() = *body;
       const auto response = SendRequest(control.http_, std::move(request));
       if (!response) {
         continue;
--- a/test/process/vhctl_test.py
+++ b/test/process/vhctl_test.py
@@ -48,6 +48,11 @@
             expect(REFUSED, "exception", "add", "x", *options)
             expect(OK, "exception", "add", "x", "--reason", "harvest",
                    *options)
+            expect(REFUSED, "default", "set", SETTING, b"\xff")
+            expect(REFUSED, "maintenance", "start", "m", "--scope", "pool:p",
+                   "--reason", b"odd \xff", "--until", "+1h")
+            assert json.loads(expect(OK, "default", "show", SETTING,
+                                     "--json"))[0]["value"] == "12"
             expect(USAGE, "exception", "remove")
             expect(OK, "pool", "create", "p", "--service", "loops",
                    "--ceiling", "12")
