vhctl: a refusal after an unknown outcome is reported as unknown

What operators saw, on fake replicas: one replica answers 503 (the outcome is not known), the next one 401; vhctl ends with exit code 1, "rejected", although the change may be stored. So it does after a 500.

Cause: any answer that is no ChangeReply was taken as a refusal, whatever the earlier attempts had ended with.

Change: vhctl keeps whether an attempt may have stored the change (no whole answer, no decision, or a server error) and then reports exit code 4 and the change id to repeat. A connection that was refused does not count.

Test: refusal_after_an_unknown_outcome_is_unknown in vhctl_test.py, seen failing before (exit code 1).

--- a/src/ctl/api_client.cpp
+++ b/src/ctl/api_client.cpp
@@ -14,6 +14,7 @@
 
 constexpr int kMaxRounds = 3; // over all replicas, for one change
 constexpr unsigned kHttpOk = 200;
+constexpr unsigned kFirstServerError = 500;
 
 // JSON as `JsonStringToMessage` reads it back. Nothing if it cannot represent
 // the message: text that is not UTF-8 is dropped without an error.
@@ -62,19 +63,25 @@
     lastReply.set_detail("the arguments are not UTF-8");
     return lastReply;
   }
+  bool mayBeStored = false;
   for (int round = 0; round < kMaxRounds; ++round) {
     for (const ControlSettings& control : settings_.controls_) {
       HttpRequest request(http::verb::post, "/v1/changes", 11);
       request.body() = *body;
-      const auto response = SendRequest(control.http_, std::move(request));
-      if (!response) {
+      const ExchangeResult result =
+        SendRequest(control.http_, std::move(request));
+      if (result.status_ != ExchangeStatus::kAnswered) {
+        mayBeStored = mayBeStored || result.status_ == ExchangeStatus::kUnknown;
         continue;
       }
+      const HttpResponse& response = *result.response_;
       v1::ChangeReply reply;
-      if (!json::JsonStringToMessage(response->body(), &reply).ok()) {
+      if (!json::JsonStringToMessage(response.body(), &reply).ok()) {
         // Not a change reply, for example because the token was rejected.
-        lastReply.set_status(v1::CHANGE_INVALID);
-        lastReply.set_detail(response->body());
+        mayBeStored = mayBeStored || response.result_int() >= kFirstServerError;
+        lastReply.set_status(mayBeStored ? v1::CHANGE_UNAVAILABLE
+                                         : v1::CHANGE_INVALID);
+        lastReply.set_detail(response.body());
         return lastReply;
       }
       lastReply = reply;
@@ -82,6 +89,7 @@
           reply.status() != v1::CHANGE_UNAVAILABLE) {
         return reply;
       }
+      mayBeStored = true;
     }
   }
   return lastReply;
@@ -90,34 +98,31 @@
 std::optional<std::string> ApiClient::Get(const Endpoint& aNode,
                                           const std::string& aTarget)
 {
-  const auto response =
+  const ExchangeResult result =
     SendRequest(aNode, HttpRequest(http::verb::get, aTarget, 11));
-  if (!response || response->result_int() != kHttpOk) {
+  if (result.status_ != ExchangeStatus::kAnswered ||
+      result.response_->result_int() != kHttpOk) {
     return std::nullopt;
   }
-  return response->body();
+  return result.response_->body();
 }
 
-std::optional<HttpResponse> ApiClient::SendRequest(const Endpoint& aNode,
-                                                   HttpRequest aRequest)
+ExchangeResult ApiClient::SendRequest(const Endpoint& aNode,
+                                      HttpRequest aRequest)
 {
   aRequest.set(http::field::host, ToText(aNode));
   aRequest.set(http::field::authorization, token_.AuthorizationHeader());
   aRequest.prepare_payload();
-  std::optional<HttpResponse> response;
+  ExchangeResult result;
   boost::asio::co_spawn(
     io_,
     [&]() -> boost::asio::awaitable<void> {
-      ExchangeResult result =
-        co_await client_.Exchange(aNode, std::move(aRequest), timeout_);
-      if (result.status_ == ExchangeStatus::kAnswered) {
-        response = std::move(result.response_);
-      }
+      result = co_await client_.Exchange(aNode, std::move(aRequest), timeout_);
     },
     boost::asio::detached);
   io_.restart();
   io_.run();
-  return response;
+  return result;
 }
 
 } // namespace vanillahatch::ctl
--- a/src/ctl/api_client.h
+++ b/src/ctl/api_client.h
@@ -32,9 +32,7 @@
                                  const std::string& aTarget);
 
 private:
-  // Nothing on a timeout or a connection error.
-  std::optional<HttpResponse> SendRequest(const Endpoint& aNode,
-                                          HttpRequest aRequest);
+  ExchangeResult SendRequest(const Endpoint& aNode, HttpRequest aRequest);
 
   const Settings& settings_;
   const Token& token_;
--- a/test/process/vhctl_test.py
+++ b/test/process/vhctl_test.py
@@ -1,21 +1,65 @@
 """vhctl against a whole deployment: exit codes, resends, conflicts, and the
 assignment of announced upstreams to the first pool of their service."""
 
+import http.server
 import json
 import os
 import subprocess
 import sys
 import tempfile
+import threading
 
 sys.path.insert(0, os.path.join(os.path.dirname(__file__), "../../scripts"))
 from deployment import Deployment, wait_until  # noqa: E402
 
-OK, REFUSED, USAGE, CONFLICT = 0, 1, 2, 5
+OK, REFUSED, USAGE, UNREACHABLE, CONFLICT = 0, 1, 2, 4, 5
 SETTING = "member.max_in_flight"
 
 
+def answer_always(port, status, body):
+    """An HTTP server that gives every request the same answer."""
+    class Handler(http.server.BaseHTTPRequestHandler):
+        def do_POST(self):  # pylint: disable=invalid-name
+            self.rfile.read(int(self.headers["Content-Length"]))
+            self.send_response(status)
+            self.send_header("Content-Length", str(len(body)))
+            self.end_headers()
+            self.wfile.write(body)
+
+        def log_message(self, *_):
+            pass
+    server = http.server.ThreadingHTTPServer(("127.0.0.1", port), Handler)
+    threading.Thread(target=server.serve_forever, daemon=True).start()
+    return server
+
+
+def refusal_after_an_unknown_outcome_is_unknown(build):
+    unknown = (503, b'{"status":"CHANGE_UNAVAILABLE"}')
+    wrong_token = (401, b'{"status":401,"code":"unauthorized","ran":"no"}')
+    failed = (500, b'{"status":500,"code":"fault","ran":"unknown"}')
+    for answers, expected in (([wrong_token] * 3, REFUSED),
+                              ([failed] * 3, UNREACHABLE),
+                              ([unknown, wrong_token, wrong_token],
+                               UNREACHABLE)):
+        with tempfile.TemporaryDirectory(prefix="vh-ctl-") as folder:
+            deployment = Deployment(build, folder)
+            servers = [answer_always(node.http_port, *answer)
+                       for node, answer in zip(deployment.controls, answers)]
+            done = subprocess.run(
+                [os.path.join(build, "vhctl"), "--config", deployment.config,
+                 "default", "set", SETTING, "12"],
+                capture_output=True, text=True, timeout=60, check=False)
+            for server in servers:
+                server.shutdown()
+                server.server_close()
+            assert done.returncode == expected, (
+                f"{answers}: expected exit {expected}, "
+                f"got {done.returncode}: {done.stderr}")
+
+
 def main():
     build = os.path.abspath(sys.argv[1])
+    refusal_after_an_unknown_outcome_is_unknown(build)
     with tempfile.TemporaryDirectory(prefix="vh-ctl-") as folder:
         deployment = Deployment(build, folder)
 
