Leases: the clock in a report does not shorten a lease

A report that names a time far ahead made the leader renew the lease until a deadline far ahead, which the instance shortens to its longest lease (10 s); the leader counted 5 s on that clock, gave the instance up, and started its tasks elsewhere while they ran.

Clocks are taken from replies to the leader's own orders only. A listing precedes every start and renewal in any case, so nothing waits longer. FleetControl passes no clock on since; the functions that took it, and the time of the latest report, have no user left and are removed, so that the simulated fleet plays what the programs do.

--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -115,9 +115,6 @@
 
   // The proposal with that number was committed and applied to the store.
   void OnCommitted(Millis aNow, uint64_t aNumber);
-  // An instance reported; its record must already be in the store. `aClock` is
-  // the time on the clock of the instance.
-  void OnReport(Millis aNow, const InstanceKey& aKey, Millis aClock);
   // The instance leaves: stops its runs, regardless of availability budgets.
   void OnLeave(Millis aNow, const InstanceKey& aKey);
   void OnStart(Millis aNow,
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -147,7 +147,6 @@
   Millis nextHoldAt_;
   Millis lastReplyAt_;
   Millis busySince_;    // an idle instance gets no listing requests
-  Millis lastReportAt_; // its latest unsolicited report
   // Time of the latest start or renewal of the lease, by any leader.
   Millis lastGrantAt_;
   uint64_t listings_ = 0;        // number of listings processed
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -266,8 +266,7 @@
                                           aView.lastGrantAt_ + kMaxOrderDelay);
     return ofNextIncarnation.HasExpired(aNow);
   }
-  const bool isUnresponsive = aNow - aView.lastReplyAt_ > options_.lease_ &&
-                              aNow - aView.lastReportAt_ > options_.lease_;
+  const bool isUnresponsive = aNow - aView.lastReplyAt_ > options_.lease_;
   const Millis unresponsiveSince =
     std::max(aView.lastReplyAt_, aView.busySince_);
   const bool isUnreachable =
@@ -445,17 +444,6 @@
   finishedAt_ = std::move(finishedAt);
 }
 
-void FleetScheduler::OnReport(Millis aNow,
-                              const InstanceKey& aKey,
-                              Millis aClock)
-{
-  SyncViews(aNow);
-  if (InstanceView* view = FindView(aKey)) {
-    view->Lease().Observe(aClock, aNow);
-    view->lastReportAt_ = aNow;
-  }
-}
-
 void FleetScheduler::OnLeave(Millis aNow, const InstanceKey& aKey)
 {
   SyncViews(aNow);
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -30,7 +30,6 @@
                            Millis aNow)
   : lastBusyAt_(aNow)
   , lastReplyAt_(aNow)
-  , lastReportAt_(aNow)
   , lastGrantAt_(aLastGrantAt)
   , confirmedCursor_(0)
   , proposedCursor_(aInstance.record_.end_cursor())
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -433,13 +433,6 @@
     asio::detached);
 }
 
-void FleetDriver::OnReport(const InstanceKey& aKey, Millis aClock)
-{
-  ProcessEvent([&](FleetScheduler& aScheduler, Millis aNow) {
-    aScheduler.OnReport(aNow, aKey, aClock);
-  });
-}
-
 void FleetDriver::OnLeave(const InstanceKey& aKey)
 {
   ProcessEvent([&](FleetScheduler& aScheduler, Millis aNow) {
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -50,9 +50,6 @@
   // Must be called after a change of leadership. Thread-safe.
   void OnLeadershipChange();
 
-  // Handles an instance's report, after its changes are committed. `aClock` is
-  // the instance's clock.
-  void OnReport(const InstanceKey& aKey, Millis aClock);
   // Stops the runs on an instance that leaves.
   void OnLeave(const InstanceKey& aKey);
   bool IsWaveCompleted(uint64_t aWave);
--- a/test/machine_orders_test.cpp
+++ b/test/machine_orders_test.cpp
@@ -32,7 +32,7 @@
   const Job& OccupyInstance(const FakeInstance& aInstance)
   {
     const Job& job = fleet_.Submit(
-      "running", "drafts", { SimulatedFleet::StepOf(1, 500, 9000) });
+      "running", "drafts", { SimulatedFleet::StepOf(1, 500, 11000) });
     BOOST_REQUIRE(fleet_.RunUntil(
       [&] { return aInstance.running_.size() == 1; }, Seconds(1)));
     return job;
@@ -117,7 +117,7 @@
   fleet_.Report(a);
   BOOST_TEST(fleet_.RunUntil(
     [&] { return fleet_.Store().PhaseOf(job) == v1::JOB_COMPLETED; },
-    Seconds(9)));
+    Seconds(11)));
   BOOST_TEST(fleet_.Starts() == 1U);
 }
 
--- a/test/process/fake_platform.py
+++ b/test/process/fake_platform.py
@@ -236,6 +236,7 @@
         self.history = []
         self.silent_until = 0
         self.highest_token = None
+        self.reported_ahead_ms = 0  # how far `clock_ms` of reports is ahead
         self.is_up = True
         super().__init__(name, service, address, run_s)
 
@@ -275,6 +276,8 @@
 
     def post(self, control, what, body, timeout=3):
         body["machine"] = self.machine
+        if "clock_ms" in body:
+            body["clock_ms"] += self.reported_ahead_ms
         if self.is_silent() or self.highest_token is not None:
             return 0
         return super().post(control, what, body, timeout)
--- a/test/process/two_runs_test.py
+++ b/test/process/two_runs_test.py
@@ -453,6 +453,25 @@
         len(fleet.cloud.calls), len(repeated))
 
 
+# Reports name a time far ahead of the runner's clock. It then falls silent.
+def clock_ahead(fleet, _seed, _seconds):
+    runner = fleet.add_machine("m-0", "s")
+    fleet.wait_for_contact()
+    job = "%016x" % 0xf00
+    deployment.check(submit("s", job, 1, 4000, 9000) == 200, "accepted")
+    deployment.until("its task runs", lambda: runner.runs)
+    fleet.add_machine("m-1", "s")
+    runner.reported_ahead_ms = 60000
+    for core in deployment.CORES:
+        runner.report((core, deployment.CONTROL))
+    time.sleep(2)  # until its lease is renewed
+    runner.silent_until = time.monotonic() + 10
+    time.sleep(8)
+    fleet.check_runs()
+    fleet.wait_for_jobs([("s", job)])
+    return "one runner"
+
+
 def short_run_length(task):
     return random.Random(task).uniform(0.3, 1.5)
 
@@ -492,6 +511,7 @@
                       dict(services=("s",), spare="rest", run_s=3)),
     "slow-list": (slow_list,
                   dict(services=("s",), spare="rest", run_s=2)),
+    "clock-ahead": (clock_ahead, dict(services=("s",), run_s=11)),
     "crashes": (crashes,
                 dict(services=("s",), run_s=short_run_length, heartbeat_s=1.5)),
     "thawed-leader": (thawed_leader, dict(services=("s",), run_s=9)),
@@ -502,7 +522,8 @@
                                         pools=("s", "t")),
                       dict(DISTURBED, spare=None, cores=5, heartbeat_s=2)),
 }
-IN_CI = ("repeated-move", "slow-list", "crashes", "random")
+IN_CI = ("repeated-move", "slow-list", "clock-ahead", "crashes",
+         "random")
 
 
 def play(build_case, seed, seconds):
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -170,8 +170,6 @@
   void Report(const FakeInstance& aInstance)
   {
     store_.Apply(ChangesForReport(store_, { .record_ = aInstance.record_ }));
-    scheduler_->OnReport(
-      now_, ToKey(aInstance.record_), now_ + aInstance.clockOffset_);
   }
 
   // As `FleetControl::Leave`. Returns false if the instance has to ask again.
