--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -40,7 +40,7 @@
       po::value(&aLine.author_),
       "author of the change, default operator");
   add("expect",
-      po::value<uint64_t>(),
+      po::value<int64_t>(),
       "reject the change if operators changed anything after this revision");
   add("timeout-ms",
       po::value(&aTimeoutMs),
@@ -122,7 +122,13 @@
     return std::nullopt;
   }
   if (values.contains("expect")) {
-    line.expectedRevision_ = values["expect"].as<uint64_t>();
+    // As an unsigned option, a negative number would wrap round.
+    const auto revision = values["expect"].as<int64_t>();
+    if (revision < 0) {
+      std::cerr << kUsageText;
+      return std::nullopt;
+    }
+    line.expectedRevision_ = static_cast<uint64_t>(revision);
   }
   line.timeout_ = Millis(timeoutMs);
   return line;
--- a/test/process/vhctl_test.py
+++ b/test/process/vhctl_test.py
@@ -87,6 +87,7 @@
             assert first == "accepted as revision 1\n", first
             expect(REFUSED, "default", "set", SETTING, "0")
             expect(CONFLICT, "default", "set", SETTING, "13", "--expect", "0")
+            expect(USAGE, "default", "set", SETTING, "13", "--expect", "-1")
             options = ["--until", "+2h", "--scope", "member:m1", "--setting",
                        SETTING, "--value", "99"]
             expect(REFUSED, "exception", "add", "x", *options)
