RPC: clients receive replies as large as servers do

Cause: a server takes messages of up to 64 MiB, but a channel kept gRPC's default of 4 MiB for replies; the same bound holds for a scheduler's replies.

Change: the channel has the servers' bound. ReplyAboveTheLibrarysDefaultLimitIsReceived failed before.

--- a/src/shell/rpc.cpp
+++ b/src/shell/rpc.cpp
@@ -38,6 +38,7 @@
                    kMinReconnectBackoffMs);
   arguments.SetInt(GRPC_ARG_MAX_RECONNECT_BACKOFF_MS, kMaxReconnectBackoffMs);
   arguments.SetInt(GRPC_ARG_ENABLE_HTTP_PROXY, 0);
+  arguments.SetMaxReceiveMessageSize(kMaxMessageBytes);
   return grpc::CreateCustomChannel(
     ToText(aEndpoint), grpc::InsecureChannelCredentials(), arguments);
 }
--- a/test/rpc_test.cpp
+++ b/test/rpc_test.cpp
@@ -135,19 +135,57 @@
   std::atomic<int> submissions_ = 0;
 };
 
-} // namespace
+// Answers each submission with 5 MiB of detail.
+class VerboseService : public v1::JobService::CallbackService
+{
+public:
+  static constexpr size_t kDetailBytes = 5U << 20U;
 
-BOOST_AUTO_TEST_CASE(RequestThatReachedTheServerIsNotSentAgainByTheLibrary)
+  grpc::ServerUnaryReactor* Submit(grpc::CallbackServerContext* aContext,
+                                   const v1::SubmitRequest* /*aRequest*/,
+                                   v1::JobReply* aReply) override
+  {
+    grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
+    aReply->set_detail(std::string(kDetailBytes, 'x'));
+    reactor->Finish(grpc::Status::OK);
+    return reactor;
+  }
+};
+
+// Serves `aService` on a free port of the loopback address.
+std::pair<std::unique_ptr<grpc::Server>, uint16_t> Serve(
+  grpc::Service& aService)
 {
-  SilentService service;
   grpc::ServerBuilder builder;
   int port = 0;
   builder.AddListeningPort(
     std::string(kLoopback) + ":0", grpc::InsecureServerCredentials(), &port);
-  builder.RegisterService(&service);
-  const std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
+  builder.RegisterService(&aService);
+  std::unique_ptr<grpc::Server> server = builder.BuildAndStart();
   BOOST_REQUIRE(server);
-  Proxy proxy(static_cast<uint16_t>(port));
+  return { std::move(server), static_cast<uint16_t>(port) };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(ReplyAboveTheLibrarysDefaultLimitIsReceived)
+{
+  VerboseService service;
+  const auto [server, port] = Serve(service);
+  const auto stub = v1::JobService::NewStub(
+    MakeChannel({ .address_ = kLoopback, .port_ = port }));
+  grpc::ClientContext context;
+  SetDeadline(context, Seconds(5));
+  v1::JobReply reply;
+  BOOST_TEST(stub->Submit(&context, {}, &reply).ok());
+  BOOST_TEST(reply.detail().size() == VerboseService::kDetailBytes);
+}
+
+BOOST_AUTO_TEST_CASE(RequestThatReachedTheServerIsNotSentAgainByTheLibrary)
+{
+  SilentService service;
+  const auto [server, port] = Serve(service);
+  Proxy proxy(port);
   const auto stub = v1::JobService::NewStub(
     MakeChannel({ .address_ = kLoopback, .port_ = proxy.Port() }));
 
