Log: a replica that stops leaves proposals to its successor

What callers saw: 503, or 504 after an earlier attempt, for some milliseconds whenever the leader was stopped, although its successor could have served them. Cause: a stopping replica answered what its closed ring did not take as overloaded; the gateway takes that for the leader's answer.

Change: it is answered as kNotLeader, which is as definite (nothing was appended), and which the gateway, the control interface and vh-control's forwarder take as a reason to ask the next replica. ChangeForAStoppedReplicaIsLeftToItsSuccessor failed before (CHANGE_UNAVAILABLE).

Also the format of instance_view.h.

--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -146,7 +146,7 @@
   bool pollInFlight_ = false; // a listing with an immediate reply
   Millis nextHoldAt_;
   Millis lastReplyAt_;
-  Millis busySince_;    // an idle instance gets no listing requests
+  Millis busySince_; // an idle instance gets no listing requests
   // Time of the latest start or renewal of the lease, by any leader.
   Millis lastGrantAt_;
   uint64_t listings_ = 0;        // number of listings processed
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -154,7 +154,8 @@
   Input input =
     ProposalEvent{ .payload_ = std::move(aPayload), .done_ = aDone };
   if (!ring_.TryPush(std::move(input))) {
-    aDone({ .status_ = ProposalStatus::kOverloaded });
+    aDone({ .status_ = ring_.IsClosed() ? ProposalStatus::kNotLeader
+                                        : ProposalStatus::kOverloaded });
   }
 }
 
@@ -225,7 +226,7 @@
   ring_.Close();
   while (std::optional<Input> input = ring_.PopFor(Millis(0))) {
     if (auto* proposal = std::get_if<ProposalEvent>(&*input)) {
-      proposal->done_({ .status_ = ProposalStatus::kOverloaded });
+      proposal->done_({ .status_ = ProposalStatus::kNotLeader });
     } else if (auto* work = std::get_if<WorkEvent>(&*input)) {
       work->onRejected_();
     } else if (auto* peer = std::get_if<PeerEvent>(&*input);
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -45,7 +45,9 @@
 enum class ProposalStatus
 {
   kCommitted,
-  kNotLeader,  // it will not be committed; `leader_` may name the leader
+  // It will not be committed: this replica does not lead, or is stopping.
+  // `leader_` may name the leader.
+  kNotLeader,
   kOverloaded, // it will not be committed
   kUnknown,    // it may have been committed
   kUnreadable, // no replica can read it, or it is too large to send: no effect
--- a/test/control_replica_test.cpp
+++ b/test/control_replica_test.cpp
@@ -105,6 +105,14 @@
   BOOST_TEST(WaitFor([&] { return !control.replica_.IsLeader(); }));
 }
 
+BOOST_AUTO_TEST_CASE(ChangeForAStoppedReplicaIsLeftToItsSuccessor)
+{
+  SingleReplica control;
+  control.replica_.Stop();
+  BOOST_TEST(control.Propose(PutPool("late")).status() ==
+             v1::CHANGE_NOT_LEADER);
+}
+
 BOOST_AUTO_TEST_CASE(ChangeThatIsTooLargeForEntriesIsRefused)
 {
   SingleReplica control;
