Machine orders test: one set-up for a false later start

Two cases repeated the steps that displace an instance by a false later start and wait until it may return. They share DisplaceUntilReturn now; checks, times and bounds are the same. Test code only: machine_orders_test passes, its lint and format are clean.

--- a/test/machine_orders_test.cpp
+++ b/test/machine_orders_test.cpp
@@ -38,6 +38,18 @@
     return job;
   }
 
+  // Reports a false later start of the instance, and waits until the instance
+  // may return. Returns the false incarnation.
+  FakeInstance DisplaceUntilReturn(const FakeInstance& aInstance)
+  {
+    FakeInstance odd;
+    odd.record_ = aInstance.record_;
+    odd.record_.set_born_unix_ms(2000);
+    fleet_.Report(odd);
+    fleet_.RunFor(kUntilReturn);
+    return odd;
+  }
+
   // The largest number of copies of the job's first task that run at once.
   size_t MaxCopies(const Job& aJob, Millis aWithin)
   {
@@ -199,14 +211,9 @@
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
   fleet_.RunFor(Millis(500));
-  FakeInstance odd;
-  odd.record_ = a.record_;
-  odd.record_.set_born_unix_ms(2000);
-  fleet_.Report(odd);
-  fleet_.RunFor(kUntilReturn);
-  v1::JobChanges changes =
-    ChangesForReturn(fleet_.Store(), { .record_ = a.record_ });
-  fleet_.Store().Apply(changes);
+  const FakeInstance odd = DisplaceUntilReturn(a);
+  fleet_.Store().Apply(
+    ChangesForReturn(fleet_.Store(), { .record_ = a.record_ }));
   fleet_.RunFor(Millis(500));
   const bool isFalseOneKnown =
     fleet_.Store().FindInstance(ToKey(odd.record_)) != nullptr;
@@ -227,15 +234,10 @@
   const Job& job =
     fleet_.Submit("j1", "drafts", { SimulatedFleet::StepOf(1, 500, 1000) });
   fleet_.RunUntil([&] { return a.running_.size() == 1; }, Seconds(1));
-  FakeInstance odd;
-  odd.record_ = a.record_;
-  odd.record_.set_born_unix_ms(2000);
-  fleet_.Report(odd);
-  fleet_.RunFor(kUntilReturn);
+  const FakeInstance odd = DisplaceUntilReturn(a);
   BOOST_REQUIRE(fleet_.Store().FindInstance(ToKey(odd.record_)) != nullptr);
-  v1::JobChanges changes =
-    ChangesForReturn(fleet_.Store(), { .record_ = a.record_ });
-  fleet_.Store().Apply(changes);
+  fleet_.Store().Apply(
+    ChangesForReturn(fleet_.Store(), { .record_ = a.record_ }));
   fleet_.RunFor(Seconds(9));
   BOOST_TEST(fleet_.Store().PhaseOf(job) == v1::JOB_COMPLETED);
   BOOST_TEST(fleet_.Starts() == 1U);
