--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -39,6 +39,7 @@
 #include <functional>
 #include <map>
 #include <random>
+#include <set>
 #include <string>
 #include <utility>
 
@@ -210,9 +211,11 @@
 
   // control_log_join.cpp: bootstrapping and joining.
   void SendHellos();
+  std::set<std::string> ReplicasToGreet() const;
   void ReceiveWhileBlank(const v1::PeerMessage& aMessage);
   void OnHello(const v1::PeerMessage& aMessage);
   void OnHelloReply(const v1::PeerMessage& aMessage);
+  void RememberMembers(const v1::PeerMessage& aHelloReply);
   void Bootstrap();
   void OnBootstrap(const v1::PeerMessage& aMessage);
 
@@ -290,6 +293,8 @@
   std::vector<v1::LogMember> votes_;
   // Incarnation and time of the last reply of each blank replica, by name.
   std::map<std::string, std::pair<uint64_t, Millis>> blankReplicas_;
+  // Names of the members as in the last reply of each replica, by its name.
+  std::map<std::string, std::vector<std::string>> membersBySender_;
 
   std::vector<Progress> progress_;
   std::optional<v1::LogMember> learner_; // being brought up to date to join
--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -285,7 +285,9 @@
   if (aMessage.cluster() != clusterId_) {
     return;
   }
-  if (aMessage.has_vote_request()) {
+  if (aMessage.has_hello_reply()) {
+    RememberMembers(aMessage);
+  } else if (aMessage.has_vote_request()) {
     OnVoteRequest(aMessage);
   } else if (aMessage.has_vote_reply()) {
     OnVoteReply(aMessage);
--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -13,10 +13,7 @@
     Bootstrap();
     return;
   }
-  for (const std::string& name : options_.replicas_) {
-    if (name == self_.name()) {
-      continue;
-    }
+  for (const std::string& name : ReplicasToGreet()) {
     v1::PeerMessage message;
     message.mutable_hello()->set_blank(clusterId_ == 0);
     v1::LogMember anyIncarnation;
@@ -25,6 +22,22 @@
   }
 }
 
+// Any member may be the leader, which alone can add this replica, so the
+// replicas of the settings are not enough.
+std::set<std::string> ControlLog::ReplicasToGreet() const
+{
+  std::set<std::string> names(options_.replicas_.begin(),
+                              options_.replicas_.end());
+  for (const v1::LogMember& member : history_.Latest().config_.members()) {
+    names.insert(member.name());
+  }
+  for (const auto& [sender, members] : membersBySender_) {
+    names.insert(members.begin(), members.end());
+  }
+  names.erase(self_.name());
+  return names;
+}
+
 void ControlLog::ReceiveWhileBlank(const v1::PeerMessage& aMessage)
 {
   // Only messages addressed to this incarnation may bind it to a cluster.
@@ -48,12 +61,13 @@
 
 void ControlLog::OnHelloReply(const v1::PeerMessage& aMessage)
 {
+  const std::string& from = aMessage.from().name();
   if (!aMessage.hello_reply().blank()) {
-    blankReplicas_.erase(aMessage.from().name());
+    blankReplicas_.erase(from);
+    RememberMembers(aMessage);
     return;
   }
-  blankReplicas_[aMessage.from().name()] = { aMessage.from().incarnation(),
-                                             now_ };
+  blankReplicas_[from] = { aMessage.from().incarnation(), now_ };
   if (!options_.mayBootstrap_ || options_.replicas_.front() != self_.name()) {
     return;
   }
@@ -71,6 +85,13 @@
   }
 }
 
+void ControlLog::RememberMembers(const v1::PeerMessage& aHelloReply)
+{
+  const auto& members = aHelloReply.hello_reply().members();
+  membersBySender_[aHelloReply.from().name()] = { members.begin(),
+                                                  members.end() };
+}
+
 void ControlLog::Bootstrap()
 {
   clusterId_ = random_() | 1U;
@@ -122,11 +143,12 @@
 void ControlLog::OnHello(const v1::PeerMessage& aMessage)
 {
   const v1::LogMember& from = aMessage.from();
-  if (aMessage.hello().blank()) {
-    v1::PeerMessage reply;
-    reply.mutable_hello_reply()->set_blank(false);
-    Send(std::move(reply), from);
+  v1::PeerMessage reply;
+  reply.mutable_hello_reply()->set_blank(false);
+  for (const v1::LogMember& member : history_.Latest().config_.members()) {
+    reply.mutable_hello_reply()->add_members(member.name());
   }
+  Send(std::move(reply), from);
   if (Contains(history_.Latest().config_, from)) {
     // An initial member that missed the bootstrap message. Without it there may
     // be no quorum to elect a leader that would replicate the log to it.
--- a/test/control_log_test.cpp
+++ b/test/control_log_test.cpp
@@ -3,39 +3,6 @@
 
 using namespace vanillahatch;
 
-namespace {
-
-std::string OtherThan(const LogCluster& aCluster, const std::string& aName)
-{
-  for (const std::string& name : aCluster.Names()) {
-    if (name != aName) {
-      return name;
-    }
-  }
-  return {};
-}
-
-std::vector<std::string> AllBut(const LogCluster& aCluster,
-                                const std::string& aName)
-{
-  std::vector<std::string> others;
-  for (const std::string& name : aCluster.Names()) {
-    if (name != aName) {
-      others.push_back(name);
-    }
-  }
-  return others;
-}
-
-bool Commit(LogCluster& aCluster, const std::string& aPayload)
-{
-  const std::string leader = aCluster.WaitForLeader();
-  return aCluster.Propose(leader, aPayload) &&
-         aCluster.RunUntil([&] { return aCluster.IsApplied(aPayload); });
-}
-
-} // namespace
-
 BOOST_AUTO_TEST_CASE(NewClusterBootstrapsAndCommits)
 {
   for (const size_t count : { 1U, 2U, 3U, 5U }) {
--- a/test/log_cluster.h
+++ b/test/log_cluster.h
@@ -6,9 +6,11 @@
 #include "fake_store.h"
 #include "vanillahatch/core/control_log.h"
 
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <functional>
 #include <limits>
+#include <map>
 #include <memory>
 #include <set>
 
@@ -53,6 +55,19 @@
     }
   }
 
+  // Starts another replica, with an empty disk, that is told only of `aSeeds`.
+  void Add(const std::string& aName, std::vector<std::string> aSeeds)
+  {
+    for (const std::string& name : names_) {
+      seeds_.emplace(name, names_);
+    }
+    seeds_[aName] = std::move(aSeeds);
+    joined_.insert(aName);
+    names_.push_back(aName);
+    replicas_[aName].name_ = aName;
+    Start(aName);
+  }
+
   void Start(const std::string& aName)
   {
     Replica& replica = replicas_.at(aName);
@@ -65,7 +80,9 @@
     replica.stateIndex_ = 0;
     ControlLogOptions options = common_;
     options.self_ = aName;
-    options.replicas_ = names_;
+    const auto seeds = seeds_.find(aName);
+    options.replicas_ = seeds != seeds_.end() ? seeds->second : names_;
+    options.mayBootstrap_ = !joined_.contains(aName);
     options.seed_ = ++seed_ * 7919;
     replica.log_ = std::make_unique<ControlLog>(
       std::move(options), hasContents ? &contents.value() : nullptr, now_);
@@ -237,10 +254,19 @@
   }
 
   bool AllMembersEqual() const
+  {
+    return AllReplicasEqual() &&
+           std::all_of(
+             replicas_.begin(), replicas_.end(), [](const auto& aItem) {
+               return aItem.second.log_->IsMember();
+             });
+  }
+
+  bool AllReplicasEqual() const
   {
     std::set<std::string> states;
     for (const auto& [name, replica] : replicas_) {
-      if (!replica.IsUp() || !replica.log_->IsMember()) {
+      if (!replica.IsUp()) {
         return false;
       }
       states.insert(replica.state_ + "@" +
@@ -481,6 +507,8 @@
   }
 
   std::vector<std::string> names_;
+  std::map<std::string, std::vector<std::string>> seeds_;
+  std::set<std::string> joined_; // replicas that were added
   std::map<std::string, Replica> replicas_;
   std::vector<v1::PeerMessage> pending_;
   std::vector<v1::PeerMessage> heldMessages_;
@@ -501,4 +529,34 @@
   std::set<std::string> payloads_;
 };
 
+inline std::string OtherThan(const LogCluster& aCluster,
+                             const std::string& aName)
+{
+  for (const std::string& name : aCluster.Names()) {
+    if (name != aName) {
+      return name;
+    }
+  }
+  return {};
+}
+
+inline std::vector<std::string> AllBut(const LogCluster& aCluster,
+                                       const std::string& aName)
+{
+  std::vector<std::string> others;
+  for (const std::string& name : aCluster.Names()) {
+    if (name != aName) {
+      others.push_back(name);
+    }
+  }
+  return others;
+}
+
+inline bool Commit(LogCluster& aCluster, const std::string& aPayload)
+{
+  const std::string leader = aCluster.WaitForLeader();
+  return aCluster.Propose(leader, aPayload) &&
+         aCluster.RunUntil([&] { return aCluster.IsApplied(aPayload); });
+}
+
 } // namespace vanillahatch
