--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -19,11 +19,14 @@
 // operation fails, the replica must stop without sending `messages_`.
 //
 // A replica whose disk was lost, empty, torn or damaged is constructed without
-// contents. It starts a new incarnation, neither votes nor counts towards a
-// quorum, and asks to join; the leader replicates the log to it and then
-// replaces the old incarnation by a configuration entry. That entry needs a
-// majority of the old and of the new configuration, and the next one waits
-// until it is committed.
+// contents. It starts a new incarnation, which counts towards no quorum, and
+// asks to join; the leader replicates the log to it and then replaces the old
+// incarnation by a configuration entry. That entry needs a majority of the old
+// and of the new configuration, and the next one waits until it is committed.
+//
+// With open membership, replicas of other names join in the same way. They
+// replace members that do not respond or that leave. A single one that is not
+// needed waits as a learner, so that the number of members stays odd.
 //
 // A new cluster is bootstrapped by the first replica of the settings, and only
 // after every other replica has replied to this incarnation that it is blank,
@@ -61,6 +64,9 @@
   // multiplied by the number of followers. Entries proposed within the interval
   // share a message; the first one after a pause is sent immediately.
   Millis appendGap_;
+  // Minimum time without contact after which a member is replaced by a learner
+  // of another name, or removed from a configuration of even size.
+  Millis replaceAfter_ = Seconds(2);
 };
 
 struct ControlLogOptions
@@ -144,6 +150,11 @@
 
   void Tick(Millis aNow);
   void Receive(Millis aNow, const v1::PeerMessage& aMessage);
+  // Asks to be replaced, because this replica is about to stop for good.
+  // Another replica can then fail at once without loss of the quorum.
+  void Leave(Millis aNow);
+  // True once a replica that leaves has been replaced or cannot be.
+  bool MayStop() const;
   Result<LogPosition, ProposeError> Propose(Millis aNow, std::string aPayload);
   // Replaces the applied prefix of the log by `aState`, the state after
   // `AppliedIndex()`. Does nothing while `HasActions()`, because the caller's
@@ -171,7 +182,7 @@
   uint64_t AppliedIndex() const { return appliedIndex_; }
   uint64_t ClusterId() const { return clusterId_; }
   const v1::LogMember& Self() const { return self_; }
-  // True while this incarnation votes and counts towards a quorum.
+  // True while this incarnation counts towards a quorum.
   bool IsMember() const;
   const LogHistory& History() const { return history_; }
 
@@ -188,7 +199,15 @@
     Millis entriesSentAt_; // latest message with entries
     Millis lastContactAt_;
     Millis lastAnsweredSentAt_; // send time of the latest message it answered
+    Millis leavesUntil_; // it asked to be replaced and is valid until then
+  };
+  // A replica that is being brought up to date to become a member.
+  struct Learner
+  {
+    v1::LogMember member_;
+    Millis lastContactAt_;
   };
+  using Members = google::protobuf::RepeatedPtrField<v1::LogMember>;
   using Predicate = std::function<bool(const v1::LogMember&)>;
 
   // control_log.cpp: recovery, timers, actions.
@@ -203,13 +222,16 @@
   void ResetElectionTimer();
   void SetElectionTimer(Millis aMin, Millis aMax);
   void AdvanceTime(Millis aNow);
-  // False while the entry that adds this incarnation may be overwritten; until
-  // it is committed, the replica repeats its requests to join.
-  bool IsMembershipCommitted() const;
+  // False while the entry that adds or removes this incarnation may be
+  // overwritten; until then, the replica repeats its requests to join.
+  bool IsCommittedMember() const;
+  // True for the members of the latest configuration and, while that may be
+  // overwritten, of the one before: its quorum is needed as well.
+  bool MayStandForElection() const;
   void SetCommit(uint64_t aIndex);
   void QueueCommitted();
 
-  // control_log_join.cpp: bootstrapping and joining.
+  // control_log_join.cpp: bootstrapping, joining and leaving.
   void SendHellos();
   std::set<std::string> ReplicasToGreet() const;
   void ReceiveWhileBlank(const v1::PeerMessage& aMessage);
@@ -218,6 +240,8 @@
   void RememberMembers(const v1::PeerMessage& aHelloReply);
   void Bootstrap();
   void OnBootstrap(const v1::PeerMessage& aMessage);
+  void SendLeave();
+  void OnLeave(const v1::PeerMessage& aMessage);
 
   // control_log_election.cpp: terms and votes.
   void BecomeFollower(uint64_t aTerm, std::string aLeader);
@@ -245,7 +269,7 @@
                          int64_t aSentMs);
   void RejectOldTerm(const v1::PeerMessage& aMessage);
 
-  // control_log_leader.cpp: replication, commit, membership changes.
+  // control_log_leader.cpp: replication and commit.
   void BecomeLeader();
   void MaintainLeadership();
   void AppendAsLeader(v1::LogEntry aEntry);
@@ -264,10 +288,26 @@
   Millis LastMajorityContact(const v1::LogConfig& aConfig) const;
   void SendCommitIndex(const v1::LogMember& aMember);
   uint64_t MajorityMatchIndex(const v1::LogConfig& aConfig);
-  void MaybeAddLearner();
-  using Members = google::protobuf::RepeatedPtrField<v1::LogMember>;
-  Members::iterator FindUnresponsive(Members& aMembers, Millis aSpan);
-  void MaybeRemoveMember();
+
+  // control_log_members.cpp: the leader's membership changes.
+  Learner* FindLearner(const v1::LogMember& aMember);
+  void OnLearnerContact(const v1::LogMember& aMember);
+  void DropUnresponsiveLearners();
+  bool IsCaughtUp(const Learner& aLearner);
+  std::vector<v1::LogMember> CaughtUpLearners();
+  Members::iterator FindUnresponsive(Members& aMembers);
+  bool CanMemberLeave() const;
+  // True if `aMember` is not needed for a quorum, even if this leader stops.
+  bool IsReplaced(const v1::LogMember& aMember) const;
+  bool IsLeaving(const v1::LogMember& aMember);
+  // The member that is to be replaced or removed first; `end` if there is none.
+  Members::iterator FindReplaceable(Members& aMembers);
+  void MaybeChangeMembers();
+  // Steps of a membership change; false if there is nothing to do.
+  bool ReplaceOldIncarnation(Members& aMembers);
+  bool ReplaceMember(Members& aMembers);
+  bool AddLearners(Members& aMembers);
+  bool RemoveMember(Members& aMembers);
 
   ControlLogOptions options_;
   std::mt19937_64 random_;
@@ -290,6 +330,9 @@
   Millis leaderLastContactAt_;
   bool hadLeaderContact_ = false;
   Millis nextHelloAt_;
+  bool isLeaving_ = false;
+  bool needNotStay_ = false; // by the leader's reply to a leave
+  Millis nextLeaveAt_;
   std::vector<v1::LogMember> votes_;
   // Incarnation and time of the last reply of each blank replica, by name.
   std::map<std::string, std::pair<uint64_t, Millis>> blankReplicas_;
@@ -297,8 +340,10 @@
   std::map<std::string, std::vector<std::string>> membersBySender_;
 
   std::vector<Progress> progress_;
-  std::optional<v1::LogMember> learner_; // being brought up to date to join
-  Millis learnerLastContactAt_;
+  std::vector<Learner> learners_;
+  // Once this entry is committed, a majority knows that the latest
+  // configuration is.
+  uint64_t configKnownIndex_ = 0;
   Millis nextHeartbeatAt_;
 
   LogActions actions_;
--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -232,17 +232,29 @@
   if (IsLeader()) {
     return std::min(nextHeartbeatAt_, NextAppendAt());
   }
-  const Millis nextHelloAt =
-    IsMembershipCommitted() ? Millis::Max() : nextHelloAt_;
-  return IsMember() ? std::min(electionTimeoutAt_, nextHelloAt) : nextHelloAt;
+  Millis next = MayStandForElection() ? electionTimeoutAt_ : Millis::Max();
+  if (isLeaving_) {
+    next = std::min(next, nextLeaveAt_);
+  } else if (!IsCommittedMember()) {
+    next = std::min(next, nextHelloAt_);
+  }
+  return next;
 }
 
-bool ControlLog::IsMembershipCommitted() const
+bool ControlLog::IsCommittedMember() const
 {
-  return clusterId_ != 0 &&
+  return IsMember() &&
          Contains(history_.ConfigurationAt(commitIndex_).config_, self_);
 }
 
+bool ControlLog::MayStandForElection() const
+{
+  const LogHistory::Configuration* before = history_.BeforeLatest();
+  const bool isInPendingChange =
+    IsConfigPending() && before != nullptr && Contains(before->config_, self_);
+  return clusterId_ != 0 && (IsMember() || isInPendingChange);
+}
+
 // Runs before every message and proposal, so a leader whose process was
 // suspended detects that it lost its quorum before it handles the next event.
 void ControlLog::AdvanceTime(Millis aNow)
@@ -252,10 +264,13 @@
     MaintainLeadership();
     return;
   }
-  if (!IsMembershipCommitted() && now_ >= nextHelloAt_) {
+  if (isLeaving_ && now_ >= nextLeaveAt_) {
+    SendLeave();
+  }
+  if (!isLeaving_ && !IsCommittedMember() && now_ >= nextHelloAt_) {
     SendHellos();
   }
-  if (IsMember() && now_ >= electionTimeoutAt_) {
+  if (MayStandForElection() && now_ >= electionTimeoutAt_) {
     StartPreVote();
   }
 }
@@ -297,6 +312,10 @@
     OnSnapshot(aMessage);
   } else if (aMessage.has_append_reply()) {
     OnAppendReply(aMessage);
+  } else if (aMessage.has_leave()) {
+    OnLeave(aMessage);
+  } else if (aMessage.has_leave_reply()) {
+    needNotStay_ = true;
   }
 }
 
--- a/src/core/control_log_election.cpp
+++ b/src/core/control_log_election.cpp
@@ -43,7 +43,7 @@
   leader_ = std::move(aLeader);
   votes_.clear();
   progress_.clear();
-  learner_.reset();
+  learners_.clear();
 }
 
 void ControlLog::StartPreVote()
@@ -53,6 +53,8 @@
   SetElectionTimer(options_.timing_.minRetry_, options_.timing_.maxRetry_);
   votes_ = { self_ };
   RequestVotes(true);
+  // There may be a leader that has replaced this replica.
+  SendHellos();
   CountVotes();
 }
 
@@ -135,7 +137,8 @@
     isPreVote ? aMessage.term() > term_ && !hasLiveLeader
               : aMessage.term() == term_ &&
                   (!votedFor_ || IsSame(*votedFor_, aMessage.from()));
-  const bool granted = IsMember() && isVoteAvailable && IsUpToDate(request);
+  const bool granted =
+    MayStandForElection() && isVoteAvailable && IsUpToDate(request);
   if (granted && !isPreVote && !votedFor_) {
     votedFor_ = aMessage.from();
     RecordVote();
--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -1,4 +1,4 @@
-// Bootstraps a cluster and joins one with a new incarnation.
+// Bootstraps a cluster, joins one with a new incarnation and leaves it.
 #include "vanillahatch/core/control_log.h"
 
 #include <algorithm>
@@ -8,6 +8,13 @@
 void ControlLog::SendHellos()
 {
   nextHelloAt_ = now_ + options_.timing_.heartbeat_;
+  const bool hasLeaderContact =
+    hadLeaderContact_ &&
+    now_ - leaderLastContactAt_ < options_.timing_.minElectionTimeout_;
+  if (hasLeaderContact) {
+    return; // It is a learner of this leader.
+  }
+  leader_.clear();
   if (clusterId_ == 0 && options_.mayBootstrap_ &&
       options_.replicas_.size() == 1) {
     Bootstrap();
@@ -168,15 +175,55 @@
   if (!IsLeader() || !isKnownName || from.name() == self_.name()) {
     return;
   }
-  const bool isLearnerSlotFree =
-    !learner_ ||
-    now_ - learnerLastContactAt_ > options_.timing_.maxElectionTimeout_;
-  if (isLearnerSlotFree) {
-    learner_ = from;
-    RefreshProgress();
+  OnLearnerContact(from);
+}
+
+void ControlLog::Leave(Millis aNow)
+{
+  isLeaving_ = true;
+  nextLeaveAt_ = aNow;
+  AdvanceTime(aNow);
+}
+
+bool ControlLog::MayStop() const
+{
+  if (IsLeader()) {
+    return isLeaving_ && (IsMember() ? !CanMemberLeave() : IsReplaced(self_));
+  }
+  return isLeaving_ && needNotStay_;
+}
+
+void ControlLog::SendLeave()
+{
+  nextLeaveAt_ = now_ + options_.timing_.heartbeat_;
+  if (leader_.empty() || IsLeader()) {
+    return;
+  }
+  v1::PeerMessage message;
+  message.mutable_leave();
+  v1::LogMember leader; // any incarnation
+  leader.set_name(leader_);
+  Send(std::move(message), leader);
+}
+
+void ControlLog::OnLeave(const v1::PeerMessage& aMessage)
+{
+  const v1::LogMember& from = aMessage.from();
+  if (!IsLeader()) {
+    return;
+  }
+  std::erase_if(learners_, [&](const auto& aLearner) {
+    return IsSame(aLearner.member_, from);
+  });
+  if (Progress* progress = FindProgress(from)) {
+    progress->leavesUntil_ = now_ + options_.timing_.minElectionTimeout_;
+    MaybeChangeMembers();
   }
-  if (IsSame(*learner_, from)) {
-    learnerLastContactAt_ = now_;
+  const bool isMember = Contains(history_.Latest().config_, from);
+  if (isMember ? !CanMemberLeave() : IsReplaced(from)) {
+    v1::PeerMessage reply;
+    reply.mutable_leave_reply();
+    Send(std::move(reply), from);
   }
 }
 
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -1,33 +1,17 @@
-// Implements the leader: replication, commit and membership changes.
+// Implements the leader: replication and commit.
 #include "vanillahatch/core/control_log.h"
 
 #include <algorithm>
 
 namespace vanillahatch {
 
-namespace {
-
-// Maximum number of entries that a learner may be behind when it is added. This
-// is safe because it votes only once the configuration entry, and so every
-// entry before it, is in its log.
-constexpr uint64_t kMaxLearnerLag = 100;
-// Minimum time without contact after which a member is replaced by a learner of
-// another name.
-constexpr Millis kReplaceUnresponsiveAfter = Seconds(2);
-// Minimum time without contact after which a member is removed from a
-// configuration of even size: without it the same number of failures is
-// tolerated by a smaller quorum. The member may join again.
-constexpr Millis kRemoveUnresponsiveAfter = Seconds(6);
-constexpr int kMinMembers = 3;
-
-} // namespace
-
 void ControlLog::BecomeLeader()
 {
   role_ = LogRole::kLeader;
   leader_ = self_.name();
   votes_.clear();
   progress_.clear();
+  configKnownIndex_ = 0;
   RefreshProgress();
   nextHeartbeatAt_ = now_ + options_.timing_.heartbeat_;
   AppendAsLeader({});
@@ -52,8 +36,8 @@
     const auto& before = history_.BeforeLatest()->config_;
     std::for_each(before.members().begin(), before.members().end(), add);
   }
-  if (learner_) {
-    add(*learner_);
+  for (const Learner& learner : learners_) {
+    add(learner.member_);
   }
   std::vector<Progress> updated;
   for (const v1::LogMember& member : targets) {
@@ -84,7 +68,8 @@
            (progress != nullptr && now_ - progress->lastContactAt_ <
                                      options_.timing_.minElectionTimeout_);
   });
-  if (!hasQuorum) {
+  const bool isReplaced = !isLeaving_ && IsReplaced(self_);
+  if (!hasQuorum || isReplaced) {
     BecomeFollower(term_, {});
     return;
   }
@@ -93,12 +78,8 @@
     return;
   }
   nextHeartbeatAt_ = now_ + options_.timing_.heartbeat_;
-  if (learner_ &&
-      now_ - learnerLastContactAt_ > options_.timing_.maxElectionTimeout_) {
-    learner_.reset();
-    RefreshProgress();
-  }
-  MaybeRemoveMember();
+  DropUnresponsiveLearners();
+  MaybeChangeMembers();
   for (Progress& progress : progress_) {
     const bool isInFlight =
       progress.sentUpTo_ != 0 &&
@@ -212,6 +193,9 @@
     return;
   }
   progress->lastContactAt_ = now_;
+  if (Learner* learner = FindLearner(aMessage.from())) {
+    learner->lastContactAt_ = now_;
+  }
   const v1::PeerMessage::AppendReply& reply = aMessage.append_reply();
   progress->lastAnsweredSentAt_ =
     std::max(progress->lastAnsweredSentAt_, Millis(reply.sent_ms()));
@@ -229,7 +213,7 @@
     progress->sentUpTo_ = 0;
   }
   AdvanceCommitIndex();
-  MaybeAddLearner();
+  MaybeChangeMembers();
   SendPending();
   SendCommitIndex(aMessage.from());
 }
@@ -312,6 +296,8 @@
   SetCommit(majorityIndex);
   if (wasPending && !IsConfigPending()) {
     RefreshProgress();
+    AppendAsLeader({});
+    configKnownIndex_ = history_.LastIndex();
   }
   if (!options_.sendCommitImmediately_) {
     return;
@@ -324,72 +310,4 @@
   }
 }
 
-// The member with the longest time since its last contact, if that exceeds
-// `aSpan`.
-ControlLog::Members::iterator ControlLog::FindUnresponsive(Members& aMembers,
-                                                           Millis aSpan)
-{
-  auto found = aMembers.end();
-  Millis since = now_ - aSpan;
-  for (auto it = aMembers.begin(); it != aMembers.end(); ++it) {
-    const Progress* progress = FindProgress(*it);
-    if (progress != nullptr && progress->lastContactAt_ < since) {
-      since = progress->lastContactAt_;
-      found = it;
-    }
-  }
-  return found;
-}
-
-void ControlLog::MaybeRemoveMember()
-{
-  const auto& current = history_.Latest().config_;
-  const int size = current.members_size();
-  const bool isEven = size % 2 == 0;
-  if (!options_.openMembership_ || !isEven || size <= kMinMembers ||
-      IsConfigPending() || learner_ || !IsEstablishedLeader()) {
-    return;
-  }
-  v1::LogEntry entry;
-  *entry.mutable_config() = current;
-  auto& members = *entry.mutable_config()->mutable_members();
-  const auto unresponsive = FindUnresponsive(members, kRemoveUnresponsiveAfter);
-  if (unresponsive == members.end()) {
-    return;
-  }
-  members.erase(unresponsive);
-  AppendAsLeader(std::move(entry));
-  RefreshProgress();
-}
-
-// Adds a learner that has caught up to the configuration. It replaces its old
-// incarnation, or else a member that is unresponsive, if there is one.
-void ControlLog::MaybeAddLearner()
-{
-  const Progress* progress = learner_ ? FindProgress(*learner_) : nullptr;
-  if (progress == nullptr || progress->matchIndex_ == 0 ||
-      progress->matchIndex_ + kMaxLearnerLag < commitIndex_ ||
-      IsConfigPending() || !IsEstablishedLeader()) {
-    return;
-  }
-  v1::LogEntry entry;
-  *entry.mutable_config() = history_.Latest().config_;
-  auto& members = *entry.mutable_config()->mutable_members();
-  auto it =
-    std::find_if(members.begin(), members.end(), [&](const auto& aMember) {
-      return aMember.name() == learner_->name();
-    });
-  if (it == members.end()) {
-    it = FindUnresponsive(members, kReplaceUnresponsiveAfter);
-  }
-  if (it != members.end()) {
-    *it = *learner_;
-  } else {
-    *members.Add() = *learner_;
-  }
-  learner_.reset();
-  AppendAsLeader(std::move(entry));
-  RefreshProgress();
-}
-
 } // namespace vanillahatch
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -179,6 +179,17 @@
     [] {}); // not needed by a replica that is stopping
 }
 
+void LogReplica::Leave(const std::function<void()>& aMayStop)
+{
+  RunAt(
+    clock_.Now(),
+    [this, aMayStop] {
+      onMayStop_ = aMayStop;
+      log_->Leave(clock_.Now());
+    },
+    aMayStop);
+}
+
 LogReplicaStatus LogReplica::Status() const
 {
   std::lock_guard lock(statusMutex_);
@@ -315,6 +326,7 @@
     return false;
   }
   PublishStatus();
+  ReportMayStop();
   return true;
 }
 
@@ -458,6 +470,13 @@
   return true;
 }
 
+void LogReplica::ReportMayStop()
+{
+  if (onMayStop_ && log_->MayStop()) {
+    std::exchange(onMayStop_, nullptr)();
+  }
+}
+
 void LogReplica::PublishLeaderLease()
 {
   leaseExpiresAtMs_ = log_->LeaderLeaseExpiresAt().Count();
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -131,6 +131,11 @@
   // Sets the replicas that this replica asks to join while it is not a member.
   void SetReplicas(std::vector<std::string> aNames);
 
+  // Asks to be replaced, because the process is about to stop for good. Calls
+  // `aMayStop` once, on the replica's thread or on the caller's, when it is or
+  // cannot be; never if the replica is stopped before.
+  void Leave(const std::function<void()>& aMayStop);
+
   bool IsLeader() const { return isLeader_; }
   // The term in which this replica is the leader; 0 if it is not.
   uint64_t LeaderTerm() const { return leaderTerm_; }
@@ -211,6 +216,7 @@
   void FailPendingProposals(bool aAll);
   // False if the store fails.
   bool MaybeCompact();
+  void ReportMayStop();
   void PublishLeaderLease();
   void PublishStatus();
   void ReportDiskFailure(const StoreError& aError);
@@ -226,6 +232,7 @@
   std::multimap<std::string, PendingReply> pendingReplies_; // by caller's name
   std::map<uint64_t, PendingProposal> pendingProposals_;    // by index
   std::vector<WorkEvent> scheduledWork_;
+  std::function<void()> onMayStop_; // set while the replica leaves
   std::atomic<bool> isLeader_ = false;
   std::atomic<uint64_t> leaderTerm_ = 0;
   std::atomic<int64_t> leaseExpiresAtMs_ = 0; // on `clock_`
--- a/test/control_log_membership_test.cpp
+++ b/test/control_log_membership_test.cpp
@@ -8,6 +8,7 @@
 
 // A machine counts as lost until this time after it, or its successor, started.
 constexpr Millis kCatchUp = Seconds(4);
+constexpr Millis kRecovery = Seconds(12);
 
 // The options of the scheduler's replicas.
 const ControlLogOptions kOpen = {
@@ -34,6 +35,27 @@
     other_ = AllBut(cluster_, leader_)[1];
   }
 
+  void LoseDiskAndRestart(const std::string& aName)
+  {
+    cluster_.LoseDisk(aName);
+    cluster_.Run(Seconds(1));
+    cluster_.Start(aName);
+  }
+
+  void CheckRecovers(const std::string& aPayload)
+  {
+    BOOST_TEST(
+      cluster_.RunUntil([&] { return !cluster_.Leader().empty(); }, kRecovery),
+      "no leader" << cluster_.Describe());
+    BOOST_TEST((!cluster_.Leader().empty() && Commit(cluster_, aPayload)));
+  }
+
+  size_t MemberCount()
+  {
+    const ControlLog& log = cluster_.Log(cluster_.WaitForLeader());
+    return log.History().Latest().config_.members_size();
+  }
+
   LogCluster cluster_;
   std::string leader_;
   std::string follower_;
@@ -54,3 +76,189 @@
                [&] { return open.cluster_.Log("d").IsMember(); }, kCatchUp),
              open.cluster_.Describe());
 }
+
+// Guards against a joining replica that loses the leader with a change of
+// leadership because its seeds have stopped since.
+BOOST_AUTO_TEST_CASE(JoiningReplicaFindsTheNextLeaderWithoutItsSeeds)
+{
+  OpenCluster open;
+  open.cluster_.Add("d", { open.leader_ });
+  open.cluster_.Run(Seconds(1));
+  open.cluster_.Crash(open.leader_);
+  BOOST_TEST(open.cluster_.RunUntil(
+               [&] { return open.cluster_.Log("d").IsMember(); }, kCatchUp),
+             open.cluster_.Describe());
+}
+
+// Guards against a killed replica that still counts as a member when the next
+// disk is lost, so that no quorum is left.
+BOOST_AUTO_TEST_CASE(QuorumSurvivesDiskLostAfterReplacementOfKilledReplica)
+{
+  for (const uint64_t seed : { 1U, 2U, 3U, 4U, 5U }) {
+    OpenCluster open(seed);
+    open.cluster_.Crash(open.follower_);
+    open.cluster_.Run(Seconds(1));
+    open.cluster_.Add("d", { open.leader_, open.other_ });
+    open.cluster_.Run(kCatchUp);
+    open.LoseDiskAndRestart(open.other_);
+    open.CheckRecovers("after both losses");
+  }
+}
+
+// The same with a successor that has joined before the replica stops.
+BOOST_AUTO_TEST_CASE(QuorumSurvivesDiskLostAfterReplacementByWaitingReplica)
+{
+  for (const uint64_t seed : { 1U, 2U, 3U, 4U, 5U }) {
+    OpenCluster open(seed);
+    open.cluster_.Add("d", { open.leader_, open.other_ });
+    open.cluster_.Run(kCatchUp);
+    open.cluster_.Crash(open.follower_);
+    open.cluster_.Run(kCatchUp);
+    open.LoseDiskAndRestart(open.other_);
+    open.CheckRecovers("after both losses");
+  }
+}
+
+// The same with the leader as the replica that is killed: an election comes
+// before the replacement.
+BOOST_AUTO_TEST_CASE(QuorumSurvivesDiskLostAfterReplacementOfKilledLeader)
+{
+  for (const uint64_t seed : { 1U, 2U, 3U, 4U, 5U }) {
+    OpenCluster open(seed);
+    open.cluster_.Crash(open.leader_);
+    open.cluster_.Run(Seconds(1));
+    open.cluster_.Add("d", { open.leader_, open.other_ });
+    open.cluster_.Run(kCatchUp);
+    open.LoseDiskAndRestart(open.other_);
+    open.CheckRecovers("after both losses");
+  }
+}
+
+// Guards against replacements that leave members behind which are gone, so that
+// the quorum outgrows the replicas that run.
+BOOST_AUTO_TEST_CASE(QuorumSurvivesReplacementOfEveryReplica)
+{
+  OpenCluster open;
+  std::vector<std::string> running = open.cluster_.Names();
+  for (const std::string successor : { "d", "e", "f", "g", "h", "i" }) {
+    const std::string removed = running.front();
+    running.erase(running.begin());
+    open.cluster_.Crash(removed);
+    open.cluster_.Run(Seconds(1));
+    open.cluster_.Add(successor, { removed, running.front() });
+    running.push_back(successor);
+    open.cluster_.Run(kCatchUp);
+    BOOST_REQUIRE_MESSAGE(Commit(open.cluster_, "after " + removed),
+                          open.cluster_.Describe());
+  }
+  BOOST_TEST(open.MemberCount() == 3U);
+  open.LoseDiskAndRestart(running.front());
+  open.CheckRecovers("last");
+}
+
+// Guards against an even number of members, whose quorum is larger without
+// tolerating more failures.
+BOOST_AUTO_TEST_CASE(NumberOfMembersStaysOdd)
+{
+  OpenCluster open;
+  open.cluster_.Add("d", { open.leader_ });
+  open.cluster_.Run(Seconds(5));
+  BOOST_TEST(open.MemberCount() == 3U);
+  BOOST_TEST(!open.cluster_.Log("d").IsMember());
+  open.cluster_.Add("e", { open.follower_ });
+  BOOST_TEST(open.cluster_.RunUntil([&] { return open.MemberCount() == 5; },
+                                    Seconds(2)));
+  BOOST_TEST(open.cluster_.RunUntil(
+    [&] { return open.cluster_.AllMembersEqual(); }, Seconds(2)));
+  open.cluster_.Crash(open.follower_);
+  open.cluster_.Crash(open.other_);
+  BOOST_TEST(Commit(open.cluster_, "with two of five down"));
+}
+
+// A replica that waits to become a member must know the entries and the leader.
+BOOST_AUTO_TEST_CASE(WaitingReplicaFollowsTheLeader)
+{
+  OpenCluster open;
+  open.cluster_.Add("d", { open.follower_ });
+  open.cluster_.Run(Seconds(2));
+  BOOST_REQUIRE(Commit(open.cluster_, "while d waits"));
+  open.cluster_.Run(Seconds(1));
+  BOOST_TEST(open.cluster_.At("d").state_ ==
+             open.cluster_.At(open.leader_).state_);
+  BOOST_TEST(open.cluster_.Log("d").LeaderName() == open.leader_);
+  open.cluster_.Crash(open.leader_);
+  const std::string next = open.cluster_.WaitForLeader();
+  BOOST_TEST(open.cluster_.RunUntil(
+    [&] { return open.cluster_.Log("d").LeaderName() == next; }, Seconds(2)));
+}
+
+// A replaced member that returns with its disk waits like any other replica.
+BOOST_AUTO_TEST_CASE(ReplacedMemberThatReturnsReplacesTheNextOne)
+{
+  OpenCluster open;
+  open.cluster_.Add("d", { open.leader_ });
+  open.cluster_.Run(Seconds(2));
+  open.cluster_.Crash(open.follower_);
+  BOOST_REQUIRE(open.cluster_.RunUntil(
+    [&] { return open.cluster_.Log("d").IsMember(); }, kCatchUp));
+  open.cluster_.Start(open.follower_);
+  open.cluster_.Run(Seconds(2));
+  BOOST_TEST(!open.cluster_.Log(open.follower_).IsMember());
+  open.cluster_.Crash(open.other_);
+  BOOST_TEST(open.cluster_.RunUntil(
+    [&] { return open.cluster_.Log(open.follower_).IsMember(); }, kCatchUp));
+}
+
+// Guards against a planned replacement that keeps the stopped replica as a
+// member until it counts as unresponsive.
+BOOST_AUTO_TEST_CASE(QuorumSurvivesDiskLostRightAfterReplicaHasLeft)
+{
+  for (const bool isLeader : { false, true }) {
+    OpenCluster open;
+    open.cluster_.Add("d", { open.leader_, open.other_ });
+    open.cluster_.Run(kCatchUp);
+    const std::string leaving = isLeader ? open.leader_ : open.follower_;
+    open.cluster_.Log(leaving).Leave(open.cluster_.Now());
+    BOOST_TEST(
+      open.cluster_.RunUntil(
+        [&] { return open.cluster_.Log(leaving).MayStop(); }, Millis(500)),
+      open.cluster_.Describe());
+    open.cluster_.Crash(leaving);
+    open.LoseDiskAndRestart(open.other_);
+    open.CheckRecovers("after both losses");
+  }
+}
+
+// Guards against a stop that waits for a successor that does not exist.
+BOOST_AUTO_TEST_CASE(ReplicaWithoutSuccessorMayStopAtOnce)
+{
+  OpenCluster open;
+  for (const std::string& name : open.cluster_.Names()) {
+    open.cluster_.Log(name).Leave(open.cluster_.Now());
+    open.cluster_.Run(Millis(100));
+    BOOST_TEST(open.cluster_.Log(name).MayStop(), name);
+  }
+  for (const std::string& name : open.cluster_.Names()) {
+    BOOST_TEST(open.cluster_.Log(name).IsMember(), name);
+  }
+}
+
+// Guards against a stop of all replicas that loses one as a member for good.
+BOOST_AUTO_TEST_CASE(ReplicasThatAllLeaveAndReturnKeepTheCluster)
+{
+  OpenCluster open;
+  open.cluster_.Add("d", { open.leader_ });
+  open.cluster_.Run(kCatchUp);
+  for (const std::string& name : open.cluster_.Names()) {
+    open.cluster_.Log(name).Leave(open.cluster_.Now());
+  }
+  open.cluster_.Run(Millis(500));
+  for (const std::string& name : open.cluster_.Names()) {
+    open.cluster_.Crash(name);
+  }
+  for (const std::string& name : open.cluster_.Names()) {
+    open.cluster_.Start(name);
+  }
+  open.CheckRecovers("after the restart");
+  BOOST_TEST(open.MemberCount() == 3U);
+}
--- a/test/control_log_random_test.cpp
+++ b/test/control_log_random_test.cpp
@@ -18,12 +18,21 @@
 class Schedule
 {
 public:
-  Schedule(size_t aReplicas, uint64_t aSeed, const ControlLogOptions& aCommon)
+  // `aJoining` further replicas join a cluster of `aReplicas`.
+  Schedule(size_t aReplicas,
+           size_t aJoining,
+           uint64_t aSeed,
+           const ControlLogOptions& aCommon)
     : cluster_(aReplicas, aSeed, aCommon)
     , random_(aSeed)
+    , replicasMayLeave_(aJoining > 0)
   {
     cluster_.StartAll();
     cluster_.WaitForLeader();
+    const std::vector<std::string> seeds = cluster_.Names();
+    for (size_t i = 0; i < aJoining; ++i) {
+      cluster_.Add(std::string("+") + std::to_string(i), seeds);
+    }
   }
 
   void Step()
@@ -64,12 +73,14 @@
     cluster_.AdvanceTime(Seconds(31));
     for (const std::string& name : cluster_.Names()) {
       cluster_.CrashAfterSteps(name, -1);
+      if (cluster_.At(name).IsUp() && leaving_.contains(name)) {
+        cluster_.Crash(name);
+      }
       if (!cluster_.At(name).IsUp()) {
         cluster_.Start(name);
       }
     }
-    BOOST_TEST(cluster_.RunUntil([&] { return cluster_.AllMembersEqual(); },
-                                 Seconds(60)),
+    BOOST_TEST(cluster_.RunUntil([&] { return HasSettled(); }, Seconds(60)),
                "the replicas do not settle" << cluster_.Describe());
   }
 
@@ -77,6 +88,19 @@
   size_t LostDisks() const { return lostDisks_; }
 
 private:
+  // One replica waits if the number of members would be even with it.
+  bool HasSettled()
+  {
+    const auto& names = cluster_.Names();
+    const auto members =
+      std::count_if(names.begin(), names.end(), [&](const std::string& aName) {
+        return cluster_.At(aName).IsUp() && cluster_.Log(aName).IsMember();
+      });
+    const size_t waiting = names.size() % 2 == 0 ? 1 : 0;
+    return static_cast<size_t>(members) + waiting == names.size() &&
+           cluster_.AllReplicasEqual();
+  }
+
   const std::string& AnyReplica()
   {
     return cluster_.Names()[random_() % cluster_.Names().size()];
@@ -107,6 +131,10 @@
   {
     const std::string& name = AnyReplica();
     if (cluster_.At(name).IsUp()) {
+      if (replicasMayLeave_ && random_() % 2 == 0) {
+        cluster_.Log(name).Leave(cluster_.Now());
+        leaving_.insert(name);
+      }
       cluster_.CrashAfterSteps(name, static_cast<int>(random_() % 12));
     }
   }
@@ -116,6 +144,7 @@
     const std::string& name = AnyReplica();
     if (!cluster_.At(name).IsUp()) {
       cluster_.Start(name);
+      leaving_.erase(name);
     }
   }
 
@@ -170,20 +199,28 @@
   uint64_t proposals_ = 0;
   std::string lastWiped_;
   size_t lostDisks_ = 0;
+  const bool replicasMayLeave_;
+  std::set<std::string> leaving_; // asked to leave, and have not stopped since
 };
 
 // The options of the scheduler's replicas: fewer and larger messages.
 const ControlLogOptions kBatched = { .timing_ = { .appendGap_ = Millis(15) },
                                      .sendCommitImmediately_ = false };
 
+const ControlLogOptions kOpen = { .openMembership_ = true,
+                                  .timing_ = { .appendGap_ = Millis(15) },
+                                  .sendCommitImmediately_ = false };
+
 void RunSchedule(size_t aReplicas,
                  uint64_t aSeed,
                  size_t aSteps,
-                 const ControlLogOptions& aCommon = {})
+                 const ControlLogOptions& aCommon = {},
+                 size_t aJoining = 0)
 {
-  BOOST_TEST_CONTEXT("seed " << aSeed << ", replicas " << aReplicas)
+  BOOST_TEST_CONTEXT("seed " << aSeed << ", replicas " << aReplicas
+                             << ", joining " << aJoining)
   {
-    Schedule schedule(aReplicas, aSeed, aCommon);
+    Schedule schedule(aReplicas, aJoining, aSeed, aCommon);
     for (size_t step = 0; step < aSteps; ++step) {
       schedule.Step();
     }
@@ -213,3 +250,22 @@
   }
   RunSchedule(3, 1194, 50000);
 }
+
+// Replicas join, wait, replace others and leave.
+BOOST_AUTO_TEST_CASE(InvariantsHoldUnderRandomSchedulesOfAnOpenCluster)
+{
+  const auto& suite = boost::unit_test::framework::master_test_suite();
+  if (suite.argc > 2) {
+    for (const size_t joining : { 1U, 2U }) {
+      RunSchedule(3,
+                  std::strtoull(suite.argv[1], nullptr, 10),
+                  std::strtoull(suite.argv[2], nullptr, 10),
+                  kOpen,
+                  joining);
+    }
+    return;
+  }
+  for (uint64_t seed = 1; seed <= 12; ++seed) {
+    RunSchedule(3, seed, 20000, kOpen, 1 + seed % 2);
+  }
+}
--- /dev/null
+++ b/test/process/replacement_test.py
@@ -0,0 +1,137 @@
+"""Machines of three vh-scheduler processes are replaced, and each time another
+one loses its disk as soon as the replaced machine no longer counts as lost. The
+configuration and the accepted job must be served again within the recovery
+time.
+
+    python3 test/process/replacement_test.py BUILD_DIR"""
+
+import os
+import shutil
+import signal
+import sys
+import tempfile
+import time
+
+sys.path.insert(0, os.path.dirname(__file__))
+import platform_test as platform  # noqa: E402
+from fake_platform import call  # noqa: E402
+
+CATCH_UP_S = 4
+RECOVERY_S = 12
+RESTART_S = 1
+STOP_S = 3
+JOB = "00000000000000a1"
+
+
+class Cluster:
+    def __init__(self, folder, nodes):
+        self.folder = folder
+        self.nodes = nodes
+        self.cores = nodes[:3]
+        self.version = platform.CONFIG["version"]
+
+    def leader_and_followers(self):
+        platform.until("a leader is known",
+                       lambda: platform.leader() is not None, RECOVERY_S)
+        address = platform.leader()
+        leader = next(core for core in self.cores if core.ip == address)
+        return leader, [core for core in self.cores if core is not leader]
+
+    def add(self, number, seeds):
+        """Starts a successor that is told only of `seeds`."""
+        core = platform.Node(self.folder, "vh-scheduler", "core-%d" % number,
+                             platform.NET + str(number),
+                             'control = "%s%d:%d"' % (platform.NET, number,
+                                                      platform.CONTROL),
+                             self.cores[0].values["cloud"])
+        core.values["seeds"] = ",".join(
+            '"%s:%d"' % (seed.ip, platform.CONTROL) for seed in seeds)
+        self.nodes.append(core)
+        core.start()
+        return core
+
+    def replace(self, removed, successor):
+        self.cores[self.cores.index(removed)] = successor
+        platform.CORES[:] = [core.ip for core in self.cores]
+
+    def lose_disk(self, core):
+        core.stop()
+        shutil.rmtree(core.values["data"])
+        os.mkdir(core.values["data"])
+        time.sleep(RESTART_S)
+        core.start()
+
+    def put_next_version(self):
+        self.version += 1
+        platform.until("a configuration is accepted", lambda: platform.put_config(
+            dict(platform.CONFIG, version=self.version)) == 200, RECOVERY_S)
+
+    def check_serves(self, case):
+        def is_served():
+            status, _, body = call((platform.leader(), platform.CONTROL), "GET",
+                                   "/api/config/get")
+            return (status == 200 and body["version"] == self.version and
+                    platform.state(JOB) in ("queued", "running"))
+        try:
+            platform.until(case, lambda: platform.leader() and is_served(),
+                           RECOVERY_S)
+        finally:
+            print("replacement:", case, flush=True)
+        self.put_next_version()
+        time.sleep(CATCH_UP_S)
+
+
+def killed_for_good(cluster, number):
+    """Guards against a successor that cannot find the leader or takes no place
+    of its own before the next loss."""
+    _, (removed, wiped) = cluster.leader_and_followers()
+    removed.stop()
+    time.sleep(RESTART_S)
+    cluster.replace(removed, cluster.add(number, [removed, wiped]))
+    time.sleep(CATCH_UP_S)
+    cluster.lose_disk(wiped)
+    cluster.check_serves("a follower is replaced after its end")
+
+
+def told_to_stop(cluster, number, is_leader):
+    """Guards against a planned stop that leaves a member behind."""
+    leader, followers = cluster.leader_and_followers()
+    removed = leader if is_leader else followers[0]
+    successor = cluster.add(number, [leader, followers[1]])
+    time.sleep(CATCH_UP_S)
+    cluster.replace(removed, successor)
+    began_at = time.monotonic()
+    removed.stop(signal.SIGTERM)
+    platform.check(time.monotonic() - began_at < STOP_S, "a prompt stop")
+    cluster.lose_disk(followers[1])
+    cluster.check_serves("a %s is replaced before its end" % (
+        "leader" if is_leader else "follower"))
+
+
+def run(folder, nodes):
+    platform.start(folder, nodes, platform.CONFIG)
+    cluster = Cluster(folder, nodes)
+    platform.submit("q", JOB)
+    killed_for_good(cluster, 14)
+    told_to_stop(cluster, 15, is_leader=False)
+    told_to_stop(cluster, 16, is_leader=True)
+
+
+def main():
+    nodes = []
+    with tempfile.TemporaryDirectory() as folder:
+        try:
+            run(folder, nodes)
+        except AssertionError:
+            for node in nodes:
+                print("==", node.values["node"])
+                with open(node.log.name, encoding="utf-8") as log:
+                    print(log.read()[-3000:])
+            raise
+        finally:
+            for node in nodes:
+                node.stop()
+
+
+if __name__ == "__main__":
+    main()
