--- a/src/core/control_log_election.cpp
+++ b/src/core/control_log_election.cpp
@@ -137,8 +137,9 @@
     isPreVote ? aMessage.term() > term_ && !hasLiveLeader
               : aMessage.term() == term_ &&
                   (!votedFor_ || IsSame(*votedFor_, aMessage.from()));
-  const bool granted =
-    MayStandForElection() && isVoteAvailable && IsUpToDate(request);
+  // A replica whose log lacks its own addition votes as well: the candidate,
+  // whose log has it, may need this vote to commit it.
+  const bool granted = isVoteAvailable && IsUpToDate(request);
   if (granted && !isPreVote && !votedFor_) {
     votedFor_ = aMessage.from();
     RecordVote();
--- a/test/control_log_random_test.cpp
+++ b/test/control_log_random_test.cpp
@@ -268,4 +268,6 @@
   for (uint64_t seed = 1; seed <= 12; ++seed) {
     RunSchedule(3, seed, 20000, kOpen, 1 + seed % 2);
   }
+  // A new member that lacks the entry which adds it is needed for an election.
+  RunSchedule(3, 156, 20000, kOpen, 2);
 }
