--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -264,6 +264,9 @@
   void SendPaceChanges(Millis aNow, InstanceView& aView);
   void CheckUnlistedRuns(Millis aNow, InstanceView& aView, Millis aSentAt);
   void ProposeStopped(InstanceView& aView, const TaskRef& aTask, uint32_t aRun);
+  // A run of the job has begun.
+  void OnRunBegun(Millis aNow, const Job& aJob);
+  void ProposeStartedJobs(Millis aNow);
   void SendStop(Millis aNow,
                 InstanceView& aView,
                 const TaskRef& aTask,
@@ -398,6 +401,9 @@
   // by task. Only a run that two audits find is a bug, since a commit may be in
   // flight from the log thread.
   std::map<TaskRef, uint32_t> unwatchedRuns_;
+  // Ids of jobs with a run that has begun, which the log may not show yet.
+  std::set<std::string> startedJobs_;
+  Millis firstStartedAt_; // of `startedJobs_`
   std::vector<SchedulerAction> actions_;
   v1::JobChanges nextChanges_; // for the next proposal
   PendingProposal nextPending_;
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -109,7 +109,7 @@
   uint64_t acceptanceIndex_ = 0; // position in the sequence of acceptance
   bool cancelled_ = false;
   bool failed_ = false;
-  bool started_ = false; // a task has been started at least once
+  bool started_ = false; // a run of a task has begun on its instance
   std::map<uint32_t, Occurrence> occurrences_;
   uint32_t occurrencesDone_ = 0;
 
@@ -160,7 +160,7 @@
   size_t JobCount() const { return jobs_.size(); }
   // Closed jobs without any task that may still run.
   std::vector<const Job*> FinishedJobs() const;
-  // Number of open jobs of the queue that have never started a task.
+  // Number of open jobs of the queue of which no run is known to have begun.
   uint64_t CountWaitingJobs(std::string_view aQueue) const;
   // The service whose instances run the job's tasks.
   const std::string& ServiceOf(const Job& aJob) const;
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -228,6 +228,7 @@
   RemoveFinishedJobs(aNow);
   Audit(aNow);
   PollInstances(aNow);
+  ProposeStartedJobs(aNow);
   if (nextChanges_.changes_size() > 0) {
     Propose(std::exchange(nextChanges_, {}), std::exchange(nextPending_, {}));
   }
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -23,6 +23,8 @@
 // A listing with this many ends may be truncated.
 constexpr size_t kMaxEndsListed = 500;
 constexpr uint32_t kFullPercent = 100;
+// A count of waiting jobs may be 2 s old.
+constexpr Millis kMaxStartedJobDelay = Millis(500);
 
 // A reply with the clock of the instance proves that it is reachable.
 void RecordReply(Millis aNow, InstanceView& aView, const OrderResult& aResult)
@@ -64,6 +66,35 @@
   end.set_outcome(v1::RUN_STOPPED);
 }
 
+void FleetScheduler::OnRunBegun(Millis aNow, const Job& aJob)
+{
+  if (aJob.started_ || !aJob.IsOpen()) {
+    return;
+  }
+  if (startedJobs_.empty()) {
+    firstStartedAt_ = aNow;
+  }
+  startedJobs_.insert(aJob.id_);
+}
+
+// Other changes take them along. An end within the delay makes them needless.
+void FleetScheduler::ProposeStartedJobs(Millis aNow)
+{
+  const bool isDue =
+    !startedJobs_.empty() && (nextChanges_.changes_size() > 0 ||
+                              aNow - firstStartedAt_ >= kMaxStartedJobDelay);
+  if (!isDue) {
+    return;
+  }
+  for (const std::string& id : startedJobs_) {
+    const Job* job = store_.FindJob(id);
+    if (job != nullptr && !job->started_ && job->IsOpen()) {
+      nextChanges_.add_changes()->mutable_job_started()->set_id(id);
+    }
+  }
+  startedJobs_.clear();
+}
+
 // The next incarnation may have executed starts. It takes over the runs once it
 // has reported.
 void FleetScheduler::MarkReplaced(InstanceView& aView)
@@ -128,6 +159,7 @@
   switch (aResult.status_) {
     case OrderStatus::kAccepted:
       run->acceptedClock_ = aResult.clock_;
+      OnRunBegun(aNow, *aOrder.ref_.job_);
       if (isUnresolved) {
         run->phase_ = RunPhase::kStarted;
         run->since_ = aNow;
@@ -347,6 +379,7 @@
       continue;
     }
     run->lastListing_ = aView.listings_;
+    OnRunBegun(aNow, *ref->job_);
     if (run->phase_ != RunPhase::kListed) {
       run->phase_ = RunPhase::kListed;
       run->since_ = aNow;
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -72,6 +72,11 @@
       return;
     case v1::JobChange::kForgetJob:
       return RemoveJob(aChange.forget_job());
+    case v1::JobChange::kJobStarted:
+      if (Job* job = FindJob(aChange.job_started().id())) {
+        MarkStarted(*job);
+      }
+      return;
     case v1::JobChange::BODY_NOT_SET:
       return;
   }
@@ -219,7 +224,7 @@
 
 void JobStore::MarkStarted(Job& aJob)
 {
-  if (!aJob.started_) {
+  if (!aJob.started_ && aJob.IsOpen()) {
     aJob.started_ = true;
     --waitingByQueue_[aJob.queue_];
   }
@@ -332,7 +337,6 @@
   task.run_ = aStart.run();
   task.instance_ = instance;
   instance->assigned_.insert(*ref);
-  MarkStarted(*ref->job_);
 }
 
 void JobStore::EndRun(const v1::RunEnd& aEnd)
@@ -346,6 +350,12 @@
   if (!ref) {
     return;
   }
+  // Any other end may be of a run whose start was refused or not sent.
+  const bool hasBegun =
+    aEnd.end_number() != 0 || aEnd.outcome() != v1::RUN_STOPPED;
+  if (hasBegun) {
+    MarkStarted(*ref->job_);
+  }
   const Task& task = TaskAt(*ref);
   const bool isCurrent = task.phase_ == TaskPhase::kAssigned &&
                          task.run_ == aEnd.run() && task.instance_ == instance;
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -22,6 +22,7 @@
   *aState.mutable_accepted()->mutable_spec() = aJob.spec_;
   aState.set_cancelled(aJob.cancelled_);
   aState.set_failed(aJob.failed_);
+  aState.set_not_started(!aJob.started_);
   for (const auto& [number, occurrence] : aJob.occurrences_) {
     for (size_t i = 0; i < occurrence.steps_.size(); ++i) {
       v1::StepState& step = *aState.add_steps();
@@ -99,7 +100,7 @@
       task.checkpoint_ = saved.checkpoint();
       step.gangFailures_ += saved.failures();
       --step.pending_;
-      if (task.run_ > 0) {
+      if (task.run_ > 0 && !aState.not_started()) {
         MarkStarted(job);
       }
       if (task.phase_ == TaskPhase::kDone) {
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -706,6 +706,59 @@
   BOOST_TEST(a.running_[0].run_ == 2U);
 }
 
+// Guards against jobs that are shown as running, and are not counted as
+// waiting, while instances refuse or lose their starts.
+BOOST_AUTO_TEST_CASE(JobsWithoutABegunRunCountAsWaiting)
+{
+  FakeInstance& instance = fleet_.AddInstance("i", "layout");
+  RunOneJob("earlier");
+  instance.refusesStarts_ = true;
+  const Job& refused =
+    fleet_.Submit("refused", "drafts", { SimulatedFleet::StepOf(1, 500) });
+  fleet_.RunUntil([] { return false; }, Seconds(3));
+  BOOST_TEST(
+    JobStore::TaskAt({ .job_ = fleet_.Store().FindJob("refused") }).run_ > 1U);
+  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(fleet_.Store().PhaseOf(refused) == v1::JOB_QUEUED);
+  fleet_.StartLeader(2);
+  fleet_.RunUntil([] { return false; }, Seconds(1));
+  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 1U);
+
+  instance.refusesStarts_ = false;
+  instance.delaysStarts_ = true;
+  fleet_.RunUntil([] { return false; }, Seconds(1));
+  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 1U);
+  instance.delaysStarts_ = false;
+  BOOST_TEST(
+    fleet_.RunUntil([&] { return IsCompleted(refused); }, Seconds(10)));
+  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 0U);
+}
+
+// A run that goes on for long must not leave its job among the waiting ones.
+BOOST_AUTO_TEST_CASE(JobWithABegunRunIsShownAsRunningWithinASecond)
+{
+  fleet_.AddInstance("i", "layout");
+  const Job& job =
+    fleet_.Submit("long", "drafts", { SimulatedFleet::StepOf(1, 500, 60000) });
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.Store().PhaseOf(job) == v1::JOB_RUNNING; },
+    Seconds(1)));
+  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 0U);
+}
+
+// A start whose reply was lost is recognized by the listing.
+BOOST_AUTO_TEST_CASE(JobWhoseStartReplyWasLostIsShownAsRunning)
+{
+  FakeInstance& instance = fleet_.AddInstance("i", "layout");
+  RunOneJob("earlier");
+  instance.losesStartReplies_ = true;
+  const Job& job =
+    fleet_.Submit("long", "drafts", { SimulatedFleet::StepOf(1, 500, 60000) });
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.Store().PhaseOf(job) == v1::JOB_RUNNING; },
+    Seconds(3)));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 BOOST_AUTO_TEST_SUITE(Machines)
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -262,3 +262,59 @@
   BOOST_TEST(restored.PhaseOf(*restored.FindJob("done")) == v1::JOB_COMPLETED);
   BOOST_TEST(restored.Instances().begin()->second->assigned_.size() == 1U);
 }
+
+// Guards against jobs that are shown as running, and are not counted as
+// waiting, although nothing of them has begun.
+BOOST_AUTO_TEST_CASE(JobWhoseStartWasRefusedStillWaits)
+{
+  JobStore store;
+  Apply(store, { Accept("j", 1), PutInstance("a", 1), Start("j", 0, 1, "a") });
+  BOOST_TEST(store.CountWaitingJobs("drafts") == 1U);
+  Apply(store, { End("j", 0, 1, "a", v1::RUN_STOPPED), Start("j", 0, 2, "a") });
+  BOOST_TEST(store.CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_QUEUED);
+
+  JobStore restored;
+  BOOST_REQUIRE(restored.Restore(store.Snapshot()));
+  BOOST_TEST(restored.CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(restored.PhaseOf(*restored.FindJob("j")) == v1::JOB_QUEUED);
+
+  v1::JobChange started;
+  started.mutable_job_started()->set_id("j");
+  Apply(restored, { started, started });
+  BOOST_TEST(restored.CountWaitingJobs("drafts") == 0U);
+  BOOST_TEST(restored.PhaseOf(*restored.FindJob("j")) == v1::JOB_RUNNING);
+  BOOST_REQUIRE(store.Restore(restored.Snapshot()));
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
+}
+
+// An end that the instance lists shows that the run has begun.
+BOOST_AUTO_TEST_CASE(JobWithAListedEndNoLongerWaits)
+{
+  for (const v1::RunOutcome outcome :
+       { v1::RUN_DONE, v1::RUN_FAILED, v1::RUN_STOPPED }) {
+    JobStore store;
+    v1::JobChange end = End("j", 0, 1, "a", outcome);
+    end.mutable_run_end()->set_end_number(1);
+    Apply(store,
+          { Accept("j", 2), PutInstance("a", 1), Start("j", 0, 1, "a"), end });
+    BOOST_TEST(store.CountWaitingJobs("drafts") == 0U);
+    BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
+  }
+}
+
+// Guards against a count that goes below the number of waiting jobs.
+BOOST_AUTO_TEST_CASE(LateEndOfACancelledJobLeavesTheCountOfWaitingJobs)
+{
+  JobStore store;
+  v1::JobChange cancel;
+  cancel.mutable_cancel_job()->set_id("j");
+  Apply(store,
+        { Accept("j", 1),
+          Accept("other", 1),
+          PutInstance("a", 1),
+          Start("j", 0, 1, "a"),
+          cancel,
+          End("j", 0, 1, "a", v1::RUN_DONE) });
+  BOOST_TEST(store.CountWaitingJobs("drafts") == 1U);
+}
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -43,6 +43,7 @@
   bool losesStartReplies_ = false;         // accepts starts, replies are lost
   std::deque<StartOrder> delayedStarts_;   // see `DeliverDelayedStarts`
   bool ignoresStops_ = false;              // neither stops runs nor replies
+  bool refusesStarts_ = false;             // as unavailable, without effect
   bool delaysStarts_ = false; // starts go to `delayedStarts_`, no reply
   uint32_t runsToFail_ = 0;   // number of its next runs that fail
   uint32_t startsAccepted_ = 0;
@@ -417,6 +418,9 @@
       return refuse(OrderStatus::kFenced);
     }
     aInstance.fencingToken_ = aOrder.target_.fencingToken_;
+    if (aInstance.refusesStarts_) {
+      return refuse(OrderStatus::kUnavailable);
+    }
     const auto ended = aInstance.highestEndedRun_.find(KeyOf(aOrder.task_));
     if (ended != aInstance.highestEndedRun_.end() &&
         ended->second >= aOrder.run_) {
