--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -49,6 +49,15 @@
 InstanceKey ToKey(const v1::InstanceRecord& aRecord);
 v1::InstanceKey ToMessage(const InstanceKey& aKey);
 
+// Identifies a job that may not be stored.
+struct QueuedId
+{
+  std::string queue_;
+  std::string id_;
+
+  friend auto operator<=>(const QueuedId&, const QueuedId&) = default;
+};
+
 struct Job;
 struct Instance;
 
@@ -216,6 +225,9 @@
   void IndexQueues();
   void AcceptJob(const v1::AcceptJob& aJob);
   void CancelJob(const v1::CancelJob& aJob);
+  void RecordCancelledEarly(QueuedId aJob);
+  // Returns whether the job was cancelled before it was accepted.
+  bool TakeCancelledEarly(const QueuedId& aJob);
   void StartRun(const v1::RunStart& aStart);
   void EndRun(const v1::RunEnd& aEnd);
   void FinishRun(const TaskRef& aTask,
@@ -251,6 +263,10 @@
   // The latest ended incarnations, oldest first, and the same as a set.
   std::deque<InstanceKey> departed_;
   std::set<InstanceKey> departedSet_;
+  // The latest ids that were cancelled before they were accepted, oldest first,
+  // and the same as a set.
+  std::deque<QueuedId> cancelledEarly_;
+  std::set<QueuedId> cancelledEarlySet_;
   uint64_t instanceChangeCount_ = 0;
   std::deque<InstanceKey> changedInstances_; // latest changes, oldest first
   uint64_t interruptedJobCount_ = 0;
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -13,6 +13,9 @@
 // Enough ended incarnations to recognize reports that arrive seconds late: a
 // thousand machines that follow the demand end about 150 instances per second.
 constexpr size_t kMaxDeparted = 4000;
+// Enough for every id that is cancelled within the time that a submission may
+// be on its way.
+constexpr size_t kMaxCancelledEarly = 4000;
 // Sufficient because readers poll several times per second.
 constexpr size_t kMaxRecordedChanges = 1000;
 
@@ -210,6 +213,10 @@
   job.service_ = aJob.service();
   job.spec_ = aJob.spec();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
+  if (TakeCancelledEarly({ .queue_ = job.queue_, .id_ = job.id_ })) {
+    job.cancelled_ = true;
+    return;
+  }
   openJobs_.emplace(job.acceptanceIndex_, &job);
   ++waitingByQueue_[job.queue_];
 }
@@ -233,13 +240,38 @@
 void JobStore::CancelJob(const v1::CancelJob& aJob)
 {
   Job* job = FindJob(aJob.id());
-  if (job != nullptr && job->IsOpen()) {
+  if (job == nullptr && !aJob.queue().empty()) {
+    RecordCancelledEarly({ .queue_ = aJob.queue(), .id_ = aJob.id() });
+  }
+  const bool isOfQueue =
+    job != nullptr && (aJob.queue().empty() || aJob.queue() == job->queue_);
+  if (isOfQueue && job->IsOpen()) {
     CloseJob(*job);
     ++interruptedJobCount_;
     job->cancelled_ = true;
   }
 }
 
+void JobStore::RecordCancelledEarly(QueuedId aJob)
+{
+  if (cancelledEarlySet_.insert(aJob).second) {
+    cancelledEarly_.push_back(std::move(aJob));
+  }
+  if (cancelledEarly_.size() > kMaxCancelledEarly) {
+    cancelledEarlySet_.erase(cancelledEarly_.front());
+    cancelledEarly_.pop_front();
+  }
+}
+
+bool JobStore::TakeCancelledEarly(const QueuedId& aJob)
+{
+  if (cancelledEarlySet_.erase(aJob) == 0) {
+    return false;
+  }
+  std::erase(cancelledEarly_, aJob);
+  return true;
+}
+
 Occurrence* JobStore::FindOccurrence(Job& aJob, uint32_t aNumber)
 {
   const auto it = aJob.occurrences_.find(aNumber);
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -76,6 +76,11 @@
   for (const InstanceKey& key : departed_) {
     *snapshot.add_departed() = ToMessage(key);
   }
+  for (const QueuedId& job : cancelledEarly_) {
+    v1::CancelJob& cancelled = *snapshot.add_cancelled_early();
+    cancelled.set_queue(job.queue_);
+    cancelled.set_id(job.id_);
+  }
   return snapshot.SerializeAsString();
 }
 
@@ -156,6 +161,9 @@
   for (const v1::InstanceKey& key : snapshot.departed()) {
     fresh.RecordDeparted(ToKey(key));
   }
+  for (const v1::CancelJob& job : snapshot.cancelled_early()) {
+    fresh.RecordCancelledEarly({ .queue_ = job.queue(), .id_ = job.id() });
+  }
   fresh.instanceChangeCount_ = instanceChangeCount_ + 1;
   fresh.changedInstances_.clear(); // the changed instances are unknown
   *this = std::move(fresh);
--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -228,8 +228,10 @@
   v1::JobChanges changes;
   store_.With([&](const JobStore& aStore) {
     const ResolvedPlace place = ResolvePlace(aStore, aRequest->place());
-    if (place.queue_ != nullptr && FindJobAt(aStore, place) != nullptr) {
-      changes.add_changes()->mutable_cancel_job()->set_id(place.id_);
+    if (place.queue_ != nullptr && !place.id_.empty()) {
+      v1::CancelJob& cancel = *changes.add_changes()->mutable_cancel_job();
+      cancel.set_id(place.id_);
+      cancel.set_queue(place.queue_->name());
     }
   });
   const bool isProposed = changes.changes_size() > 0;
@@ -239,9 +241,9 @@
          [this, isProposed, place = aRequest->place()](const JobStore& aStore,
                                                        v1::JobReply& aOut) {
            FillState(aStore, place, aOut);
-           const bool isJob =
-             aOut.status() == v1::JOB_CALL_OK && !aOut.is_count();
-           if (!isProposed && isJob) {
+           const bool isInQueue =
+             aOut.status() != v1::JOB_CALL_NO_QUEUE && !aOut.is_count();
+           if (!isProposed && isInQueue) {
              RefuseUnproposedChange(aOut);
            }
            LogInfo(Event::kJobCancelled,
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -318,3 +318,59 @@
           End("j", 0, 1, "a", v1::RUN_DONE) });
   BOOST_TEST(store.CountWaitingJobs("drafts") == 1U);
 }
+
+// Guards against a job that runs although its cancelling was acknowledged: the
+// cancelling overtook the submission.
+BOOST_AUTO_TEST_CASE(JobCancelledBeforeItsSubmissionArrivesNeverRuns)
+{
+  v1::JobChange cancel;
+  cancel.mutable_cancel_job()->set_id("j");
+  cancel.mutable_cancel_job()->set_queue("drafts");
+  JobStore store;
+  Apply(store, { cancel, cancel, PutInstance("a", 1) });
+  BOOST_TEST(store.FindJob("j") == nullptr);
+  JobStore restored;
+  BOOST_REQUIRE(restored.Restore(store.Snapshot()));
+  BOOST_TEST(restored.Snapshot() == store.Snapshot());
+
+  Apply(restored, { Accept("j", 1), Start("j", 0, 1, "a") });
+  BOOST_TEST(restored.PhaseOf(*restored.FindJob("j")) == v1::JOB_CANCELLED);
+  BOOST_TEST(restored.OpenJobs().empty());
+  BOOST_TEST(restored.CountWaitingJobs("drafts") == 0U);
+  BOOST_TEST(restored.Instances().begin()->second->assigned_.empty());
+  BOOST_TEST(restored.FinishedJobs().size() == 1U);
+
+  JobStore again;
+  BOOST_REQUIRE(again.Restore(restored.Snapshot()));
+  BOOST_TEST(again.PhaseOf(*again.FindJob("j")) == v1::JOB_CANCELLED);
+  BOOST_TEST(again.CountWaitingJobs("drafts") == 0U);
+}
+
+// Another queue may have a job of the same id.
+BOOST_AUTO_TEST_CASE(CancellingAnIdOfAnotherQueueCancelsNoJob)
+{
+  v1::JobChange cancel;
+  cancel.mutable_cancel_job()->set_id("j");
+  cancel.mutable_cancel_job()->set_queue("other");
+  JobStore store;
+  Apply(store, { cancel, Accept("j", 1), cancel });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_QUEUED);
+}
+
+// Cancelling unknown ids must not use up the memory of the replicas.
+BOOST_AUTO_TEST_CASE(NumberOfIdsCancelledEarlyIsLimited)
+{
+  constexpr int kCancellings = 10000;
+  JobStore store;
+  for (int i = 0; i < kCancellings; ++i) {
+    v1::JobChange cancel;
+    cancel.mutable_cancel_job()->set_id(std::to_string(i));
+    cancel.mutable_cancel_job()->set_queue("drafts");
+    Apply(store, { cancel });
+  }
+  v1::JobStoreSnapshot snapshot;
+  BOOST_REQUIRE(snapshot.ParseFromString(store.Snapshot()));
+  BOOST_TEST(snapshot.cancelled_early_size() < kCancellings);
+  Apply(store, { Accept(std::to_string(kCancellings - 1), 1) });
+  BOOST_TEST(store.OpenJobs().empty());
+}
