--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -113,7 +113,7 @@
 {
   std::string id_;
   std::string queue_;
-  std::string service_; // used if the queue has been removed
+  std::string service_; // used if the queue is not known
   v1::JobSpec spec_;
   uint64_t acceptanceIndex_ = 0; // position in the sequence of acceptance
   bool cancelled_ = false;
@@ -157,6 +157,9 @@
   const v1::FleetDocument& Config() const { return config_; }
   // Null if the configuration has no such queue.
   const v1::QueueSpec* FindQueue(std::string_view aName) const;
+  // The job's queue as it was last configured, also if it has been removed.
+  // Null if it is not known.
+  const v1::QueueSpec* QueueOf(const Job& aJob) const;
   // The queue on `aHost` with the longest prefix of `aPath`; null if none.
   const v1::QueueSpec* FindQueueFor(std::string_view aHost,
                                     std::string_view aPath) const;
@@ -173,8 +176,7 @@
   uint64_t CountWaitingJobs(std::string_view aQueue) const;
   // The service whose instances run the job's tasks.
   const std::string& ServiceOf(const Job& aJob) const;
-  // Number of failed runs of a task at which the job fails: the limit of its
-  // queue, or a default if the queue has been removed.
+  // Number of failed runs of a task at which the job fails.
   uint32_t MaxAttempts(const Job& aJob) const;
 
   const std::map<InstanceKey, std::unique_ptr<Instance>>& Instances() const
@@ -222,6 +224,9 @@
 private:
   void ApplyOne(const v1::JobChange& aChange);
   void PutConfig(const v1::FleetDocument& aConfig);
+  // Keeps the queues that `aNext` removes, and forgets earlier ones that no
+  // open job is in.
+  void UpdateRemovedQueues(const v1::FleetDocument& aNext);
   void IndexQueues();
   void AcceptJob(const v1::AcceptJob& aJob);
   void CancelJob(const v1::CancelJob& aJob);
@@ -254,6 +259,8 @@
   // Index of the queues in `config_`, which may have hundreds.
   std::unordered_map<std::string_view, const v1::QueueSpec*> queuesByName_;
   std::unordered_multimap<std::string_view, const v1::QueueSpec*> queuesByHost_;
+  // Queues that the configuration lacks, as they were last configured, by name.
+  std::map<std::string, v1::QueueSpec, std::less<>> removedQueues_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_; // by id
   std::map<uint64_t, Job*> openJobs_; // by acceptance index
   std::map<std::string, uint64_t, std::less<>> waitingByQueue_;
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -8,7 +8,7 @@
 
 namespace {
 
-// Applies to jobs whose queue has been removed from the configuration.
+// Applies to jobs whose queue is not known.
 constexpr uint32_t kDefaultMaxAttempts = 3;
 // Enough ended incarnations to recognize reports that arrive seconds late: a
 // thousand machines that follow the demand end about 150 instances per second.
@@ -88,11 +88,30 @@
 void JobStore::PutConfig(const v1::FleetDocument& aConfig)
 {
   if (aConfig.version() > config_.version()) {
+    UpdateRemovedQueues(aConfig);
     config_ = aConfig;
     IndexQueues();
   }
 }
 
+void JobStore::UpdateRemovedQueues(const v1::FleetDocument& aNext)
+{
+  std::set<std::string_view> queuesOfOpenJobs;
+  for (const auto& [index, job] : openJobs_) {
+    queuesOfOpenJobs.insert(job->queue_);
+  }
+  std::erase_if(removedQueues_, [&](const auto& aItem) {
+    return !queuesOfOpenJobs.contains(aItem.first);
+  });
+  // All of them: a job may be accepted that was proposed before.
+  for (const v1::QueueSpec& queue : config_.queues()) {
+    removedQueues_.insert_or_assign(queue.name(), queue);
+  }
+  for (const v1::QueueSpec& queue : aNext.queues()) {
+    removedQueues_.erase(queue.name());
+  }
+}
+
 void JobStore::IndexQueues()
 {
   queuesByName_.clear();
@@ -109,6 +128,15 @@
   return it != queuesByName_.end() ? it->second : nullptr;
 }
 
+const v1::QueueSpec* JobStore::QueueOf(const Job& aJob) const
+{
+  if (const v1::QueueSpec* queue = FindQueue(aJob.queue_)) {
+    return queue;
+  }
+  const auto removed = removedQueues_.find(aJob.queue_);
+  return removed != removedQueues_.end() ? &removed->second : nullptr;
+}
+
 const v1::QueueSpec* JobStore::FindQueueFor(std::string_view aHost,
                                             std::string_view aPath) const
 {
@@ -183,13 +211,13 @@
 
 const std::string& JobStore::ServiceOf(const Job& aJob) const
 {
-  const v1::QueueSpec* queue = FindQueue(aJob.queue_);
+  const v1::QueueSpec* queue = QueueOf(aJob);
   return queue != nullptr ? queue->service() : aJob.service_;
 }
 
 uint32_t JobStore::MaxAttempts(const Job& aJob) const
 {
-  const v1::QueueSpec* queue = FindQueue(aJob.queue_);
+  const v1::QueueSpec* queue = QueueOf(aJob);
   return queue != nullptr ? std::max(queue->max_attempts(), 1U)
                           : kDefaultMaxAttempts;
 }
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -51,6 +51,9 @@
 {
   v1::JobStoreSnapshot snapshot;
   *snapshot.mutable_config() = config_;
+  for (const auto& [name, queue] : removedQueues_) {
+    *snapshot.add_removed_queues() = queue;
+  }
   std::vector<const Job*> jobs;
   jobs.reserve(jobs_.size());
   for (const auto& [id, job] : jobs_) {
@@ -145,6 +148,9 @@
   }
   JobStore fresh;
   fresh.config_ = snapshot.config();
+  for (const v1::QueueSpec& queue : snapshot.removed_queues()) {
+    fresh.removedQueues_.insert_or_assign(queue.name(), queue);
+  }
   for (const v1::InstanceRecord& record : snapshot.instances()) {
     fresh.PutInstance(record);
   }
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -58,6 +58,27 @@
   return change;
 }
 
+// A configuration with the queue "drafts", or without any if the maximum is 0.
+v1::JobChange Configure(uint64_t aVersion, uint32_t aMaxAttempts)
+{
+  v1::JobChange change;
+  v1::FleetDocument& config = *change.mutable_put_config();
+  config.set_version(aVersion);
+  if (aMaxAttempts > 0) {
+    v1::QueueSpec& queue = *config.add_queues();
+    queue.set_name("drafts");
+    queue.set_service("layout");
+    queue.set_max_attempts(aMaxAttempts);
+  }
+  return change;
+}
+
+// Starts the first task of the job and lets it fail.
+std::vector<v1::JobChange> FailedRun(const std::string& aJob, uint32_t aRun)
+{
+  return { Start(aJob, 0, aRun, "a"), End(aJob, 0, aRun, "a", v1::RUN_FAILED) };
+}
+
 void Apply(JobStore& aStore, std::vector<v1::JobChange> aChanges)
 {
   v1::JobChanges changes;
@@ -374,3 +395,68 @@
   Apply(store, { Accept(std::to_string(kCancellings - 1), 1) });
   BOOST_TEST(store.OpenJobs().empty());
 }
+
+// Guards against a job that fails too early, or is tried too often, because its
+// queue is out of the configuration for some time.
+BOOST_AUTO_TEST_CASE(AttemptsOfARemovedQueueAreThoseItLastHad)
+{
+  for (const uint32_t maxAttempts : { 1U, 2U, 4U }) {
+    JobStore store;
+    Apply(store,
+          { Configure(1, 9),
+            Accept("j", 1),
+            PutInstance("a", 1),
+            Configure(2, maxAttempts),
+            Configure(3, 0),
+            Configure(4, 0) });
+    for (uint32_t run = 1; run < maxAttempts; ++run) {
+      Apply(store, FailedRun("j", run));
+      BOOST_REQUIRE(store.Restore(store.Snapshot()));
+      BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
+    }
+    Apply(store, FailedRun("j", maxAttempts));
+    BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_FAILED);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AttemptsOfAQueueThatReturnsAreItsNewOnes)
+{
+  JobStore store;
+  Apply(store,
+        { Configure(1, 2),
+          Accept("j", 1),
+          PutInstance("a", 1),
+          Configure(2, 0),
+          Configure(3, 4) });
+  for (uint32_t run = 1; run <= 3; ++run) {
+    Apply(store, FailedRun("j", run));
+  }
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
+}
+
+// The submission was checked against the configuration before.
+BOOST_AUTO_TEST_CASE(JobAcceptedRightAfterItsQueueWasRemovedKeepsItsAttempts)
+{
+  JobStore store;
+  Apply(
+    store,
+    { Configure(1, 4), Configure(2, 0), Accept("j", 1), PutInstance("a", 1) });
+  for (uint32_t run = 1; run <= 3; ++run) {
+    Apply(store, FailedRun("j", run));
+  }
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
+}
+
+BOOST_AUTO_TEST_CASE(RemovedQueuesWithoutOpenJobsAreForgotten)
+{
+  JobStore store;
+  for (uint64_t version = 1; version <= 100; ++version) {
+    v1::JobChange change = Configure(version, 2);
+    change.mutable_put_config()->mutable_queues(0)->set_name(
+      std::to_string(version));
+    Apply(store, { change });
+  }
+  v1::JobStoreSnapshot snapshot;
+  BOOST_REQUIRE(snapshot.ParseFromString(store.Snapshot()));
+  BOOST_TEST(snapshot.removed_queues_size() == 1);
+}
