--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -12,7 +12,7 @@
     hadLeaderContact_ &&
     now_ - leaderLastContactAt_ < options_.timing_.minElectionTimeout_;
   if (hasLeaderContact) {
-    return; // It is a learner of this leader.
+    return; // This leader sends its log, so it knows this replica.
   }
   leader_.clear();
   if (clusterId_ == 0 && options_.mayBootstrap_ &&
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -193,7 +193,8 @@
     return;
   }
   progress->lastContactAt_ = now_;
-  if (Learner* learner = FindLearner(aMessage.from())) {
+  Learner* learner = FindLearner(aMessage.from());
+  if (learner != nullptr) {
     learner->lastContactAt_ = now_;
   }
   const v1::PeerMessage::AppendReply& reply = aMessage.append_reply();
@@ -213,7 +214,9 @@
     progress->sentUpTo_ = 0;
   }
   AdvanceCommitIndex();
-  MaybeChangeMembers();
+  if (learner != nullptr) {
+    MaybeChangeMembers();
+  }
   SendPending();
   SendCommitIndex(aMessage.from());
 }
