--- a/test/job_service_test.cpp
+++ b/test/job_service_test.cpp
@@ -139,6 +139,26 @@
     return reply;
   }
 
+  // Calls while the queue with the next number is proposed but not yet applied;
+  // again if the reply has the status of a call that came too late.
+  v1::JobReply CallWhileAQueueAppears(
+    int& aQueue,
+    const std::function<v1::JobReply()>& aCall,
+    v1::JobCallStatus aTooLate)
+  {
+    v1::JobReply reply;
+    do {
+      ++aQueue;
+      HeldReplica held(replica_);
+      ProposeQueues(aQueue);
+      auto called = std::async(std::launch::async, aCall);
+      std::this_thread::sleep_for(kTimeForFirstLook);
+      held.Release();
+      reply = called.get();
+    } while (reply.status() == aTooLate && aQueue < kMaxTrials);
+    return reply;
+  }
+
   LogReplica& Replica() { return replica_; }
 
 private:
@@ -178,19 +198,10 @@
 BOOST_FIXTURE_TEST_CASE(SubmissionToAQueueThatAppearsMeanwhileIsRefused,
                         JobServiceFixture)
 {
-  v1::JobReply reply;
+  // OK: the call arrived after the configuration was applied.
   int queue = 0;
-  do {
-    ++queue;
-    HeldReplica held(Replica());
-    ProposeQueues(queue);
-    auto submitted =
-      std::async(std::launch::async, [&] { return Submit(queue, "a"); });
-    std::this_thread::sleep_for(kTimeForFirstLook);
-    held.Release();
-    reply = submitted.get();
-    // OK: the call arrived after the configuration was applied.
-  } while (reply.status() == v1::JOB_CALL_OK && queue < kMaxTrials);
+  const v1::JobReply reply = CallWhileAQueueAppears(
+    queue, [&] { return Submit(queue, "a"); }, v1::JOB_CALL_OK);
   BOOST_TEST(reply.status() == v1::JOB_CALL_REFUSED);
   BOOST_TEST(Show(queue, "a").status() == v1::JOB_CALL_NO_JOB);
 }
@@ -235,18 +246,9 @@
 BOOST_FIXTURE_TEST_CASE(CancellationInAQueueThatAppearsMeanwhileIsRefused,
                         JobServiceFixture)
 {
-  v1::JobReply reply;
+  // No such job: the call arrived after the configuration was applied.
   int queue = 0;
-  do {
-    ++queue;
-    HeldReplica held(Replica());
-    ProposeQueues(queue);
-    auto cancelled =
-      std::async(std::launch::async, [&] { return Cancel(queue, "a"); });
-    std::this_thread::sleep_for(kTimeForFirstLook);
-    held.Release();
-    reply = cancelled.get();
-    // No such job: the call arrived after the configuration was applied.
-  } while (reply.status() == v1::JOB_CALL_NO_JOB && queue < kMaxTrials);
+  const v1::JobReply reply = CallWhileAQueueAppears(
+    queue, [&] { return Cancel(queue, "a"); }, v1::JOB_CALL_NO_JOB);
   BOOST_TEST(reply.status() == v1::JOB_CALL_REFUSED);
 }
