--- a/test/process/replacement_test.py
+++ b/test/process/replacement_test.py
@@ -108,6 +108,34 @@
         "leader" if is_leader else "follower"))
 
 
+def two_disks_lost_of_six(cluster, first_number):
+    """Guards against a successor that is out of the cluster for good, so that
+    the loss of as many disks as are tolerated ends it: all processes are killed
+    at the same time and two of them lose their disks."""
+    for number in range(first_number, first_number + 3):
+        cluster.cores.append(cluster.add(number, cluster.cores[:3]))
+    platform.CORES[:] = [core.ip for core in cluster.cores]
+    time.sleep(CATCH_UP_S)
+    cluster.put_next_version()
+    _, followers = cluster.leader_and_followers()
+    removed, *seeds = followers[:3]
+    removed.stop()
+    time.sleep(RESTART_S)
+    cluster.replace(removed, cluster.add(first_number + 3, [removed] + seeds))
+    time.sleep(CATCH_UP_S)
+    cluster.put_next_version()
+    for core in cluster.cores:
+        core.process.kill()
+    for core in cluster.cores:
+        core.stop()
+    for core in seeds:
+        shutil.rmtree(core.values["data"])
+        os.mkdir(core.values["data"])
+    for core in cluster.cores:
+        core.start()
+    cluster.check_serves("two of six lose their disks as all are killed")
+
+
 def run(folder, nodes):
     platform.start(folder, nodes, platform.CONFIG)
     cluster = Cluster(folder, nodes)
@@ -115,6 +143,7 @@
     killed_for_good(cluster, 14)
     told_to_stop(cluster, 15, is_leader=False)
     told_to_stop(cluster, 16, is_leader=True)
+    two_disks_lost_of_six(cluster, 17)
 
 
 def main():
