--- a/include/vanillahatch/shell/program.h
+++ b/include/vanillahatch/shell/program.h
@@ -41,13 +41,17 @@
                                                std::string_view aProgram,
                                                int& aExitCode);
 
+// Ends the process without the destructors of static objects: those of
+// libraries may wait for their threads for good.
+[[noreturn]] void EndProcess(int aExitCode);
+
 // Loads the settings or prints every error and sets `aExitCode`.
 std::optional<Settings> LoadOrReport(const std::string& aFile, int& aExitCode);
 
 // Runs a program that is one node of a deployment: reads arguments and
 // settings, finds the node among `aNodes`, starts the log and calls `aRun`,
-// whose result is the exit code. An exception from `aRun` is printed, and the
-// exit code is then kExitRuntime.
+// whose result is the exit code. Ends the process after it. An exception from
+// `aRun` is printed, and the exit code is then kExitRuntime.
 template<class Node, class Run>
 int RunNode(int aArgc,
             char** aArgv,
@@ -74,13 +78,16 @@
               << arguments->node_ << "\n";
     return kExitSettings;
   }
-  const LogSystem log(arguments->node_, settings->logFolder_);
-  try {
-    return aRun(*settings, *self);
-  } catch (const std::exception& error) {
-    std::cerr << aProgram << ": " << error.what() << "\n";
-    return kExitRuntime;
+  exitCode = kExitRuntime;
+  {
+    const LogSystem log(arguments->node_, settings->logFolder_);
+    try {
+      exitCode = aRun(*settings, *self);
+    } catch (const std::exception& error) {
+      std::cerr << aProgram << ": " << error.what() << "\n";
+    }
   }
+  EndProcess(exitCode);
 }
 
 // Loads a token or prints the error.
--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -121,8 +121,10 @@
   std::thread thread_;
 };
 
-std::unique_ptr<log4cplus::Initializer> gInitializer; // NOLINT
-std::unique_ptr<LineWriter> gWriter;                  // NOLINT
+// Not destroyed: log4cplus would wait for its thread pool, which is not used
+// here and may not end.
+log4cplus::Initializer* gInitializer = nullptr; // NOLINT
+std::unique_ptr<LineWriter> gWriter;            // NOLINT
 
 // Values with spaces or quotes are quoted so that lines stay parseable.
 void AppendValue(std::string& aLine, std::string_view aValue)
@@ -168,7 +170,9 @@
                      const std::filesystem::path& aFolder,
                      LogConsole aConsole)
 {
-  gInitializer = std::make_unique<log4cplus::Initializer>();
+  if (gInitializer == nullptr) {
+    gInitializer = new log4cplus::Initializer(); // NOLINT
+  }
   log4cplus::SharedAppenderPtr sink;
   if (aFolder.empty()) {
     sink = new log4cplus::ConsoleAppender(
@@ -187,7 +191,6 @@
 LogSystem::~LogSystem()
 {
   gWriter.reset();
-  gInitializer.reset();
 }
 
 uint64_t LogSystem::DroppedLines()
--- a/src/shell/program.cpp
+++ b/src/shell/program.cpp
@@ -1,6 +1,7 @@
 #include "vanillahatch/shell/program.h"
 
 #include <boost/program_options.hpp>
+#include <cstdlib>
 #include <iostream>
 
 namespace vanillahatch {
@@ -59,6 +60,13 @@
                            .node_ = values["node"].as<std::string>() };
 }
 
+void EndProcess(int aExitCode)
+{
+  std::cout.flush();
+  std::cerr.flush();
+  std::_Exit(aExitCode);
+}
+
 std::optional<Settings> LoadOrReport(const std::string& aFile, int& aExitCode)
 {
   Result<Settings, SettingsErrors> settings = LoadSettings(aFile);
