--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -199,7 +199,7 @@
     Millis entriesSentAt_; // latest message with entries
     Millis lastContactAt_;
     Millis lastAnsweredSentAt_; // send time of the latest message it answered
-    Millis leavesUntil_; // it asked to be replaced and is valid until then
+    Millis leavesUntil_; // its request to be replaced is valid until then
   };
   // A replica that is being brought up to date to become a member.
   struct Learner
