--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -121,8 +121,7 @@
   std::thread thread_;
 };
 
-// Not destroyed: log4cplus would wait for its thread pool, which is not used
-// here and may not end.
+// Not destroyed: the destructor of log4cplus may not return.
 log4cplus::Initializer* gInitializer = nullptr; // NOLINT
 std::unique_ptr<LineWriter> gWriter;            // NOLINT
 
