Review case 8: the runner is down for 0.3 s, the leader comes back

Cause: the stand-in's clock jumped within a life, and the killed leader stayed away for longer than the site's 3.5 s.

--- a/review/8/case.py
+++ b/review/8/case.py
@@ -4,6 +4,7 @@
 
 import os
 import sys
+import threading
 import time
 
 FOLDER = os.path.dirname(os.path.abspath(__file__))
@@ -16,29 +17,33 @@
 TASK = ID + ".0.0.0"
 RUNNERS = 12  # one of them is a share of 0.083
 GREY_S = 6.5
+LEADER_DOWN_S = 3.5
 RUN_S = 30
 
 
 class Restarted(Runner):
     """Can start again, and can answer orders with errors for a while."""
 
+    down_until = 0
     errors_until = 0
-    orders = 0
 
-    def start_again(self):
+    def start_again(self, down_s):
+        self.record("%s ends; it is back under its id in %.1f s" % (
+            self.name, down_s))
+        self.down_until = time.monotonic() + down_s
+        time.sleep(down_s)
         with self.lock:
             self.born = int(time.time() * 1000)
-            self.clock_zero = time.monotonic() - 5
+            self.clock_zero = time.monotonic()
             self.deadline = self.fence = self.sequence = self.number = 0
             self.runs, self.refused_below, self.ended = {}, {}, []
-        self.record("%s starts again under its id" % self.name)
 
     def answer(self, method, path, headers, body):
+        if time.monotonic() < self.down_until:
+            raise ConnectionAbortedError
         if time.monotonic() < self.errors_until:
             return 500, {}
-        reply = super().answer(method, path, headers, body)
-        self.orders += 1
-        return reply
+        return super().answer(method, path, headers, body)
 
 
 def play(deployment):
@@ -51,13 +56,11 @@
     until("the runners are in contact",
           lambda: all(runner.fence > 0 for runner in runners), 10)
     first = runners[0]
-    first.clock_zero -= 3600
-    time.sleep(2)
     leader = deployment.leader()
     reported = first.sequence
     until("it has just reported", lambda: first.sequence > reported, 5)
     if TROUBLE:
-        first.start_again()
+        first.start_again(0.3)
         time.sleep(0.1)
     job = {"spec": "text", "steps": [
         {"count": 1, "cpu": 500, "mem_mb": 256, "estimate_ms": RUN_S * 1000,
@@ -71,6 +74,7 @@
         record("the leader %s is killed" % leader)
         token = first.fence
         deployment.node_at(leader).kill()
+        threading.Timer(LEADER_DOWN_S, deployment.node_at(leader).start).start()
         until("the next leader lists the runner", lambda: first.fence > token,
               10)
         first.errors_until = time.monotonic() + GREY_S
