--- a/review/7/case.py
+++ b/review/7/case.py
@@ -109,7 +109,18 @@
     if worst > AFTER_LAST_RUN_S + STANDS_S:
         broken.append("LOST: %s lasts and had no run for %.1f s beside free "
                       "room" % (worst_task, worst))
-    if state != "completed":
+    up = [each["runner"] for each in list(cloud.machines.values())
+          if each["pool"] == "huvo11a" and each["state"] == "up"
+          and each["runner"]]
+    used = TASK_MILLI_CPUS * sum(len(runner.is_running(LASTING))
+                                 for runner in up)
+    free = max((MILLI_CPUS - TASK_MILLI_CPUS * len(runner.is_running(LASTING))
+                for runner in up), default=0)
+    has_capacity = free >= 2 * QUICK_MILLI_CPUS \
+        and 2 * used < MILLI_CPUS * len(up)
+    record("in use %d of %d, most free on one %d" % (
+        used, MILLI_CPUS * len(up), free))
+    if state != "completed" and has_capacity:
         broken.append("LOST: %s, accepted %d s ago, is %s beside free room"
                       % (QUICK, WATCH_S, state))
     return "; ".join(broken)
