--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -20,6 +20,7 @@
 #include "vanillahatch/core/jobs/job_order.h"
 #include "vanillahatch/core/jobs/machine_tracker.h"
 #include "vanillahatch/core/jobs/pool_balancer.h"
+#include "vanillahatch/core/jobs/service_capacity.h"
 #include "vanillahatch/core/jobs/task_run_time_estimator.h"
 
 #include <functional>
@@ -340,12 +341,23 @@
   void RebalancePools(Millis aNow);
   DispatchLoad MeasureDispatch() const;
   bool IsRunning(Millis aNow, const TaskRef& aTask);
+  // True if the task has no run, and none is proposed.
+  bool IsWaiting(const TaskRef& aTask) const;
   // False if too many other tasks of the step are unavailable.
   bool MayInterrupt(Millis aNow, const TaskRef& aTask);
   void Evacuate(Millis aNow, InstanceView& aView);
   void ConsolidateLongRunning(Millis aNow);
-  static bool FitsOnOthers(const InstanceView& aView,
-                           std::span<InstanceView* const> aInstances);
+  void MeasureServiceCapacities(Millis aNow);
+  // True if the service of the instance goes on without it.
+  bool CanSpare(Millis aNow, const InstanceView& aView);
+  static bool IsReplacementOverdue(Millis aNow, const InstanceView& aView);
+  bool HasOtherOperation(const InstanceView& aView) const;
+  // Lets the pools be balanced as if the instance were out of service.
+  void RequestReplacement(Millis aNow, InstanceView& aView);
+  void ReviewEvacuations(Millis aNow);
+  void StartEvacuations(Millis aNow,
+                        std::vector<InstanceView*> aBusy,
+                        size_t aMaxEvacuating);
   void AdvanceWave(Millis aNow, const Wave& aWave);
   void AdvanceWaves(Millis aNow);
 
@@ -385,6 +397,8 @@
   std::map<std::string, UsableInstances, std::less<>> usableInstances_;
   AdviceCache advice_;
   MachineTracker machines_;
+  // During a check of the waves, by service.
+  std::map<std::string, ServiceCapacity, std::less<>> serviceCapacities_;
   // A machine whose order was refused gets none until then; by machine.
   std::map<std::string, Millis> avoidMachineUntil_;
   bool machineListInFlight_ = false;
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -121,8 +121,12 @@
   // Number of runs of the same step on the instance.
   uint32_t CountRunsOfStep(const TaskRef& aTaskOfStep) const;
 
+  // True unless the instance ends, does not reply, or is emptied.
+  bool IsInService() const;
   // True if the instance may get new work at `aNow`.
   bool IsUsable(Millis aNow) const;
+  // Reverts an evacuation. Stops that have been sent are carried out.
+  void CancelEvacuation();
 
   // The instance has replied to an order with the current fencing token.
   bool contacted_ = false;
@@ -137,6 +141,12 @@
   // Its runs are moved elsewhere, for an operation on its machine.
   bool evacuating_ = false;
   bool consolidating_ = false; // only long-running tasks are moved elsewhere
+  // Evacuated although its service needed another machine first and got none.
+  bool isEvacuatedWithoutReplacement_ = false;
+  // Its service needs another machine before this one is maintained. Requested
+  // since `replacementRequestedAt_`, and until the time below.
+  Millis replacementRequestedAt_;
+  Millis replacementRequestedUntil_;
   // Gets no new work because the demand of its pool falls, so that its machine
   // becomes idle and can leave the pool.
   bool isClosedToNewWork_ = false;
--- a/src/core/jobs/fleet_scheduler_maintenance.cpp
+++ b/src/core/jobs/fleet_scheduler_maintenance.cpp
@@ -25,6 +25,14 @@
 // A healthy instance replies to a listing at least this often; tasks in an
 // older listing may have ended since.
 constexpr Millis kMaxListingAge = Seconds(2);
+// How long an instance that its service needs waits for another machine before
+// it is evacuated all the same: a move takes about 2 s.
+constexpr Millis kMaxReplacementWait = Seconds(4);
+// How long a request for another machine lasts; it is renewed at each check.
+constexpr Millis kReplacementRequestTime = Millis(200);
+// Number of instances of a service that are found to be needed before the
+// others are not considered any more, per wave and check.
+constexpr size_t kMaxRefusedEvacuations = 8;
 
 } // namespace
 
@@ -108,6 +116,7 @@
     RemoveIdle(*view, aOrder.wave_ != 0 ? "upkeep" : "moved before");
   } else {
     view->reserved_ = false;
+    view->CancelEvacuation();
   }
 }
 
@@ -142,6 +151,7 @@
     case MachineOrderStatus::kRefused:
       if (view != nullptr) {
         view->reserved_ = false;
+        view->CancelEvacuation();
         view->avoidMoveUntil_ = aNow + kListInterval;
       }
       avoidMachineUntil_[aOrder.machine_] = aNow + kBusyListInterval;
@@ -176,6 +186,15 @@
          !view->removalProposed_ && aNow - view->lastReplyAt_ <= kMaxListingAge;
 }
 
+bool FleetScheduler::IsWaiting(const TaskRef& aTask) const
+{
+  const Occurrence* occurrence =
+    JobStore::FindOccurrence(*aTask.job_, aTask.occurrence_);
+  const bool isPending = occurrence == nullptr ||
+                         JobStore::TaskAt(aTask).phase_ == TaskPhase::kPending;
+  return isPending && !proposedStarts_.contains(aTask);
+}
+
 bool FleetScheduler::MayInterrupt(Millis aNow, const TaskRef& aTask)
 {
   const v1::StepSpec& spec = JobStore::SpecOf(aTask);
@@ -190,7 +209,7 @@
 
 // Requests stops for the long-running tasks of an instance, as far as the
 // availability budgets of their steps allow. On a draining instance they are
-// stopped at once.
+// stopped at once. Without a replacement, so are those without a budget.
 void FleetScheduler::Evacuate(Millis aNow, InstanceView& aView)
 {
   const bool isDraining = aView.StoredRecord().draining();
@@ -198,18 +217,191 @@
     const bool canStop = run.isLongRunning_ &&
                          run.phase_ == RunPhase::kListed &&
                          !run.stopRequested_ && !run.endProposed_;
-    if (canStop && (isDraining || MayInterrupt(aNow, task))) {
+    const bool ignoresBudget =
+      isDraining || (aView.isEvacuatedWithoutReplacement_ &&
+                     JobStore::SpecOf(task).max_unavailable() == 0);
+    if (canStop && (ignoresBudget || MayInterrupt(aNow, task))) {
       run.stopRequested_ = true;
-      run.stopRespectsBudget_ = !isDraining;
+      run.stopRespectsBudget_ = !ignoresBudget;
+    }
+  }
+}
+
+void FleetScheduler::MeasureServiceCapacities(Millis aNow)
+{
+  serviceCapacities_.clear();
+  for (const InstanceView* view : allViews_) {
+    ServiceCapacity& capacity =
+      serviceCapacities_[view->StoredRecord().service()];
+    const bool isSilent =
+      view->isUnresponsive_ && aNow - view->lastReplyAt_ > options_.lease_ / 2;
+    if (view->IsInService() && !isSilent) {
+      capacity.AddHost(*view);
+    } else {
+      capacity.Displace(*view);
     }
   }
+  for (const Candidate& candidate : backlog_) {
+    const v1::StepSpec& spec = JobStore::SpecOf(candidate.firstTask_);
+    if (!spec.lasting() || !candidate.firstTask_.job_->IsOpen()) {
+      continue;
+    }
+    const auto capacity = serviceCapacities_.find(candidate.service_);
+    for (uint32_t i = 0;
+         capacity != serviceCapacities_.end() && i < spec.task_count();
+         ++i) {
+      TaskRef task = candidate.firstTask_;
+      task.index_ = i;
+      if (IsWaiting(task)) {
+        capacity->second.AddWaiting(task);
+      }
+    }
+  }
+}
+
+// True if an operation on another machine of the service is under way, so that
+// it pays to wait for its end. An earlier leader may have ordered it.
+bool FleetScheduler::HasOtherOperation(const InstanceView& aView) const
+{
+  const std::string& service = aView.StoredRecord().service();
+  const auto views = viewsByService_.find(service);
+  const bool isAnyEmptied =
+    views != viewsByService_.end() &&
+    std::any_of(views->second.begin(),
+                views->second.end(),
+                [&](const InstanceView* aOther) {
+                  return aOther != &aView &&
+                         (aOther->evacuating_ || aOther->reserved_);
+                });
+  const auto& ops = machines_.Ops();
+  const bool isAnyOrdered =
+    std::any_of(ops.begin(), ops.end(), [&](const auto& aItem) {
+      const MachineOp& op = aItem.second;
+      const std::string& pool =
+        op.order_.pool_.empty() ? op.fromPool_ : op.order_.pool_;
+      return pool == service;
+    });
+  const auto& machines = machines_.Machines();
+  return isAnyEmptied || isAnyOrdered ||
+         std::any_of(machines.begin(), machines.end(), [&](const auto& aItem) {
+           const MachineView& machine = aItem.second;
+           return machine.pool_ == service &&
+                  (machine.state_ == MachineState::kMoving ||
+                   machine.state_ == MachineState::kMaintenance);
+         });
+}
+
+bool FleetScheduler::IsReplacementOverdue(Millis aNow,
+                                          const InstanceView& aView)
+{
+  return aView.isEvacuatedWithoutReplacement_ ||
+         (aNow < aView.replacementRequestedUntil_ &&
+          aNow - aView.replacementRequestedAt_ >= kMaxReplacementWait);
+}
+
+bool FleetScheduler::CanSpare(Millis aNow, const InstanceView& aView)
+{
+  const ServiceCapacity& capacity =
+    serviceCapacities_[aView.StoredRecord().service()];
+  const bool isOverdue = IsReplacementOverdue(aNow, aView);
+  const bool canServiceGoOn =
+    capacity.HasOtherHost(aView) ||
+    ((isOverdue || !aView.HasRuns()) && !HasOtherOperation(aView));
+  return canServiceGoOn &&
+         capacity.IsWithinBudgets(aView,
+                                  isOverdue ? UnbudgetedSteps::kAllTasksMayWait
+                                            : UnbudgetedSteps::kOneTaskMayWait);
+}
+
+void FleetScheduler::RequestReplacement(Millis aNow, InstanceView& aView)
+{
+  const auto views = viewsByService_.find(aView.StoredRecord().service());
+  const bool isOtherRequested =
+    views != viewsByService_.end() &&
+    std::any_of(views->second.begin(),
+                views->second.end(),
+                [&](const InstanceView* aOther) {
+                  return aOther != &aView &&
+                         aNow < aOther->replacementRequestedUntil_;
+                });
+  if (isOtherRequested || HasOtherOperation(aView)) {
+    return;
+  }
+  if (aNow >= aView.replacementRequestedUntil_) {
+    aView.replacementRequestedAt_ = aNow;
+    trace_.onInstance_(aView.StoredInstance().key_,
+                       "its tasks need another machine before maintenance");
+  }
+  aView.replacementRequestedUntil_ = aNow + kReplacementRequestTime;
+}
+
+// Cancels evacuations that leave tasks without a place, as other instances have
+// been lost since: the tasks would wait for the instance, and the instance for
+// the tasks.
+void FleetScheduler::ReviewEvacuations(Millis aNow)
+{
+  for (InstanceView* view : allViews_) {
+    if (!view->evacuating_ || view->reserved_) {
+      continue;
+    }
+    ServiceCapacity& capacity =
+      serviceCapacities_[view->StoredRecord().service()];
+    const bool hasPlaces =
+      view->consolidating_
+        ? capacity.CanHostTasksOf(*view)
+        : capacity.HasOtherHost(*view) || view->isEvacuatedWithoutReplacement_;
+    if (hasPlaces && CanSpare(aNow, *view)) {
+      continue;
+    }
+    view->CancelEvacuation();
+    if (view->IsInService()) {
+      capacity.Restore(*view);
+    }
+    trace_.onInstance_(view->StoredInstance().key_,
+                       "evacuation cancelled: its tasks need its capacity");
+  }
+}
+
+void FleetScheduler::StartEvacuations(Millis aNow,
+                                      std::vector<InstanceView*> aBusy,
+                                      size_t aMaxEvacuating)
+{
+  std::sort(aBusy.begin(), aBusy.end(), [](auto* aLeft, auto* aRight) {
+    return aLeft->Runs().size() < aRight->Runs().size();
+  });
+  auto evacuating = static_cast<size_t>(
+    std::count_if(aBusy.begin(), aBusy.end(), [](const InstanceView* aView) {
+      return aView->evacuating_;
+    }));
+  std::map<std::string_view, size_t> refused; // by service
+  for (InstanceView* view : aBusy) {
+    if (evacuating >= aMaxEvacuating) {
+      return;
+    }
+    size_t& refusedOfService = refused[view->StoredRecord().service()];
+    if (view->evacuating_ || refusedOfService >= kMaxRefusedEvacuations) {
+      continue;
+    }
+    if (!CanSpare(aNow, *view)) {
+      RequestReplacement(aNow, *view);
+      ++refusedOfService;
+      continue;
+    }
+    ServiceCapacity& capacity =
+      serviceCapacities_[view->StoredRecord().service()];
+    view->isEvacuatedWithoutReplacement_ = IsReplacementOverdue(aNow, *view);
+    view->evacuating_ = true;
+    capacity.Displace(*view);
+    ++evacuating;
+    trace_.onInstance_(view->StoredInstance().key_,
+                       "evacuated for maintenance");
+  }
 }
 
 void FleetScheduler::AdvanceWave(Millis aNow, const Wave& aWave)
 {
   const uint64_t number = aWave.request_.wave();
   std::vector<InstanceView*> busy;
-  size_t evacuating = 0;
   for (const std::string& machine : aWave.request_.machines()) {
     if (aWave.startedMachines_.contains(machine) ||
         machines_.FindOp(machine) != nullptr) {
@@ -222,7 +414,6 @@
     InstanceView* view = FindOnMachine(machine);
     if (view != nullptr && view->HasRuns()) {
       busy.push_back(view);
-      evacuating += view->evacuating_ ? 1 : 0;
       continue;
     }
     const auto listed = machines_.Machines().find(machine);
@@ -230,30 +421,25 @@
                         ? !view->StoredRecord().draining()
                         : listed != machines_.Machines().end() &&
                             listed->second.state_ == MachineState::kUp;
-    if (isUp && MayOrderMachines(aNow) &&
-        machines_.CountInMaintenance(number) <
-          aWave.request_.max_concurrent()) {
+    const bool mayBegin =
+      isUp && MayOrderMachines(aNow) &&
+      machines_.CountInMaintenance(number) < aWave.request_.max_concurrent();
+    if (mayBegin && (view == nullptr || CanSpare(aNow, *view))) {
       const std::string pool =
         view != nullptr ? view->StoredRecord().service() : listed->second.pool_;
       SendMachineOrder(
         aNow, { .machine_ = machine, .wave_ = number }, pool, "upkeep");
+      if (view != nullptr) {
+        serviceCapacities_[pool].Displace(*view);
+      }
     }
   }
-  std::sort(busy.begin(), busy.end(), [](auto* aLeft, auto* aRight) {
-    return aLeft->Runs().size() < aRight->Runs().size();
-  });
   const auto size = static_cast<size_t>(aWave.request_.machines_size());
-  const size_t maxEvacuating =
+  StartEvacuations(
+    aNow,
+    std::move(busy),
     std::min<size_t>(std::max(kMinEvacuating, size / kMachinesPerEvacuation),
-                     aWave.request_.max_concurrent());
-  for (InstanceView* view : busy) {
-    if (!view->evacuating_ && evacuating < maxEvacuating) {
-      view->evacuating_ = true;
-      ++evacuating;
-      trace_.onInstance_(view->StoredInstance().key_,
-                         "evacuated for maintenance");
-    }
-  }
+                     aWave.request_.max_concurrent()));
 }
 
 void FleetScheduler::AdvanceWaves(Millis aNow)
@@ -265,17 +451,29 @@
     return;
   }
   wavesAdvancedAt_ = aNow;
+  const bool isAnyWaveOpen = std::any_of(
+    store_.Waves().begin(), store_.Waves().end(), [&](const auto& aItem) {
+      return !IsWaveCompleted(aItem.first);
+    });
+  const bool isAnyEvacuating =
+    std::any_of(allViews_.begin(), allViews_.end(), [](const auto* aView) {
+      return aView->evacuating_;
+    });
+  if (isAnyWaveOpen || isAnyEvacuating) {
+    MeasureServiceCapacities(aNow);
+    ReviewEvacuations(aNow);
+  }
   for (const auto& [number, wave] : store_.Waves()) {
     if (!IsWaveCompleted(number)) {
       AdvanceWave(aNow, wave);
     }
   }
+  serviceCapacities_.clear(); // It refers to views.
   ConsolidateLongRunning(aNow);
   for (InstanceView* each : allViews_) {
     InstanceView& view = *each;
     if (view.consolidating_ && view.LongRunningRunCount() == 0) {
-      view.consolidating_ = false;
-      view.evacuating_ = false;
+      view.CancelEvacuation();
     }
     if (view.contacted_ &&
         (view.evacuating_ || view.StoredRecord().draining())) {
--- a/src/core/jobs/fleet_scheduler_pools.cpp
+++ b/src/core/jobs/fleet_scheduler_pools.cpp
@@ -61,7 +61,8 @@
     pool.demandCores_ += used - longRunning;
     const bool isUnresponsive =
       aNow - view.lastReplyAt_ > options_.lease_ / 2 && view.HasRuns();
-    if (view.evacuating_ || isUnresponsive) {
+    const bool isToBeReplaced = aNow < view.replacementRequestedUntil_;
+    if (view.evacuating_ || isToBeReplaced || isUnresponsive) {
       continue;
     }
     pool.capacity_ += cores;
@@ -86,7 +87,8 @@
       op.order_.pool_.empty() ? op.fromPool_ : op.order_.pool_;
     if (const auto it = pools.find(pool); it != pools.end()) {
       it->second.capacity_ += coresPerMachine;
-      ++it->second.machineCount_;
+      // A pool keeps its minimum number of machines while others are down.
+      it->second.machineCount_ += op.order_.pool_.empty() ? 0 : 1;
       emptyCores[pool] += coresPerMachine;
     }
   }
@@ -216,7 +218,11 @@
       views.begin(), views.end(), [](auto* aLeft, auto* aRight) {
         return aLeft->LongRunningRunCount() < aRight->LongRunningRunCount();
       });
-    if (FitsOnOthers(*emptiest, views)) {
+    ServiceCapacity capacity;
+    for (const InstanceView* view : views) {
+      capacity.AddHost(*view);
+    }
+    if (capacity.CanHostTasksOf(*emptiest)) {
       emptiest->evacuating_ = true;
       emptiest->consolidating_ = true;
       trace_.onInstance_(emptiest->StoredInstance().key_,
@@ -225,57 +231,4 @@
   }
 }
 
-// True if the other instances have the capacity for every long-running task of
-// `aView`. Only the long-running tasks there count as used capacity: other work
-// ends by itself.
-bool FleetScheduler::FitsOnOthers(const InstanceView& aView,
-                                  std::span<InstanceView* const> aInstances)
-{
-  struct Target
-  {
-    const InstanceView* view_ = nullptr;
-    Resources freeCapacity_;
-    std::map<std::pair<const Job*, uint32_t>, uint32_t> tasksByStep_;
-  };
-  std::vector<Target> targets;
-  for (const InstanceView* instance : aInstances) {
-    if (instance == &aView) {
-      continue;
-    }
-    Target target{ .view_ = instance,
-                   .freeCapacity_ =
-                     instance->Capacity() - instance->UsedByLongRunning() };
-    for (const auto& [task, run] : instance->Runs()) {
-      if (run.isLongRunning_) {
-        ++target.tasksByStep_[{ task.job_, task.step_ }];
-      }
-    }
-    targets.push_back(std::move(target));
-  }
-  for (const auto& item : aView.Runs()) {
-    const TaskRef& task = item.first;
-    const RunView& run = item.second;
-    const v1::StepSpec& spec = JobStore::SpecOf(task);
-    if (!run.isLongRunning_) {
-      continue;
-    }
-    const auto target =
-      std::find_if(targets.begin(), targets.end(), [&](const Target& aTarget) {
-        const auto placed =
-          aTarget.tasksByStep_.find({ task.job_, task.step_ });
-        const uint32_t count =
-          placed != aTarget.tasksByStep_.end() ? placed->second : 0;
-        return run.need_.FitsInto(aTarget.freeCapacity_) &&
-               (spec.max_per_instance() == 0 ||
-                count < spec.max_per_instance());
-      });
-    if (target == targets.end()) {
-      return false;
-    }
-    target->freeCapacity_ = target->freeCapacity_ - run.need_;
-    ++target->tasksByStep_[{ task.job_, task.step_ }];
-  }
-  return true;
-}
-
 } // namespace vanillahatch
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -140,12 +140,32 @@
   return count;
 }
 
-bool InstanceView::IsUsable(Millis aNow) const
+bool InstanceView::IsInService() const
 {
   return contacted_ && !isReplaced_ && !isLeaving_ && !reserved_ &&
-         !evacuating_ && !isClosedToNewWork_ && !removalProposed_ &&
-         !StoredRecord().draining() && lease_.IsClockKnown() &&
-         aNow >= avoidUntil_;
+         !evacuating_ && !removalProposed_ && !StoredRecord().draining() &&
+         lease_.IsClockKnown();
+}
+
+bool InstanceView::IsUsable(Millis aNow) const
+{
+  return IsInService() && !isClosedToNewWork_ && aNow >= avoidUntil_;
+}
+
+void InstanceView::CancelEvacuation()
+{
+  evacuating_ = false;
+  consolidating_ = false;
+  isEvacuatedWithoutReplacement_ = false;
+  isSummaryValid_ = false;
+  for (auto& [task, run] : runs_) {
+    const bool isUnsent = run.stopRequested_ && run.stopRespectsBudget_ &&
+                          !run.stopInFlight_ && !run.stoppedAt_;
+    if (isUnsent) {
+      run.stopRequested_ = false;
+      run.stopRespectsBudget_ = false;
+    }
+  }
 }
 
 } // namespace vanillahatch
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -948,6 +948,220 @@
   BOOST_TEST(fleet.RunningCopies(remaining) == 1U);
 }
 
+// Two machines are all of their service, and both are due for maintenance. The
+// machines of the other service are in use, so none can be moved.
+struct TwoMachinesFixture
+{
+  TwoMachinesFixture()
+  {
+    fleet_.Configure({ { "layout", false }, { "meter", false } },
+                     { { "drafts", "layout" }, { "archive", "meter" } });
+    for (const char* id : { "a", "b" }) {
+      fleet_.AddInstance(id, "layout");
+    }
+    for (const char* id : { "x", "y", "z" }) {
+      fleet_.AddInstance(id, "meter");
+    }
+    fleet_.RunFor(Millis(500));
+    v1::StepSpec inUse = SimulatedFleet::LongRunningStep(3, 1);
+    inUse.set_max_per_instance(1);
+    fleet_.Submit("other", "archive", { inUse });
+  }
+
+  // A machine has room for three of the tasks.
+  Job& SubmitLongRunning(uint32_t aTasks, uint32_t aMaxUnavailable)
+  {
+    v1::StepSpec step =
+      SimulatedFleet::LongRunningStep(aTasks, aMaxUnavailable);
+    step.mutable_need()->set_cpu_millis(5000);
+    Job& job = fleet_.Submit("kept", "drafts", { step });
+    fleet_.RunFor(Seconds(3));
+    BOOST_REQUIRE(CountRunning(job) == aTasks);
+    return job;
+  }
+
+  size_t CountRunning(const Job& aJob) const
+  {
+    size_t running = 0;
+    for (uint32_t i = 0; i < aJob.spec_.steps(0).task_count(); ++i) {
+      v1::TaskName task = FirstTask(aJob);
+      task.set_index(i);
+      running += fleet_.RunningCopies(task);
+    }
+    return running;
+  }
+
+  void StartWave(const std::vector<std::string>& aMachines)
+  {
+    v1::JobChanges changes;
+    v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+    wave.set_wave(1);
+    wave.set_duration_ms(26000);
+    wave.set_max_concurrent(2);
+    for (const std::string& machine : aMachines) {
+      wave.add_machines(machine);
+    }
+    fleet_.Store().Apply(changes);
+  }
+
+  // The longest time in which a task of the job did not run, within `aWithin`.
+  int64_t LongestInterruptionMs(const Job& aJob, Millis aWithin)
+  {
+    std::map<uint32_t, Millis> since; // by index
+    Millis longest;
+    fleet_.RunUntil(
+      [&] {
+        for (uint32_t i = 0; i < aJob.spec_.steps(0).task_count(); ++i) {
+          v1::TaskName task = FirstTask(aJob);
+          task.set_index(i);
+          if (fleet_.RunningCopies(task) > 0) {
+            since.erase(i);
+            continue;
+          }
+          const Millis start = since.try_emplace(i, fleet_.Now()).first->second;
+          longest = std::max(longest, fleet_.Now() - start);
+        }
+        return false;
+      },
+      aWithin);
+    return longest.Count();
+  }
+
+  bool IsWaveCompleted() { return fleet_.Scheduler().IsWaveCompleted(1); }
+
+  SimulatedFleet fleet_;
+};
+
+// Failure: all machines of a service were evacuated at once, so that its tasks
+// had no place and the wave never ended.
+BOOST_FIXTURE_TEST_CASE(WaveOverAllMachinesOfAServiceHaltsItsTasks,
+                        TwoMachinesFixture)
+{
+  const Job& job = SubmitLongRunning(4, 1);
+  StartWave({ "m-a", "m-b" });
+  fleet_.RunFor(Seconds(1));
+  const Job& quick =
+    fleet_.Submit("quick", "drafts", { SimulatedFleet::StepOf(1, 500, 500) });
+  BOOST_TEST(LongestInterruptionMs(job, Seconds(20)) < 6000);
+  BOOST_TEST(fleet_.Store().PhaseOf(quick) == v1::JOB_COMPLETED);
+  BOOST_TEST(IsWaveCompleted());
+  BOOST_TEST(CountRunning(job) == 4U);
+}
+
+// Failure: the next leader evacuated all machines at once.
+BOOST_FIXTURE_TEST_CASE(WaveOverAllMachinesOfAServiceHaltsItUnderANewLeader,
+                        TwoMachinesFixture)
+{
+  const Job& job = SubmitLongRunning(4, 1);
+  StartWave({ "m-a", "m-b" });
+  fleet_.RunFor(Millis(300));
+  fleet_.StartLeader(2);
+  const Job& quick =
+    fleet_.Submit("quick", "drafts", { SimulatedFleet::StepOf(1, 500, 500) });
+  BOOST_TEST(LongestInterruptionMs(job, Seconds(20)) < 6000);
+  BOOST_TEST(fleet_.Store().PhaseOf(quick) == v1::JOB_COMPLETED);
+  BOOST_TEST(IsWaveCompleted());
+}
+
+// Failure: the evacuated machine took no work after the other one was lost.
+BOOST_FIXTURE_TEST_CASE(EvacuatedMachineTakesNoTaskOfALostOne,
+                        TwoMachinesFixture)
+{
+  fleet_.At("a").ignoresStops_ = true; // The evacuation takes long.
+  const Job& job = SubmitLongRunning(2, 1);
+  BOOST_REQUIRE(fleet_.At("a").running_.size() == 2U);
+  StartWave({ "m-a" });
+  fleet_.RunFor(Seconds(1));
+  BOOST_REQUIRE(fleet_.At("b").running_.empty());
+  fleet_.At("a").ignoresStops_ = false;
+  fleet_.RunFor(Millis(500));
+  BOOST_REQUIRE(fleet_.At("b").running_.size() == 1U);
+  fleet_.At("a").ignoresStops_ = true;
+  fleet_.At("b").running_.clear();
+  fleet_.At("b").isReachable_ = false;
+  // Its lease expires first.
+  fleet_.RunFor(Seconds(8));
+  BOOST_TEST(CountRunning(job) == 2U);
+}
+
+// Failure: a step whose budget allows one task to wait lost all of them, or
+// stood still, when its only machine was due.
+BOOST_FIXTURE_TEST_CASE(OnlyMachineOfAServiceIsEvacuatedBeyondTheBudget,
+                        TwoMachinesFixture)
+{
+  fleet_.At("b").record_.set_draining(true);
+  fleet_.Report(fleet_.At("b"));
+  fleet_.RunFor(Millis(200));
+  const Job& job = SubmitLongRunning(3, 1);
+  StartWave({ "m-a" });
+  BOOST_TEST(LongestInterruptionMs(job, Seconds(10)) == 0);
+  // Its tasks move once there is another machine.
+  fleet_.AddInstance("c", "layout");
+  BOOST_TEST(LongestInterruptionMs(job, Seconds(6)) < 1000);
+  BOOST_TEST(IsWaveCompleted());
+}
+
+// Failure: tasks without a budget were stopped one at a time, and the next one
+// only once the last had found a place, which none had.
+BOOST_FIXTURE_TEST_CASE(OnlyMachineOfAServiceIsNeverMaintained,
+                        TwoMachinesFixture)
+{
+  fleet_.At("b").record_.set_draining(true);
+  fleet_.Report(fleet_.At("b"));
+  fleet_.RunFor(Millis(200));
+  const Job& job = SubmitLongRunning(3, 0);
+  StartWave({ "m-a" });
+  BOOST_TEST(LongestInterruptionMs(job, Seconds(12)) < 4000);
+  BOOST_TEST(IsWaveCompleted());
+  BOOST_TEST(CountRunning(job) == 3U);
+}
+
+// Failure: the only machine at work was emptied before a spare one had joined.
+BOOST_AUTO_TEST_CASE(ReplacementJoinsAfterTheOnlyMachineWasEvacuated)
+{
+  SimulatedFleet fleet;
+  fleet.Configure({ { "layout", false }, { "rest", true } },
+                  { { "drafts", "layout" } });
+  fleet.AddInstance("a", "layout");
+  fleet.AddInstance("s", "rest");
+  fleet.RunFor(Millis(500));
+  const Job& job =
+    fleet.Submit("kept", "drafts", { SimulatedFleet::LongRunningStep(3, 1) });
+  fleet.RunFor(Seconds(4));
+  v1::JobChanges changes;
+  v1::StartWave& wave = *changes.add_changes()->mutable_start_wave();
+  wave.set_wave(1);
+  wave.set_max_concurrent(1);
+  wave.add_machines("m-a");
+  fleet.Store().Apply(changes);
+  size_t minRunning = 3;
+  const bool isDone = fleet.RunUntil(
+    [&] {
+      size_t running = 0;
+      for (uint32_t i = 0; i < 3; ++i) {
+        v1::TaskName task = FirstTask(job);
+        task.set_index(i);
+        running += fleet.RunningCopies(task);
+      }
+      minRunning = std::min(minRunning, running);
+      return fleet.Scheduler().IsWaveCompleted(1);
+    },
+    Seconds(12));
+  BOOST_TEST(isDone);
+  BOOST_TEST(minRunning >= 2U);
+}
+
+// Failure: a machine whose maintenance the platform refuses took no work any
+// more.
+BOOST_FIXTURE_TEST_CASE(MachineWithRefusedMaintenanceTakesNoWork,
+                        TwoMachinesFixture)
+{
+  fleet_.refusedUpkeeps_ = { "m-a", "m-b" };
+  const Job& job = SubmitLongRunning(4, 1);
+  StartWave({ "m-a", "m-b" });
+  BOOST_TEST(LongestInterruptionMs(job, Seconds(15)) < 3000);
+}
+
 // Where the platform does not check fencing tokens, orders of a former leader
 // may arrive late.
 BOOST_AUTO_TEST_CASE(NewLeaderSendsNoMachineOrdersBeforeTheDelay)
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -338,6 +338,7 @@
   bool platformReplies_ = true;
   // Orders that were carried out before: accepted without effect.
   std::set<std::string> completedUpkeeps_; // machines
+  std::set<std::string> refusedUpkeeps_;   // machines; refused as busy
   // Machines as the platform lists them, if its list is out of date.
   std::map<std::string, MachineView> outdatedMachines_;
   bool advisorReplies_ = true;
@@ -673,6 +674,10 @@
         now_, aOrder, MachineOrderStatus::kUnknown);
       return;
     }
+    if (aOrder.pool_.empty() && refusedUpkeeps_.contains(aOrder.machine_)) {
+      scheduler_->OnMachineOrderResult(now_, aOrder, MachineOrderStatus::kBusy);
+      return;
+    }
     const std::string id = aOrder.machine_.substr(2);
     const auto it = instances_.find(id);
     const bool isDone = aOrder.pool_.empty()
