--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -220,6 +220,9 @@
   bool HasLostInstance(Millis aNow, const InstanceView& aView) const;
   bool HasSuccessorInContact(const InstanceView& aView) const;
   void RemoveUnreachable(Millis aNow);
+  // Records in the log that the lease of an earlier incarnation has ended, so
+  // that a later leader does not wait for it.
+  void EndFormerLease(Millis aNow, InstanceView& aView);
   void SendRequestedStops(Millis aNow);
   void RemoveFinishedJobs(Millis aNow);
   void RemoveEndedRun(const ProposedRun& aEnd);
--- a/include/vanillahatch/core/jobs/instance_lease.h
+++ b/include/vanillahatch/core/jobs/instance_lease.h
@@ -26,6 +26,9 @@
   // until `aNow` on other clocks than the known one.
   void ExpectUnknownLease(Millis aLongestLease, Millis aNow);
 
+  // True once no lease of an earlier leader, or of unknown length, can hold.
+  bool HaveEarlierGrantsExpired(Millis aNow) const;
+
   // Records a reply that arrived at `aNow` with the instance's clock `aClock`.
   void Observe(Millis aClock, Millis aNow);
   bool IsClockKnown() const { return sample_.has_value(); }
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -165,6 +165,7 @@
   Millis avoidUntil_;            // set when it refuses or fails orders
   uint32_t failuresInRow_ = 0;   // consecutive runs that ended as failed
   bool removalProposed_ = false; // its removal has been proposed to the log
+  bool formerLeaseEndProposed_ = false; // see `Instance::mayHoldFormerLease_`
 
 private:
   Instance* instance_;
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -137,6 +137,9 @@
   // Unique per stored record: differs if the incarnation is removed and added
   // again.
   uint64_t serial_ = 0;
+  // An order for an earlier incarnation with the same id may have reached it,
+  // with a deadline on a clock that is not its own.
+  bool mayHoldFormerLease_ = false;
   std::set<TaskRef> assigned_;
 };
 
@@ -242,6 +245,8 @@
   void FinishTask(const TaskRef& aTask);
   void PutInstance(const v1::InstanceRecord& aRecord);
   void RemoveInstance(const v1::InstanceGone& aGone);
+  void EndFormerLease(const v1::FormerLeaseEnded& aEnded);
+  void RestoreFormerLeases(const v1::JobStoreSnapshot& aSnapshot);
   // Null if the store has no later incarnation with the same id.
   Instance* FindNextIncarnation(const InstanceKey& aKey) const;
   void RecordDeparted(const InstanceKey& aKey);
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -153,23 +153,27 @@
     known->RefreshCapacity();
     AddToIndex(*known);
     if (AddInheritedRuns(aNow, *known)) {
-      known->Lease().ExpectUnknownLease(options_.longestLease_, aNow);
+      known->Lease().ExpectUnknownLease(options_.longestLease_,
+                                        aNow + kMaxOrderDelay);
       known->busySince_ = aNow;
       known->lastGrantAt_ = aNow;
     }
     return;
   }
-  const bool mayHoldFormerLease =
-    aNow > leaderSince_ && store_.HasEarlierIncarnation(aKey);
   InstanceView& view =
     views_
       .try_emplace(aKey,
                    *instance,
-                   mayHoldFormerLease ? options_.longestLease_
-                                      : options_.lease_,
+                   options_.lease_,
                    std::max(leaderSince_ + options_.formerLeaderLease_, aNow),
                    aNow)
       .first->second;
+  if (instance->mayHoldFormerLease_) {
+    // Known from the log, also if it started again under an earlier leader.
+    view.Lease().ExpectUnknownLease(options_.longestLease_,
+                                    view.lastGrantAt_ + kMaxOrderDelay);
+    trace_.onInstance_(aKey, "may hold a lease of its former incarnation");
+  }
   viewsByKey_.emplace(aKey, &view);
   AddToIndex(view);
   AddInheritedRuns(aNow, view);
@@ -306,6 +310,10 @@
   unreachableCheckedAt_ = aNow;
   for (InstanceView* each : allViews_) {
     InstanceView& view = *each;
+    if (view.StoredInstance().mayHoldFormerLease_ &&
+        !view.formerLeaseEndProposed_) {
+      EndFormerLease(aNow, view);
+    }
     if (!view.StoredRecord().machine().empty() && HasSuccessorInContact(view)) {
       ProposeRemoval(
         view, RemovalKind::kFinal, "the next instance of its machine replied");
@@ -316,6 +324,24 @@
   }
 }
 
+// Orders may reach it in place of an earlier incarnation as long as that one is
+// stored.
+void FleetScheduler::EndFormerLease(Millis aNow, InstanceView& aView)
+{
+  const InstanceKey& key = aView.StoredInstance().key_;
+  const bool isEarlierStored =
+    store_.FindInstancesById(key.id_).front()->key_ != key;
+  if (isEarlierStored) {
+    aView.Lease().ExpectUnknownLease(options_.longestLease_,
+                                     aNow + kMaxOrderDelay);
+  } else if (aView.Lease().HaveEarlierGrantsExpired(aNow)) {
+    aView.formerLeaseEndProposed_ = true;
+    *nextChanges_.add_changes()->mutable_former_lease_ended()->mutable_key() =
+      ToMessage(key);
+    trace_.onInstance_(key, "no lease of its former incarnation is left");
+  }
+}
+
 // Requests listings. Each renews the lease of an instance that runs tasks.
 void FleetScheduler::PollInstances(Millis aNow)
 {
--- a/src/core/jobs/instance_lease.cpp
+++ b/src/core/jobs/instance_lease.cpp
@@ -53,14 +53,17 @@
   deadline_ = std::max(deadline_, aDeadline);
 }
 
+bool InstanceLease::HaveEarlierGrantsExpired(Millis aNow) const
+{
+  return MinElapsedOnInstance(aNow - earlierGrantsEndAt_) >
+         longestLease_ + kExpiryMargin;
+}
+
 bool InstanceLease::HasExpired(Millis aNow) const
 {
-  const bool haveEarlierExpired =
-    MinElapsedOnInstance(aNow - earlierGrantsEndAt_) >
-    longestLease_ + kExpiryMargin;
   const bool hasOwnExpired =
     !sample_ || ClockAt(aNow) > deadline_ + kExpiryMargin;
-  return haveEarlierExpired && hasOwnExpired;
+  return HaveEarlierGrantsExpired(aNow) && hasOwnExpired;
 }
 
 } // namespace vanillahatch
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -80,6 +80,8 @@
         MarkStarted(*job);
       }
       return;
+    case v1::JobChange::kFormerLeaseEnded:
+      return EndFormerLease(aChange.former_lease_ended());
     case v1::JobChange::BODY_NOT_SET:
       return;
   }
@@ -530,6 +532,7 @@
     it->second = std::make_unique<Instance>();
     it->second->key_ = key;
     it->second->serial_ = instanceChangeCount_ + 1;
+    it->second->mayHoldFormerLease_ = HasEarlierIncarnation(key);
   }
   RecordInstanceChange(key);
   Instance& instance = *it->second;
@@ -660,6 +663,13 @@
   }
 }
 
+void JobStore::EndFormerLease(const v1::FormerLeaseEnded& aEnded)
+{
+  if (Instance* instance = FindInstance(ToKey(aEnded.key()))) {
+    instance->mayHoldFormerLease_ = false;
+  }
+}
+
 void JobStore::RemoveJob(const v1::ForgetJob& aJob)
 {
   const auto it = jobs_.find(aJob.id());
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -68,7 +68,11 @@
   }
   for (const auto& [key, instance] : instances_) {
     *snapshot.add_instances() = instance->record_;
+    if (instance->mayHoldFormerLease_) {
+      *snapshot.add_former_leases() = ToMessage(key);
+    }
   }
+  snapshot.set_lists_former_leases(true);
   for (const auto& [number, wave] : waves_) {
     v1::WaveState& state = *snapshot.add_waves();
     *state.mutable_wave() = wave.request_;
@@ -140,6 +144,19 @@
   return true;
 }
 
+void JobStore::RestoreFormerLeases(const v1::JobStoreSnapshot& aSnapshot)
+{
+  for (auto& [key, instance] : instances_) {
+    instance->mayHoldFormerLease_ =
+      !aSnapshot.lists_former_leases() && HasEarlierIncarnation(key);
+  }
+  for (const v1::InstanceKey& key : aSnapshot.former_leases()) {
+    if (Instance* instance = FindInstance(ToKey(key))) {
+      instance->mayHoldFormerLease_ = true;
+    }
+  }
+}
+
 bool JobStore::Restore(const std::string& aBytes)
 {
   v1::JobStoreSnapshot snapshot;
@@ -167,6 +184,7 @@
   for (const v1::InstanceKey& key : snapshot.departed()) {
     fresh.RecordDeparted(ToKey(key));
   }
+  fresh.RestoreFormerLeases(snapshot);
   for (const v1::CancelJob& job : snapshot.cancelled_early()) {
     fresh.RecordCancelledEarly({ .queue_ = job.queue(), .id_ = job.id() });
   }
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -409,6 +409,98 @@
   BOOST_TEST(b.running_.size() == 1U);
 }
 
+struct FormerDeadlineFixture : OneServiceFixture
+{
+  // "a" starts again and executes a start for its former incarnation. Its lease
+  // is the longest one.
+  void StartUnderFormerDeadline()
+  {
+    FakeInstance& a = fleet_.AddInstance("a", "layout");
+    fleet_.RunFor(Millis(100));
+    fleet_.Restart("a");
+    task_ = FirstTask(
+      fleet_.Submit("j1", "drafts", { SimulatedFleet::LongRunningStep(1, 1) }));
+    BOOST_REQUIRE(
+      fleet_.RunUntil([&] { return a.running_.size() == 1; }, Millis(100)));
+    fleet_.Report(a);
+    fleet_.RunFor(Millis(50)); // The leader lists it.
+  }
+
+  // Another leader lists it once, then it is cut off.
+  void LoseUnderTheNextLeader()
+  {
+    fleet_.StartLeader(2);
+    fleet_.RunFor(Millis(50));
+    fleet_.At("a").isReachable_ = false;
+    fleet_.AddInstance("b", "layout");
+  }
+
+  bool RunsOnB() { return fleet_.At("b").running_.size() == 1; }
+
+  v1::TaskName task_;
+};
+
+// Failure: a new leader counted the usual lease for an instance that had
+// started again before, and started its task on another one.
+BOOST_FIXTURE_TEST_CASE(NewLeaderGivesUpAFormerDeadlineEarly,
+                        FormerDeadlineFixture)
+{
+  StartUnderFormerDeadline();
+  LoseUnderTheNextLeader();
+  BOOST_TEST(MaxCopies(task_, Seconds(14)) == 1U);
+  BOOST_TEST(RunsOnB());
+}
+
+// Failure: the same after all replicas have restored their snapshots.
+BOOST_FIXTURE_TEST_CASE(RestoredReplicaGivesUpAFormerDeadlineEarly,
+                        FormerDeadlineFixture)
+{
+  StartUnderFormerDeadline();
+  BOOST_REQUIRE(fleet_.Store().Restore(fleet_.Store().Snapshot()));
+  LoseUnderTheNextLeader();
+  BOOST_TEST(MaxCopies(task_, Seconds(14)) == 1U);
+  BOOST_TEST(RunsOnB());
+}
+
+// Failure: the same with a snapshot of a release that did not record it.
+BOOST_FIXTURE_TEST_CASE(EarlierSnapshotGivesUpAFormerDeadlineEarly,
+                        FormerDeadlineFixture)
+{
+  StartUnderFormerDeadline();
+  v1::JobStoreSnapshot snapshot;
+  BOOST_REQUIRE(snapshot.ParseFromString(fleet_.Store().Snapshot()));
+  snapshot.clear_former_leases();
+  snapshot.clear_lists_former_leases();
+  BOOST_REQUIRE(fleet_.Store().Restore(snapshot.SerializeAsString()));
+  LoseUnderTheNextLeader();
+  BOOST_TEST(MaxCopies(task_, Seconds(14)) == 1U);
+  BOOST_TEST(RunsOnB());
+}
+
+// Failure: every later leader waits for the longest lease.
+BOOST_FIXTURE_TEST_CASE(EndedFormerLeaseDelaysTheNextLeader,
+                        FormerDeadlineFixture)
+{
+  StartUnderFormerDeadline();
+  fleet_.RunFor(Seconds(12));
+  LoseUnderTheNextLeader();
+  BOOST_TEST(fleet_.RunUntil([&] { return RunsOnB(); }, Seconds(7)));
+}
+
+// Failure: a change of leader begins the wait anew, but never ends it.
+BOOST_FIXTURE_TEST_CASE(FormerLeaseNeverEndsUnderANewLeader,
+                        FormerDeadlineFixture)
+{
+  StartUnderFormerDeadline();
+  fleet_.StartLeader(2);
+  const Instance* instance =
+    fleet_.Store().FindInstance(ToKey(fleet_.At("a").record_));
+  fleet_.RunFor(Seconds(9));
+  BOOST_TEST(instance->mayHoldFormerLease_);
+  fleet_.RunFor(Seconds(3));
+  BOOST_TEST(!instance->mayHoldFormerLease_);
+}
+
 BOOST_AUTO_TEST_CASE(UnreportedNextIncarnationIsNotGivenUpEarly)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
