--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -49,13 +49,25 @@
 InstanceKey ToKey(const v1::InstanceRecord& aRecord);
 v1::InstanceKey ToMessage(const InstanceKey& aKey);
 
-// Identifies a job that may not be stored.
-struct QueuedId
+// Where callers reach a queue. It identifies the queue: versions of the
+// configuration may give it another name, and its name to another queue.
+struct QueueAddress
 {
-  std::string queue_;
-  std::string id_;
+  std::string host_;
+  std::string pathPrefix_;
+
+  friend auto operator<=>(const QueueAddress&, const QueueAddress&) = default;
+};
+
+QueueAddress AddressOf(const v1::QueueSpec& aQueue);
+
+// Where callers reach a job, which may not be stored.
+struct JobAddress
+{
+  std::string host_;
+  std::string path_;
 
-  friend auto operator<=>(const QueuedId&, const QueuedId&) = default;
+  friend auto operator<=>(const JobAddress&, const JobAddress&) = default;
 };
 
 struct Job;
@@ -112,7 +124,8 @@
 struct Job
 {
   std::string id_;
-  std::string queue_;
+  std::string queue_; // name of the queue at acceptance
+  QueueAddress queueAddress_;
   std::string service_; // used if the queue is not known
   v1::JobSpec spec_;
   uint64_t acceptanceIndex_ = 0; // position in the sequence of acceptance
@@ -160,6 +173,9 @@
   const v1::FleetDocument& Config() const { return config_; }
   // Null if the configuration has no such queue.
   const v1::QueueSpec* FindQueue(std::string_view aName) const;
+  // The address of a queue that is configured or has been removed. If none has
+  // the name, an address that no caller can reach.
+  QueueAddress AddressOfQueue(const std::string& aName) const;
   // The job's queue as it was last configured, also if it has been removed.
   // Null if it is not known.
   const v1::QueueSpec* QueueOf(const Job& aJob) const;
@@ -169,6 +185,9 @@
   const v1::ServiceSpec* FindService(std::string_view aName) const;
 
   Job* FindJob(const std::string& aId) const;
+  // The job that was submitted there. Its queue may have been renamed or
+  // removed since, or another one may have a longer prefix of the path.
+  Job* FindJobAt(std::string_view aHost, std::string_view aPath) const;
   v1::JobPhase PhaseOf(const Job& aJob) const;
   // Jobs that are neither completed, failed nor cancelled, by acceptance index.
   const std::map<uint64_t, Job*>& OpenJobs() const { return openJobs_; }
@@ -176,7 +195,7 @@
   // Closed jobs without any task that may still run.
   std::vector<const Job*> FinishedJobs() const;
   // Number of open jobs of the queue of which no run is known to have begun.
-  uint64_t CountWaitingJobs(std::string_view aQueue) const;
+  uint64_t CountWaitingJobs(const QueueAddress& aQueue) const;
   // The service whose instances run the job's tasks.
   const std::string& ServiceOf(const Job& aJob) const;
   // Number of failed runs of a task at which the job fails.
@@ -227,15 +246,19 @@
 private:
   void ApplyOne(const v1::JobChange& aChange);
   void PutConfig(const v1::FleetDocument& aConfig);
-  // Keeps the queues that `aNext` removes, and forgets earlier ones that no
-  // open job is in.
+  // Keeps the queues that `aNext` removes, and forgets earlier ones that no job
+  // is in.
   void UpdateRemovedQueues(const v1::FleetDocument& aNext);
   void IndexQueues();
   void AcceptJob(const v1::AcceptJob& aJob);
+  Job* FindJobIn(const v1::QueueSpec& aQueue, std::string_view aPath) const;
+  const v1::QueueSpec* FindQueueAt(const QueueAddress& aAddress) const;
+  QueueAddress AddressOfQueue(const v1::AcceptJob& aJob) const;
+  JobAddress AddressOfJob(const v1::CancelJob& aJob) const;
   void CancelJob(const v1::CancelJob& aJob);
-  void RecordCancelledEarly(QueuedId aJob);
+  void RecordCancelledEarly(JobAddress aJob);
   // Returns whether the job was cancelled before it was accepted.
-  bool TakeCancelledEarly(const QueuedId& aJob);
+  bool TakeCancelledEarly(const JobAddress& aJob);
   void StartRun(const v1::RunStart& aStart);
   void EndRun(const v1::RunEnd& aEnd);
   void FinishRun(const TaskRef& aTask,
@@ -264,21 +287,21 @@
   // Index of the queues in `config_`, which may have hundreds.
   std::unordered_map<std::string_view, const v1::QueueSpec*> queuesByName_;
   std::unordered_multimap<std::string_view, const v1::QueueSpec*> queuesByHost_;
-  // Queues that the configuration lacks, as they were last configured, by name.
-  std::map<std::string, v1::QueueSpec, std::less<>> removedQueues_;
+  // Queues that the configuration lacks, as they were last configured.
+  std::map<QueueAddress, v1::QueueSpec> removedQueues_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_; // by id
   std::map<uint64_t, Job*> openJobs_; // by acceptance index
-  std::map<std::string, uint64_t, std::less<>> waitingByQueue_;
+  std::map<QueueAddress, uint64_t> waitingByQueue_;
   std::map<InstanceKey, std::unique_ptr<Instance>> instances_;
   std::unordered_multimap<std::string, const Instance*> instancesByMachine_;
   std::map<uint64_t, Wave> waves_;
   // The latest ended incarnations, oldest first, and the same as a set.
   std::deque<InstanceKey> departed_;
   std::set<InstanceKey> departedSet_;
-  // The latest ids that were cancelled before they were accepted, oldest first,
-  // and the same as a set.
-  std::deque<QueuedId> cancelledEarly_;
-  std::set<QueuedId> cancelledEarlySet_;
+  // The latest jobs that were cancelled before they were accepted, oldest
+  // first, and the same as a set.
+  std::deque<JobAddress> cancelledEarly_;
+  std::set<JobAddress> cancelledEarlySet_;
   uint64_t instanceChangeCount_ = 0;
   std::deque<InstanceKey> changedInstances_; // latest changes, oldest first
   uint64_t interruptedJobCount_ = 0;
--- a/include/vanillahatch/core/jobs/task_run_time_estimator.h
+++ b/include/vanillahatch/core/jobs/task_run_time_estimator.h
@@ -7,14 +7,13 @@
 // grows with the load of the leader, and an objective that grew with it would
 // count jobs as in time that are late for their callers.
 //
-//   estimator.Record("layouts", step, Millis(640));
+//   estimator.Record(job.queueAddress_, step, Millis(640));
 //   estimator.RecordDelay(Millis(40));
-//   Millis expected = estimator.EstimateRun("layouts", step);
+//   Millis expected = estimator.EstimateRun(job.queueAddress_, step);
 #pragma once
 
 #include "vanillahatch/core/clock.h"
-
-#include "jobs.pb.h"
+#include "vanillahatch/core/jobs/job_store.h"
 
 #include <map>
 #include <string>
@@ -33,7 +32,7 @@
 {
 public:
   // Ignored if the step declares no estimate.
-  void Record(const std::string& aQueue,
+  void Record(const QueueAddress& aQueue,
               const v1::StepSpec& aStep,
               Millis aMeasured);
   // Records the time from the placement of a task to the receipt of its end,
@@ -41,11 +40,11 @@
   void RecordDelay(Millis aMeasured);
   Millis Delay() const;
   // Returns the declared estimate until a run was recorded.
-  Millis EstimateRun(const std::string& aQueue,
+  Millis EstimateRun(const QueueAddress& aQueue,
                      const v1::StepSpec& aStep) const;
   // The critical path over the steps that are not done; `aDone` is indexed by
   // step.
-  CriticalPath RemainingPath(const std::string& aQueue,
+  CriticalPath RemainingPath(const QueueAddress& aQueue,
                              const v1::JobSpec& aJob,
                              const std::vector<bool>& aDone) const;
 
@@ -56,7 +55,7 @@
     uint32_t samples_ = 0;
   };
 
-  static std::string KeyOf(const std::string& aQueue,
+  static std::string KeyOf(const QueueAddress& aQueue,
                            const v1::StepSpec& aStep);
 
   std::map<std::string, Estimate> estimates_; // by queue and image
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -59,7 +59,7 @@
 Millis FleetScheduler::EstimateOccupancy(const Job& aJob,
                                          const v1::StepSpec& aStep) const
 {
-  return runTimes_.EstimateRun(aJob.queue_, aStep) + runTimes_.Delay();
+  return runTimes_.EstimateRun(aJob.queueAddress_, aStep) + runTimes_.Delay();
 }
 
 CriticalPath FleetScheduler::RemainingPath(const Job& aJob,
@@ -69,7 +69,7 @@
   for (size_t i = 0; aOccurrence != nullptr && i < done.size(); ++i) {
     done[i] = aOccurrence->steps_[i].IsDone();
   }
-  return runTimes_.RemainingPath(aJob.queue_, aJob.spec_, done);
+  return runTimes_.RemainingPath(aJob.queueAddress_, aJob.spec_, done);
 }
 
 JobUrgency FleetScheduler::UrgencyOf(Millis aNow,
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -319,7 +319,7 @@
     return;
   }
   const Millis runTime = *aEndClock - *aRun.acceptedClock_;
-  runTimes_.Record(aTask.job_->queue_, JobStore::SpecOf(aTask), runTime);
+  runTimes_.Record(aTask.job_->queueAddress_, JobStore::SpecOf(aTask), runTime);
   runTimes_.RecordDelay(aNow - *aRun.placedAt_ - runTime);
 }
 
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -21,6 +21,11 @@
 
 } // namespace
 
+QueueAddress AddressOf(const v1::QueueSpec& aQueue)
+{
+  return { .host_ = aQueue.host(), .pathPrefix_ = aQueue.path_prefix() };
+}
+
 InstanceKey ToKey(const v1::InstanceKey& aKey)
 {
   return { .id_ = aKey.id(), .startedUnixMs_ = aKey.born_unix_ms() };
@@ -52,7 +57,13 @@
     case v1::JobChange::kPutConfig:
       return PutConfig(aChange.put_config());
     case v1::JobChange::kAcceptJob:
-      return AcceptJob(aChange.accept_job());
+      // It has another id if a queue with a longer prefix has been added.
+      if (FindJobAt(aChange.accept_job().host(),
+                    aChange.accept_job().path_prefix() +
+                      aChange.accept_job().id()) == nullptr) {
+        AcceptJob(aChange.accept_job());
+      }
+      return;
     case v1::JobChange::kCancelJob:
       return CancelJob(aChange.cancel_job());
     case v1::JobChange::kRunStart:
@@ -98,19 +109,19 @@
 
 void JobStore::UpdateRemovedQueues(const v1::FleetDocument& aNext)
 {
-  std::set<std::string_view> queuesOfOpenJobs;
-  for (const auto& [index, job] : openJobs_) {
-    queuesOfOpenJobs.insert(job->queue_);
+  std::set<QueueAddress> queuesOfJobs;
+  for (const auto& [id, job] : jobs_) {
+    queuesOfJobs.insert(job->queueAddress_);
   }
   std::erase_if(removedQueues_, [&](const auto& aItem) {
-    return !queuesOfOpenJobs.contains(aItem.first);
+    return !queuesOfJobs.contains(aItem.first);
   });
   // All of them: a job may be accepted that was proposed before.
   for (const v1::QueueSpec& queue : config_.queues()) {
-    removedQueues_.insert_or_assign(queue.name(), queue);
+    removedQueues_.insert_or_assign(AddressOf(queue), queue);
   }
   for (const v1::QueueSpec& queue : aNext.queues()) {
-    removedQueues_.erase(queue.name());
+    removedQueues_.erase(AddressOf(queue));
   }
 }
 
@@ -130,13 +141,54 @@
   return it != queuesByName_.end() ? it->second : nullptr;
 }
 
+const v1::QueueSpec* JobStore::FindQueueAt(const QueueAddress& aAddress) const
+{
+  const auto [first, last] = queuesByHost_.equal_range(aAddress.host_);
+  const auto it = std::find_if(first, last, [&](const auto& aItem) {
+    return aItem.second->path_prefix() == aAddress.pathPrefix_;
+  });
+  return it != last ? it->second : nullptr;
+}
+
+QueueAddress JobStore::AddressOfQueue(const std::string& aName) const
+{
+  if (const v1::QueueSpec* queue = FindQueue(aName)) {
+    return AddressOf(*queue);
+  }
+  const auto removed = std::find_if(
+    removedQueues_.begin(), removedQueues_.end(), [&](const auto& aItem) {
+      return aItem.second.name() == aName;
+    });
+  return removed != removedQueues_.end() ? removed->first
+                                         : QueueAddress{ .pathPrefix_ = aName };
+}
+
+QueueAddress JobStore::AddressOfQueue(const v1::AcceptJob& aJob) const
+{
+  return aJob.path_prefix().empty()
+           ? AddressOfQueue(aJob.queue())
+           : QueueAddress{ .host_ = aJob.host(),
+                           .pathPrefix_ = aJob.path_prefix() };
+}
+
+JobAddress JobStore::AddressOfJob(const v1::CancelJob& aJob) const
+{
+  if (!aJob.path().empty()) {
+    return { .host_ = aJob.host(), .path_ = aJob.path() };
+  }
+  QueueAddress queue = AddressOfQueue(aJob.queue());
+  return { .host_ = std::move(queue.host_),
+           .path_ = std::move(queue.pathPrefix_) + aJob.id() };
+}
+
 const v1::QueueSpec* JobStore::QueueOf(const Job& aJob) const
 {
-  if (const v1::QueueSpec* queue = FindQueue(aJob.queue_)) {
+  if (const v1::QueueSpec* queue = FindQueueAt(aJob.queueAddress_)) {
     return queue;
   }
-  const auto removed = removedQueues_.find(aJob.queue_);
-  return removed != removedQueues_.end() ? &removed->second : nullptr;
+  const auto removed = removedQueues_.find(aJob.queueAddress_);
+  return removed != removedQueues_.end() ? &removed->second
+                                         : FindQueue(aJob.queue_);
 }
 
 const v1::QueueSpec* JobStore::FindQueueFor(std::string_view aHost,
@@ -171,6 +223,34 @@
   return it != jobs_.end() ? it->second.get() : nullptr;
 }
 
+Job* JobStore::FindJobIn(const v1::QueueSpec& aQueue,
+                         std::string_view aPath) const
+{
+  if (!aPath.starts_with(aQueue.path_prefix())) {
+    return nullptr;
+  }
+  Job* job = FindJob(std::string(aPath.substr(aQueue.path_prefix().size())));
+  return job != nullptr && job->queueAddress_ == AddressOf(aQueue) ? job
+                                                                   : nullptr;
+}
+
+Job* JobStore::FindJobAt(std::string_view aHost, std::string_view aPath) const
+{
+  const v1::QueueSpec* present = FindQueueFor(aHost, aPath);
+  Job* job = present != nullptr ? FindJobIn(*present, aPath) : nullptr;
+  const auto [first, last] = queuesByHost_.equal_range(aHost);
+  for (auto it = first; it != last && job == nullptr; ++it) {
+    job = FindJobIn(*it->second, aPath);
+  }
+  const std::string host(aHost);
+  for (auto it = removedQueues_.lower_bound({ .host_ = host });
+       it != removedQueues_.end() && it->first.host_ == host && job == nullptr;
+       ++it) {
+    job = FindJobIn(it->second, aPath);
+  }
+  return job;
+}
+
 std::vector<const Job*> JobStore::FinishedJobs() const
 {
   const auto runsNothing = [](const Job& aJob) {
@@ -205,7 +285,7 @@
   return aJob.started_ ? v1::JOB_RUNNING : v1::JOB_QUEUED;
 }
 
-uint64_t JobStore::CountWaitingJobs(std::string_view aQueue) const
+uint64_t JobStore::CountWaitingJobs(const QueueAddress& aQueue) const
 {
   const auto it = waitingByQueue_.find(aQueue);
   return it != waitingByQueue_.end() ? it->second : 0;
@@ -240,22 +320,25 @@
   Job& job = *it->second;
   job.id_ = aJob.id();
   job.queue_ = aJob.queue();
+  job.queueAddress_ = AddressOfQueue(aJob);
   job.service_ = aJob.service();
   job.spec_ = aJob.spec();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
-  if (TakeCancelledEarly({ .queue_ = job.queue_, .id_ = job.id_ })) {
+  if (TakeCancelledEarly(
+        { .host_ = job.queueAddress_.host_,
+          .path_ = job.queueAddress_.pathPrefix_ + job.id_ })) {
     job.cancelled_ = true;
     return;
   }
   openJobs_.emplace(job.acceptanceIndex_, &job);
-  ++waitingByQueue_[job.queue_];
+  ++waitingByQueue_[job.queueAddress_];
 }
 
 void JobStore::CloseJob(Job& aJob)
 {
   openJobs_.erase(aJob.acceptanceIndex_);
   if (!aJob.started_) {
-    --waitingByQueue_[aJob.queue_];
+    --waitingByQueue_[aJob.queueAddress_];
   }
 }
 
@@ -263,26 +346,32 @@
 {
   if (!aJob.started_ && aJob.IsOpen()) {
     aJob.started_ = true;
-    --waitingByQueue_[aJob.queue_];
+    --waitingByQueue_[aJob.queueAddress_];
   }
 }
 
 void JobStore::CancelJob(const v1::CancelJob& aJob)
 {
+  const bool hasAddress = !aJob.path().empty() || !aJob.queue().empty();
   Job* job = FindJob(aJob.id());
-  if (job == nullptr && !aJob.queue().empty()) {
-    RecordCancelledEarly({ .queue_ = aJob.queue(), .id_ = aJob.id() });
+  if (hasAddress) {
+    JobAddress address = AddressOfJob(aJob);
+    const bool isThere =
+      job != nullptr && job->queueAddress_.host_ == address.host_ &&
+      job->queueAddress_.pathPrefix_ + job->id_ == address.path_;
+    job = isThere ? job : FindJobAt(address.host_, address.path_);
+    if (job == nullptr) {
+      RecordCancelledEarly(std::move(address));
+    }
   }
-  const bool isOfQueue =
-    job != nullptr && (aJob.queue().empty() || aJob.queue() == job->queue_);
-  if (isOfQueue && job->IsOpen()) {
+  if (job != nullptr && job->IsOpen()) {
     CloseJob(*job);
     ++interruptedJobCount_;
     job->cancelled_ = true;
   }
 }
 
-void JobStore::RecordCancelledEarly(QueuedId aJob)
+void JobStore::RecordCancelledEarly(JobAddress aJob)
 {
   if (cancelledEarlySet_.insert(aJob).second) {
     cancelledEarly_.push_back(std::move(aJob));
@@ -293,7 +382,7 @@
   }
 }
 
-bool JobStore::TakeCancelledEarly(const QueuedId& aJob)
+bool JobStore::TakeCancelledEarly(const JobAddress& aJob)
 {
   if (cancelledEarlySet_.erase(aJob) == 0) {
     return false;
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -18,6 +18,8 @@
 {
   aState.mutable_accepted()->set_id(aJob.id_);
   aState.mutable_accepted()->set_queue(aJob.queue_);
+  aState.mutable_accepted()->set_host(aJob.queueAddress_.host_);
+  aState.mutable_accepted()->set_path_prefix(aJob.queueAddress_.pathPrefix_);
   aState.mutable_accepted()->set_service(aJob.service_);
   *aState.mutable_accepted()->mutable_spec() = aJob.spec_;
   aState.set_cancelled(aJob.cancelled_);
@@ -51,7 +53,7 @@
 {
   v1::JobStoreSnapshot snapshot;
   *snapshot.mutable_config() = config_;
-  for (const auto& [name, queue] : removedQueues_) {
+  for (const auto& [address, queue] : removedQueues_) {
     *snapshot.add_removed_queues() = queue;
   }
   std::vector<const Job*> jobs;
@@ -83,10 +85,10 @@
   for (const InstanceKey& key : departed_) {
     *snapshot.add_departed() = ToMessage(key);
   }
-  for (const QueuedId& job : cancelledEarly_) {
+  for (const JobAddress& job : cancelledEarly_) {
     v1::CancelJob& cancelled = *snapshot.add_cancelled_early();
-    cancelled.set_queue(job.queue_);
-    cancelled.set_id(job.id_);
+    cancelled.set_host(job.host_);
+    cancelled.set_path(job.path_);
   }
   return snapshot.SerializeAsString();
 }
@@ -165,8 +167,9 @@
   }
   JobStore fresh;
   fresh.config_ = snapshot.config();
+  fresh.IndexQueues();
   for (const v1::QueueSpec& queue : snapshot.removed_queues()) {
-    fresh.removedQueues_.insert_or_assign(queue.name(), queue);
+    fresh.removedQueues_.insert_or_assign(AddressOf(queue), queue);
   }
   for (const v1::InstanceRecord& record : snapshot.instances()) {
     fresh.PutInstance(record);
@@ -186,7 +189,7 @@
   }
   fresh.RestoreFormerLeases(snapshot);
   for (const v1::CancelJob& job : snapshot.cancelled_early()) {
-    fresh.RecordCancelledEarly({ .queue_ = job.queue(), .id_ = job.id() });
+    fresh.RecordCancelledEarly(fresh.AddressOfJob(job));
   }
   fresh.instanceChangeCount_ = instanceChangeCount_ + 1;
   fresh.changedInstances_.clear(); // the changed instances are unknown
--- a/src/core/jobs/task_run_time_estimator.cpp
+++ b/src/core/jobs/task_run_time_estimator.cpp
@@ -17,13 +17,13 @@
 
 } // namespace
 
-std::string TaskRunTimeEstimator::KeyOf(const std::string& aQueue,
+std::string TaskRunTimeEstimator::KeyOf(const QueueAddress& aQueue,
                                         const v1::StepSpec& aStep)
 {
-  return aQueue + '\n' + aStep.image();
+  return aQueue.host_ + aQueue.pathPrefix_ + '\n' + aStep.image();
 }
 
-void TaskRunTimeEstimator::Record(const std::string& aQueue,
+void TaskRunTimeEstimator::Record(const QueueAddress& aQueue,
                                   const v1::StepSpec& aStep,
                                   Millis aMeasured)
 {
@@ -38,7 +38,7 @@
   estimate.ratio_ += weight * (ratio - estimate.ratio_);
 }
 
-Millis TaskRunTimeEstimator::EstimateRun(const std::string& aQueue,
+Millis TaskRunTimeEstimator::EstimateRun(const QueueAddress& aQueue,
                                          const v1::StepSpec& aStep) const
 {
   const auto it = estimates_.find(KeyOf(aQueue, aStep));
@@ -60,7 +60,7 @@
 }
 
 CriticalPath TaskRunTimeEstimator::RemainingPath(
-  const std::string& aQueue,
+  const QueueAddress& aQueue,
   const v1::JobSpec& aJob,
   const std::vector<bool>& aDone) const
 {
--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -10,6 +10,7 @@
 constexpr size_t kMaxJobs = 60000;
 constexpr uint32_t kRetryAfterFullMs = 2000;
 constexpr uint32_t kRetryAfterUnavailableMs = 1000;
+constexpr const char* kIdOfAnotherQueue = "another queue has a job of this id";
 
 struct ResolvedPlace
 {
@@ -28,12 +29,6 @@
            .id_ = aPlace.path().substr(queue->path_prefix().size()) };
 }
 
-Job* FindJobAt(const JobStore& aStore, const ResolvedPlace& aPlace)
-{
-  Job* job = aStore.FindJob(aPlace.id_);
-  return job != nullptr && job->queue_ == aPlace.queue_->name() ? job : nullptr;
-}
-
 void SetStatus(v1::JobReply& aReply,
                v1::JobCallStatus aStatus,
                std::string aDetail)
@@ -54,10 +49,10 @@
   if (place.id_.empty()) {
     aReply.set_status(v1::JOB_CALL_OK);
     aReply.set_is_count(true);
-    aReply.set_waiting(aStore.CountWaitingJobs(place.queue_->name()));
+    aReply.set_waiting(aStore.CountWaitingJobs(AddressOf(*place.queue_)));
     return;
   }
-  const Job* job = FindJobAt(aStore, place);
+  const Job* job = aStore.FindJobAt(aJobPlace.host(), aJobPlace.path());
   if (job == nullptr) {
     SetStatus(aReply, v1::JOB_CALL_NO_JOB, "no such job");
     return;
@@ -135,7 +130,6 @@
 {
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
   v1::JobChanges changes;
-  bool isSameJob = false;
   store_.With([&](const JobStore& aStore) {
     const ResolvedPlace place = ResolvePlace(aStore, aRequest->place());
     if (place.queue_ == nullptr) {
@@ -145,11 +139,13 @@
       SetStatus(*aReply, v1::JOB_CALL_INVALID, "the path names no job");
       return;
     }
+    const v1::JobPlace& requested = aRequest->place();
+    if (aStore.FindJobAt(requested.host(), requested.path()) != nullptr) {
+      aReply->set_status(v1::JOB_CALL_OK);
+      return;
+    }
     if (aStore.FindJob(place.id_) != nullptr) {
-      isSameJob = FindJobAt(aStore, place) != nullptr;
-      SetStatus(*aReply,
-                isSameJob ? v1::JOB_CALL_OK : v1::JOB_CALL_INVALID,
-                isSameJob ? "" : "another queue has a job of this id");
+      SetStatus(*aReply, v1::JOB_CALL_INVALID, kIdOfAnotherQueue);
       return;
     }
     if (aStore.JobCount() >= kMaxJobs) {
@@ -160,6 +156,8 @@
     v1::AcceptJob& job = *changes.add_changes()->mutable_accept_job();
     job.set_id(place.id_);
     job.set_queue(place.queue_->name());
+    job.set_host(place.queue_->host());
+    job.set_path_prefix(place.queue_->path_prefix());
     job.set_service(place.queue_->service());
     *job.mutable_spec() = aRequest->spec();
   });
@@ -168,12 +166,11 @@
     return reactor;
   }
   const bool isNew = changes.changes_size() > 0;
-  const std::string id = isNew ? changes.changes(0).accept_job().id() : "";
   Commit(changes,
          reactor,
          aReply,
-         [this, isNew, id, place = aRequest->place()](const JobStore& aStore,
-                                                      v1::JobReply& aOut) {
+         [this, isNew, place = aRequest->place()](const JobStore& aStore,
+                                                  v1::JobReply& aOut) {
            if (!isNew) {
              FillState(aStore, place, aOut);
              const bool isStored =
@@ -183,11 +180,16 @@
              }
              return;
            }
+           const Job* job = aStore.FindJobAt(place.host(), place.path());
+           if (job == nullptr) {
+             SetStatus(aOut, v1::JOB_CALL_INVALID, kIdOfAnotherQueue);
+             return;
+           }
            aOut.set_status(v1::JOB_CALL_OK);
            metrics_.Count("vh_jobs_accepted_total");
            LogInfo(Event::kJobAccepted,
-                   { { "job", id },
-                     { "queue", aStore.FindJob(id)->queue_ },
+                   { { "job", job->id_ },
+                     { "queue", job->queue_ },
                      { "config", aStore.Config().version() } });
            onJobsChanged_();
          });
@@ -232,6 +234,8 @@
       v1::CancelJob& cancel = *changes.add_changes()->mutable_cancel_job();
       cancel.set_id(place.id_);
       cancel.set_queue(place.queue_->name());
+      cancel.set_host(aRequest->place().host());
+      cancel.set_path(aRequest->place().path());
     }
   });
   const bool isProposed = changes.changes_size() > 0;
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -45,6 +45,11 @@
   SimulatedFleet fleet_;
 };
 
+uint64_t CountWaiting(const JobStore& aStore)
+{
+  return aStore.CountWaitingJobs(aStore.AddressOfQueue("drafts"));
+}
+
 v1::TaskName FirstTask(const Job& aJob)
 {
   v1::TaskName task;
@@ -810,20 +815,20 @@
   fleet_.RunUntil([] { return false; }, Seconds(3));
   BOOST_TEST(
     JobStore::TaskAt({ .job_ = fleet_.Store().FindJob("refused") }).run_ > 1U);
-  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(fleet_.Store()) == 1U);
   BOOST_TEST(fleet_.Store().PhaseOf(refused) == v1::JOB_QUEUED);
   fleet_.StartLeader(2);
   fleet_.RunUntil([] { return false; }, Seconds(1));
-  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(fleet_.Store()) == 1U);
 
   instance.refusesStarts_ = false;
   instance.delaysStarts_ = true;
   fleet_.RunUntil([] { return false; }, Seconds(1));
-  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(fleet_.Store()) == 1U);
   instance.delaysStarts_ = false;
   BOOST_TEST(
     fleet_.RunUntil([&] { return IsCompleted(refused); }, Seconds(10)));
-  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 0U);
+  BOOST_TEST(CountWaiting(fleet_.Store()) == 0U);
 }
 
 // A run that goes on for long must not leave its job among the waiting ones.
@@ -835,7 +840,7 @@
   BOOST_TEST(fleet_.RunUntil(
     [&] { return fleet_.Store().PhaseOf(job) == v1::JOB_RUNNING; },
     Seconds(1)));
-  BOOST_TEST(fleet_.Store().CountWaitingJobs("drafts") == 0U);
+  BOOST_TEST(CountWaiting(fleet_.Store()) == 0U);
 }
 
 // A start whose reply was lost is recognized by the listing.
--- a/test/job_service_test.cpp
+++ b/test/job_service_test.cpp
@@ -87,7 +87,8 @@
   }
 
   // Proposes a configuration with the queues "/1/", "/2/", ... up to `aCount`.
-  void ProposeQueues(int aCount)
+  // The name of each is its number, after `aNamePrefix`.
+  void ProposeQueues(int aCount, const std::string& aNamePrefix = {})
   {
     v1::JobChanges changes;
     v1::FleetDocument& config = *changes.add_changes()->mutable_put_config();
@@ -95,7 +96,7 @@
     config.add_services()->set_name(kService);
     for (int i = 1; i <= aCount; ++i) {
       v1::QueueSpec& queue = *config.add_queues();
-      queue.set_name(std::to_string(i));
+      queue.set_name(aNamePrefix + std::to_string(i));
       queue.set_host(kHost);
       queue.set_path_prefix("/" + std::to_string(i) + "/");
       queue.set_service(kService);
@@ -252,3 +253,21 @@
     queue, [&] { return Cancel(queue, "a"); }, v1::JOB_CALL_NO_JOB);
   BOOST_TEST(reply.status() == v1::JOB_CALL_REFUSED);
 }
+
+// Failure: after its queue had got another name, a job was answered as unknown,
+// was not counted, and could not be cancelled.
+BOOST_FIXTURE_TEST_CASE(JobOfARenamedQueueIsAnsweredAsUnknown,
+                        JobServiceFixture)
+{
+  ProposeQueues(1);
+  BOOST_TEST(Show(1, "a").status() == v1::JOB_CALL_NO_JOB);
+  BOOST_TEST(Submit(1, "a").status() == v1::JOB_CALL_OK);
+  ProposeQueues(2, "renamed-");
+  BOOST_TEST(Show(2, "a").status() == v1::JOB_CALL_NO_JOB);
+  BOOST_TEST(Show(1, "a").status() == v1::JOB_CALL_OK);
+  BOOST_TEST(Show(1, "").waiting() == 1U);
+  BOOST_TEST(Submit(1, "a").status() == v1::JOB_CALL_OK);
+  BOOST_TEST(Submit(2, "a").status() == v1::JOB_CALL_INVALID);
+  BOOST_TEST(Cancel(1, "a").status() == v1::JOB_CALL_OK);
+  BOOST_TEST(Show(1, "a").phase() == v1::JOB_CANCELLED);
+}
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -73,6 +73,11 @@
   return change;
 }
 
+uint64_t CountWaiting(const JobStore& aStore)
+{
+  return aStore.CountWaitingJobs(aStore.AddressOfQueue("drafts"));
+}
+
 // Starts the first task of the job and lets it fail.
 std::vector<v1::JobChange> FailedRun(const std::string& aJob, uint32_t aRun)
 {
@@ -95,7 +100,7 @@
   JobStore store;
   Apply(store, { Accept("j", 1), Accept("j", 1) });
   BOOST_TEST(store.JobCount() == 1U);
-  BOOST_TEST(store.CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(store) == 1U);
 }
 
 BOOST_AUTO_TEST_CASE(JobIsCompletedWhenItsLastTaskIsDone)
@@ -279,7 +284,7 @@
   BOOST_REQUIRE(restored.Restore(store.Snapshot()));
   BOOST_TEST(restored.Snapshot() == store.Snapshot());
   BOOST_TEST(restored.OpenJobs().size() == 2U);
-  BOOST_TEST(restored.CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(restored) == 1U);
   BOOST_TEST(restored.PhaseOf(*restored.FindJob("done")) == v1::JOB_COMPLETED);
   BOOST_TEST(restored.Instances().begin()->second->assigned_.size() == 1U);
 }
@@ -290,20 +295,20 @@
 {
   JobStore store;
   Apply(store, { Accept("j", 1), PutInstance("a", 1), Start("j", 0, 1, "a") });
-  BOOST_TEST(store.CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(store) == 1U);
   Apply(store, { End("j", 0, 1, "a", v1::RUN_STOPPED), Start("j", 0, 2, "a") });
-  BOOST_TEST(store.CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(store) == 1U);
   BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_QUEUED);
 
   JobStore restored;
   BOOST_REQUIRE(restored.Restore(store.Snapshot()));
-  BOOST_TEST(restored.CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(restored) == 1U);
   BOOST_TEST(restored.PhaseOf(*restored.FindJob("j")) == v1::JOB_QUEUED);
 
   v1::JobChange started;
   started.mutable_job_started()->set_id("j");
   Apply(restored, { started, started });
-  BOOST_TEST(restored.CountWaitingJobs("drafts") == 0U);
+  BOOST_TEST(CountWaiting(restored) == 0U);
   BOOST_TEST(restored.PhaseOf(*restored.FindJob("j")) == v1::JOB_RUNNING);
   BOOST_REQUIRE(store.Restore(restored.Snapshot()));
   BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
@@ -319,7 +324,7 @@
     end.mutable_run_end()->set_end_number(1);
     Apply(store,
           { Accept("j", 2), PutInstance("a", 1), Start("j", 0, 1, "a"), end });
-    BOOST_TEST(store.CountWaitingJobs("drafts") == 0U);
+    BOOST_TEST(CountWaiting(store) == 0U);
     BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
   }
 }
@@ -337,7 +342,7 @@
           Start("j", 0, 1, "a"),
           cancel,
           End("j", 0, 1, "a", v1::RUN_DONE) });
-  BOOST_TEST(store.CountWaitingJobs("drafts") == 1U);
+  BOOST_TEST(CountWaiting(store) == 1U);
 }
 
 // Guards against a job that runs although its cancelling was acknowledged: the
@@ -357,14 +362,14 @@
   Apply(restored, { Accept("j", 1), Start("j", 0, 1, "a") });
   BOOST_TEST(restored.PhaseOf(*restored.FindJob("j")) == v1::JOB_CANCELLED);
   BOOST_TEST(restored.OpenJobs().empty());
-  BOOST_TEST(restored.CountWaitingJobs("drafts") == 0U);
+  BOOST_TEST(CountWaiting(restored) == 0U);
   BOOST_TEST(restored.Instances().begin()->second->assigned_.empty());
   BOOST_TEST(restored.FinishedJobs().size() == 1U);
 
   JobStore again;
   BOOST_REQUIRE(again.Restore(restored.Snapshot()));
   BOOST_TEST(again.PhaseOf(*again.FindJob("j")) == v1::JOB_CANCELLED);
-  BOOST_TEST(again.CountWaitingJobs("drafts") == 0U);
+  BOOST_TEST(CountWaiting(again) == 0U);
 }
 
 // Another queue may have a job of the same id.
@@ -447,16 +452,218 @@
   BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_RUNNING);
 }
 
-BOOST_AUTO_TEST_CASE(RemovedQueuesWithoutOpenJobsAreForgotten)
+BOOST_AUTO_TEST_CASE(RemovedQueuesWithoutJobsAreForgotten)
 {
   JobStore store;
   for (uint64_t version = 1; version <= 100; ++version) {
     v1::JobChange change = Configure(version, 2);
-    change.mutable_put_config()->mutable_queues(0)->set_name(
-      std::to_string(version));
+    v1::QueueSpec& queue = *change.mutable_put_config()->mutable_queues(0);
+    queue.set_name(std::to_string(version));
+    queue.set_path_prefix("/" + std::to_string(version) + "/");
     Apply(store, { change });
   }
   v1::JobStoreSnapshot snapshot;
   BOOST_REQUIRE(snapshot.ParseFromString(store.Snapshot()));
   BOOST_TEST(snapshot.removed_queues_size() == 1);
 }
+
+namespace {
+
+struct Route
+{
+  std::string name_;
+  std::string pathPrefix_;
+  uint32_t maxAttempts_ = 3;
+  std::string service_ = "layout";
+};
+
+v1::JobChange ConfigureRoutes(uint64_t aVersion,
+                              const std::vector<Route>& aRoutes)
+{
+  v1::JobChange change;
+  v1::FleetDocument& config = *change.mutable_put_config();
+  config.set_version(aVersion);
+  for (const Route& route : aRoutes) {
+    v1::QueueSpec& queue = *config.add_queues();
+    queue.set_name(route.name_);
+    queue.set_host("h");
+    queue.set_path_prefix(route.pathPrefix_);
+    queue.set_service(route.service_);
+    queue.set_max_attempts(route.maxAttempts_);
+  }
+  return change;
+}
+
+v1::JobChange AcceptAt(const std::string& aPathPrefix, const std::string& aId)
+{
+  v1::JobChange change = Accept(aId, 1);
+  change.mutable_accept_job()->set_queue("first");
+  change.mutable_accept_job()->set_host("h");
+  change.mutable_accept_job()->set_path_prefix(aPathPrefix);
+  return change;
+}
+
+v1::JobChange CancelAt(const std::string& aPathPrefix, const std::string& aId)
+{
+  v1::JobChange change;
+  v1::CancelJob& cancel = *change.mutable_cancel_job();
+  cancel.set_id(aId);
+  cancel.set_host("h");
+  cancel.set_path(aPathPrefix + aId);
+  return change;
+}
+
+// As releases wrote it that recorded only the names of queues.
+v1::JobChange AcceptByName(const std::string& aQueue, const std::string& aId)
+{
+  v1::JobChange change = Accept(aId, 1);
+  change.mutable_accept_job()->set_queue(aQueue);
+  return change;
+}
+
+void RemoveAddresses(v1::JobStoreSnapshot& aSnapshot)
+{
+  for (v1::JobState& job : *aSnapshot.mutable_jobs()) {
+    job.mutable_accepted()->clear_host();
+    job.mutable_accepted()->clear_path_prefix();
+  }
+}
+
+uint64_t CountWaitingAt(const JobStore& aStore, const std::string& aPathPrefix)
+{
+  return aStore.CountWaitingJobs({ .host_ = "h", .pathPrefix_ = aPathPrefix });
+}
+
+const std::vector<Route> kTwoRoutes = {
+  { "first", "/a/", 4, "layout" },
+  { "second", "/b/", 2, "meter" },
+};
+const std::vector<Route> kExchangedNames = {
+  { "second", "/a/", 4, "layout" },
+  { "first", "/b/", 2, "meter" },
+};
+
+} // namespace
+
+// Failure: a job was not found, not counted and not cancelled after its queue
+// had got another name.
+BOOST_AUTO_TEST_CASE(JobOfARenamedQueueIsLost)
+{
+  JobStore store;
+  Apply(store,
+        { ConfigureRoutes(1, { { "first", "/a/" } }),
+          AcceptAt("/a/", "j"),
+          ConfigureRoutes(2, { { "renamed", "/a/", 7, "meter" } }) });
+  for (int restores = 0; restores < 2; ++restores) {
+    const Job* job = store.FindJobAt("h", "/a/j");
+    BOOST_REQUIRE(job != nullptr);
+    BOOST_TEST(store.PhaseOf(*job) == v1::JOB_QUEUED);
+    BOOST_TEST(CountWaitingAt(store, "/a/") == 1U);
+    BOOST_TEST(store.MaxAttempts(*job) == 7U);
+    BOOST_TEST(store.ServiceOf(*job) == "meter");
+    BOOST_REQUIRE(store.Restore(store.Snapshot()));
+  }
+  Apply(store, { CancelAt("/a/", "j") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_CANCELLED);
+  BOOST_TEST(CountWaitingAt(store, "/a/") == 0U);
+}
+
+// Failure: a caller was shown, and cancelled, the job of another one after two
+// queues had exchanged their names.
+BOOST_AUTO_TEST_CASE(JobIsReachedAtAQueueThatGotTheNameOfItsOwn)
+{
+  JobStore store;
+  Apply(store,
+        { ConfigureRoutes(1, kTwoRoutes),
+          AcceptAt("/a/", "j"),
+          ConfigureRoutes(2, kExchangedNames),
+          CancelAt("/b/", "j") });
+  BOOST_TEST(store.FindJobAt("h", "/b/j") == nullptr);
+  const Job* job = store.FindJobAt("h", "/a/j");
+  BOOST_REQUIRE(job != nullptr);
+  BOOST_TEST(store.PhaseOf(*job) == v1::JOB_QUEUED);
+  BOOST_TEST(store.MaxAttempts(*job) == 4U);
+  BOOST_TEST(store.ServiceOf(*job) == "layout");
+  BOOST_TEST(CountWaitingAt(store, "/a/") == 1U);
+  BOOST_TEST(CountWaitingAt(store, "/b/") == 0U);
+}
+
+// Failure: a queue that was removed gave its jobs to the one with its name.
+BOOST_AUTO_TEST_CASE(JobOfARemovedQueueRunsOnTheServiceOfItsNamesake)
+{
+  JobStore store;
+  Apply(store,
+        { ConfigureRoutes(1, kTwoRoutes),
+          AcceptAt("/a/", "j"),
+          ConfigureRoutes(2, { { "first", "/b/", 2, "meter" } }) });
+  BOOST_TEST(store.ServiceOf(*store.FindJob("j")) == "layout");
+  BOOST_TEST(store.MaxAttempts(*store.FindJob("j")) == 4U);
+}
+
+// Failure: a submission that its cancellation had overtaken ran after its queue
+// had got another name.
+BOOST_AUTO_TEST_CASE(CancellationIsForgottenWhenTheQueueIsRenamed)
+{
+  JobStore store;
+  Apply(store,
+        { ConfigureRoutes(1, { { "first", "/a/" } }),
+          CancelAt("/a/", "j"),
+          ConfigureRoutes(2, { { "renamed", "/a/" } }) });
+  BOOST_REQUIRE(store.Restore(store.Snapshot()));
+  Apply(store, { AcceptAt("/a/", "j") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_CANCELLED);
+}
+
+// Failure: a job was not found where it had been submitted after a queue with a
+// longer prefix of its path had been added, or removed.
+BOOST_AUTO_TEST_CASE(JobIsLostWhenAQueueWithALongerPrefixAppears)
+{
+  const std::vector<Route> shortOnly = { { "first", "/a/" } };
+  const std::vector<Route> both = { { "first", "/a/" }, { "long", "/a/b" } };
+  JobStore store;
+  Apply(store,
+        { ConfigureRoutes(1, shortOnly),
+          AcceptAt("/a/", "b1"),
+          ConfigureRoutes(2, both),
+          AcceptAt("/a/b", "2") });
+  BOOST_TEST(store.FindJobAt("h", "/a/b1") == store.FindJob("b1"));
+  // The same submission, resolved by either configuration.
+  Apply(store, { AcceptAt("/a/b", "1"), ConfigureRoutes(3, shortOnly) });
+  BOOST_TEST(store.FindJob("1") == nullptr);
+  BOOST_TEST(store.FindJobAt("h", "/a/b2") == store.FindJob("2"));
+  Apply(store, { CancelAt("/a/b", "2") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("2")) == v1::JOB_CANCELLED);
+  BOOST_REQUIRE(store.Restore(store.Snapshot()));
+  Apply(store, { ConfigureRoutes(4, shortOnly) });
+  BOOST_TEST(store.FindJobAt("h", "/a/b2") == store.FindJob("2"));
+}
+
+// Failure: the same for jobs, cancellations and snapshots of a release that
+// recorded names only.
+BOOST_AUTO_TEST_CASE(JobRecordedByTheNameOfItsQueueIsLost)
+{
+  JobStore store;
+  v1::JobChange cancelEarly;
+  cancelEarly.mutable_cancel_job()->set_id("early");
+  cancelEarly.mutable_cancel_job()->set_queue("first");
+  Apply(store,
+        { ConfigureRoutes(1, kTwoRoutes),
+          AcceptByName("first", "j"),
+          cancelEarly,
+          ConfigureRoutes(2, kExchangedNames),
+          AcceptAt("/a/", "early") });
+  BOOST_TEST(store.FindJobAt("h", "/a/j") == store.FindJob("j"));
+  BOOST_TEST(store.FindJobAt("h", "/b/j") == nullptr);
+  BOOST_TEST(store.PhaseOf(*store.FindJob("early")) == v1::JOB_CANCELLED);
+
+  JobStore former;
+  Apply(former, { ConfigureRoutes(1, kTwoRoutes), AcceptByName("first", "j") });
+  v1::JobStoreSnapshot snapshot;
+  BOOST_REQUIRE(snapshot.ParseFromString(former.Snapshot()));
+  RemoveAddresses(snapshot);
+  JobStore restored;
+  BOOST_REQUIRE(restored.Restore(snapshot.SerializeAsString()));
+  Apply(restored, { ConfigureRoutes(2, kExchangedNames) });
+  BOOST_TEST(restored.FindJobAt("h", "/a/j") == restored.FindJob("j"));
+  BOOST_TEST(restored.ServiceOf(*restored.FindJob("j")) == "layout");
+}
--- a/test/slow_leader_fixture.h
+++ b/test/slow_leader_fixture.h
@@ -30,7 +30,8 @@
 
   Millis EstimatedRunTime()
   {
-    return fleet_.Scheduler().RunTimes().EstimateRun("drafts", DraftsStep(1));
+    return fleet_.Scheduler().RunTimes().EstimateRun(
+      { .pathPrefix_ = "drafts" }, DraftsStep(1));
   }
 
   bool IsCompleted(const Job& aJob)
