--- a/test/job_service_test.cpp
+++ b/test/job_service_test.cpp
@@ -7,6 +7,7 @@
 #include <boost/test/unit_test.hpp>
 #include <filesystem>
 #include <future>
+#include <set>
 #include <thread>
 
 using namespace vanillahatch;
@@ -271,3 +272,24 @@
   BOOST_TEST(Cancel(1, "a").status() == v1::JOB_CALL_OK);
   BOOST_TEST(Show(1, "a").phase() == v1::JOB_CANCELLED);
 }
+
+// Failure: the submission that came second was answered as accepted, though the
+// job is in the other queue only.
+BOOST_FIXTURE_TEST_CASE(SubmissionsOfOneIdToTwoQueuesAreBothAccepted,
+                        JobServiceFixture)
+{
+  ProposeQueues(2);
+  BOOST_TEST(Show(1, "a").status() == v1::JOB_CALL_NO_JOB);
+  HeldReplica held(Replica());
+  auto first =
+    std::async(std::launch::async, [this] { return Submit(1, "a"); });
+  auto second =
+    std::async(std::launch::async, [this] { return Submit(2, "a"); });
+  std::this_thread::sleep_for(kTimeForFirstLook);
+  held.Release();
+  const std::set<v1::JobCallStatus> statuses = { first.get().status(),
+                                                 second.get().status() };
+  const std::set<v1::JobCallStatus> expected = { v1::JOB_CALL_OK,
+                                                 v1::JOB_CALL_INVALID };
+  BOOST_TEST((statuses == expected));
+}
