--- a/scripts/compatibility.py
+++ b/scripts/compatibility.py
@@ -275,9 +275,6 @@
     old, new = (os.path.abspath(folder) for folder in sys.argv[1:])
     platform_test.PlainNode = platform_test.Node
     platform_test.Runner = RecordedRunner
-    # Without a retention time finished jobs are removed within seconds.
-    platform_test.SETTINGS = platform_test.SETTINGS.replace(
-        "[bounds]\n", "[bounds]\nstatus_s = 120\n")
     cases = (("stored data of control and ledger", check_stored_data),
              ("stored data of the schedulers", check_platform_data),
              ("mixed deployment", check_mixed_deployment),
