--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -353,6 +353,8 @@
   void MeasureServiceCapacities(Millis aNow);
   // True if the service of the instance goes on without it.
   bool CanSpare(Millis aNow, const InstanceView& aView);
+  // True if another machine was requested in vain, before or after the
+  // evacuation of the instance began.
   static bool IsReplacementOverdue(Millis aNow, const InstanceView& aView);
   bool HasOtherOperation(const InstanceView& aView) const;
   // Lets the pools be balanced as if the instance were out of service.
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -143,6 +143,8 @@
   bool IsOpen() const { return !cancelled_ && !failed_ && !IsCompleted(); }
 };
 
+JobAddress AddressOf(const Job& aJob);
+
 struct Instance
 {
   v1::InstanceRecord record_;
--- a/include/vanillahatch/core/jobs/service_capacity.h
+++ b/include/vanillahatch/core/jobs/service_capacity.h
@@ -10,9 +10,11 @@
 // All other work ends by itself and is not counted.
 //
 //   ServiceCapacity capacity;
-//   for (InstanceView* view : viewsOfTheService) { capacity.Add(*view, ...); }
-//   if (capacity.HasOtherHost(view) && capacity.IsWithinBudgets(view, ...)) {
-//     capacity.Displace(view);
+//   capacity.AddHost(first);
+//   capacity.AddHost(second);
+//   if (capacity.HasOtherHost(first) &&
+//       capacity.IsWithinBudgets(first, UnbudgetedSteps::kOneTaskMayWait)) {
+//     capacity.Displace(first); // It can be evacuated.
 //   }
 #pragma once
 
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -26,6 +26,12 @@
   return { .host_ = aQueue.host(), .pathPrefix_ = aQueue.path_prefix() };
 }
 
+JobAddress AddressOf(const Job& aJob)
+{
+  return { .host_ = aJob.queueAddress_.host_,
+           .path_ = aJob.queueAddress_.pathPrefix_ + aJob.id_ };
+}
+
 InstanceKey ToKey(const v1::InstanceKey& aKey)
 {
   return { .id_ = aKey.id(), .startedUnixMs_ = aKey.born_unix_ms() };
@@ -324,9 +330,7 @@
   job.service_ = aJob.service();
   job.spec_ = aJob.spec();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
-  if (TakeCancelledEarly(
-        { .host_ = job.queueAddress_.host_,
-          .path_ = job.queueAddress_.pathPrefix_ + job.id_ })) {
+  if (TakeCancelledEarly(AddressOf(job))) {
     job.cancelled_ = true;
     return;
   }
@@ -356,9 +360,7 @@
   Job* job = FindJob(aJob.id());
   if (hasAddress) {
     JobAddress address = AddressOfJob(aJob);
-    const bool isThere =
-      job != nullptr && job->queueAddress_.host_ == address.host_ &&
-      job->queueAddress_.pathPrefix_ + job->id_ == address.path_;
+    const bool isThere = job != nullptr && AddressOf(*job) == address;
     job = isThere ? job : FindJobAt(address.host_, address.path_);
     if (job == nullptr) {
       RecordCancelledEarly(std::move(address));
