The queue of a job is resolved once per configuration, not at each use

Since jobs are held by the address of their queue, each look-up of a queue compared the prefixes of all queues of its host, and each estimate of a run time built a longer key. The leader does both for every waiting step in every round.

The store resolves the queues of its jobs when the configuration changes, and estimates are found without building a key. The steps of a service are compared with the limit per instance only if they have one.

--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -126,6 +126,9 @@
   std::string id_;
   std::string queue_; // name of the queue at acceptance
   QueueAddress queueAddress_;
+  // The queue as it was last configured, also if it has been removed. Owned by
+  // the store; null if the queue is not known.
+  const v1::QueueSpec* queueSpec_ = nullptr;
   std::string service_; // used if the queue is not known
   v1::JobSpec spec_;
   uint64_t acceptanceIndex_ = 0; // position in the sequence of acceptance
@@ -180,7 +183,10 @@
   QueueAddress AddressOfQueue(const std::string& aName) const;
   // The job's queue as it was last configured, also if it has been removed.
   // Null if it is not known.
-  const v1::QueueSpec* QueueOf(const Job& aJob) const;
+  static const v1::QueueSpec* QueueOf(const Job& aJob)
+  {
+    return aJob.queueSpec_;
+  }
   // The queue on `aHost` with the longest prefix of `aPath`; null if none.
   const v1::QueueSpec* FindQueueFor(std::string_view aHost,
                                     std::string_view aPath) const;
@@ -252,9 +258,11 @@
   // is in.
   void UpdateRemovedQueues(const v1::FleetDocument& aNext);
   void IndexQueues();
+  // Finds the queue of each job. Has to follow each change of the queues.
+  void ResolveQueuesOfJobs();
+  const v1::QueueSpec* FindQueueOf(const Job& aJob) const;
   void AcceptJob(const v1::AcceptJob& aJob);
   Job* FindJobIn(const v1::QueueSpec& aQueue, std::string_view aPath) const;
-  const v1::QueueSpec* FindQueueAt(const QueueAddress& aAddress) const;
   QueueAddress AddressOfQueue(const v1::AcceptJob& aJob) const;
   JobAddress AddressOfJob(const v1::CancelJob& aJob) const;
   void CancelJob(const v1::CancelJob& aJob);
@@ -288,6 +296,7 @@
   v1::FleetDocument config_;
   // Index of the queues in `config_`, which may have hundreds.
   std::unordered_map<std::string_view, const v1::QueueSpec*> queuesByName_;
+  std::map<QueueAddress, const v1::QueueSpec*> queuesByAddress_;
   std::unordered_multimap<std::string_view, const v1::QueueSpec*> queuesByHost_;
   // Queues that the configuration lacks, as they were last configured.
   std::map<QueueAddress, v1::QueueSpec> removedQueues_;
--- a/include/vanillahatch/core/jobs/task_run_time_estimator.h
+++ b/include/vanillahatch/core/jobs/task_run_time_estimator.h
@@ -55,10 +55,9 @@
     uint32_t samples_ = 0;
   };
 
-  static std::string KeyOf(const QueueAddress& aQueue,
-                           const v1::StepSpec& aStep);
+  using EstimatesByImage = std::map<std::string, Estimate>;
 
-  std::map<std::string, Estimate> estimates_; // by queue and image
+  std::map<QueueAddress, EstimatesByImage> estimates_;
   double delayMillis_ = 0;
   uint32_t delaySamples_ = 0;
 };
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -78,7 +78,7 @@
 {
   const auto [it, isNew] = arrivals_.try_emplace(aJob.acceptanceIndex_);
   Arrival& arrival = it->second;
-  const v1::QueueSpec* queue = store_.QueueOf(aJob);
+  const v1::QueueSpec* queue = JobStore::QueueOf(aJob);
   if (isNew) {
     RecordArrival(aNow, aJob);
     const double stretch = queue != nullptr ? queue->stretch() : 1.0;
@@ -116,7 +116,7 @@
   if (occurrence != nullptr && occurrence->IsDone()) {
     return;
   }
-  const v1::QueueSpec* queue = store_.QueueOf(aJob);
+  const v1::QueueSpec* queue = JobStore::QueueOf(aJob);
   for (int i = 0; i < aJob.spec_.steps_size(); ++i) {
     const auto step = static_cast<uint32_t>(i);
     const bool hasPending =
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -110,6 +110,7 @@
     UpdateRemovedQueues(aConfig);
     config_ = aConfig;
     IndexQueues();
+    ResolveQueuesOfJobs();
   }
 }
 
@@ -134,9 +135,11 @@
 void JobStore::IndexQueues()
 {
   queuesByName_.clear();
+  queuesByAddress_.clear();
   queuesByHost_.clear();
   for (const v1::QueueSpec& queue : config_.queues()) {
     queuesByName_.try_emplace(queue.name(), &queue);
+    queuesByAddress_.try_emplace(AddressOf(queue), &queue);
     queuesByHost_.emplace(queue.host(), &queue);
   }
 }
@@ -147,15 +150,6 @@
   return it != queuesByName_.end() ? it->second : nullptr;
 }
 
-const v1::QueueSpec* JobStore::FindQueueAt(const QueueAddress& aAddress) const
-{
-  const auto [first, last] = queuesByHost_.equal_range(aAddress.host_);
-  const auto it = std::find_if(first, last, [&](const auto& aItem) {
-    return aItem.second->path_prefix() == aAddress.pathPrefix_;
-  });
-  return it != last ? it->second : nullptr;
-}
-
 QueueAddress JobStore::AddressOfQueue(const std::string& aName) const
 {
   if (const v1::QueueSpec* queue = FindQueue(aName)) {
@@ -187,16 +181,24 @@
            .path_ = std::move(queue.pathPrefix_) + aJob.id() };
 }
 
-const v1::QueueSpec* JobStore::QueueOf(const Job& aJob) const
+const v1::QueueSpec* JobStore::FindQueueOf(const Job& aJob) const
 {
-  if (const v1::QueueSpec* queue = FindQueueAt(aJob.queueAddress_)) {
-    return queue;
+  const auto configured = queuesByAddress_.find(aJob.queueAddress_);
+  if (configured != queuesByAddress_.end()) {
+    return configured->second;
   }
   const auto removed = removedQueues_.find(aJob.queueAddress_);
   return removed != removedQueues_.end() ? &removed->second
                                          : FindQueue(aJob.queue_);
 }
 
+void JobStore::ResolveQueuesOfJobs()
+{
+  for (const auto& [id, job] : jobs_) {
+    job->queueSpec_ = FindQueueOf(*job);
+  }
+}
+
 const v1::QueueSpec* JobStore::FindQueueFor(std::string_view aHost,
                                             std::string_view aPath) const
 {
@@ -236,8 +238,10 @@
     return nullptr;
   }
   Job* job = FindJob(std::string(aPath.substr(aQueue.path_prefix().size())));
-  return job != nullptr && job->queueAddress_ == AddressOf(aQueue) ? job
-                                                                   : nullptr;
+  const bool isOfQueue = job != nullptr &&
+                         job->queueAddress_.host_ == aQueue.host() &&
+                         job->queueAddress_.pathPrefix_ == aQueue.path_prefix();
+  return isOfQueue ? job : nullptr;
 }
 
 Job* JobStore::FindJobAt(std::string_view aHost, std::string_view aPath) const
@@ -327,6 +331,7 @@
   job.id_ = aJob.id();
   job.queue_ = aJob.queue();
   job.queueAddress_ = AddressOfQueue(aJob);
+  job.queueSpec_ = FindQueueOf(job);
   job.service_ = aJob.service();
   job.spec_ = aJob.spec();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -195,6 +195,7 @@
   fresh.changedInstances_.clear(); // the changed instances are unknown
   *this = std::move(fresh);
   IndexQueues();
+  ResolveQueuesOfJobs();
   return true;
 }
 
--- a/src/core/jobs/service_capacity.cpp
+++ b/src/core/jobs/service_capacity.cpp
@@ -24,10 +24,13 @@
     if (!hasLabel || !OccupiedBy(aSpec).FitsInto(freeCapacity_)) {
       return false;
     }
+    if (aSpec.max_per_instance() == 0) {
+      return true;
+    }
     const auto placed = placed_.find(aFirstTask);
     const uint32_t count = view_->CountRunsOfStep(aFirstTask) +
                            (placed != placed_.end() ? placed->second : 0);
-    return aSpec.max_per_instance() == 0 || count < aSpec.max_per_instance();
+    return count < aSpec.max_per_instance();
   }
 };
 
--- a/src/core/jobs/task_run_time_estimator.cpp
+++ b/src/core/jobs/task_run_time_estimator.cpp
@@ -17,12 +17,6 @@
 
 } // namespace
 
-std::string TaskRunTimeEstimator::KeyOf(const QueueAddress& aQueue,
-                                        const v1::StepSpec& aStep)
-{
-  return aQueue.host_ + aQueue.pathPrefix_ + '\n' + aStep.image();
-}
-
 void TaskRunTimeEstimator::Record(const QueueAddress& aQueue,
                                   const v1::StepSpec& aStep,
                                   Millis aMeasured)
@@ -30,7 +24,7 @@
   if (aStep.estimated_run_ms() == 0) {
     return;
   }
-  Estimate& estimate = estimates_[KeyOf(aQueue, aStep)];
+  Estimate& estimate = estimates_[aQueue][aStep.image()];
   const double ratio = static_cast<double>(aMeasured.Count()) /
                        static_cast<double>(aStep.estimated_run_ms());
   ++estimate.samples_;
@@ -41,8 +35,12 @@
 Millis TaskRunTimeEstimator::EstimateRun(const QueueAddress& aQueue,
                                          const v1::StepSpec& aStep) const
 {
-  const auto it = estimates_.find(KeyOf(aQueue, aStep));
-  const double ratio = it != estimates_.end() ? it->second.ratio_ : 1.0;
+  double ratio = 1.0;
+  const auto ofQueue = estimates_.find(aQueue);
+  if (ofQueue != estimates_.end()) {
+    const auto it = ofQueue->second.find(aStep.image());
+    ratio = it != ofQueue->second.end() ? it->second.ratio_ : ratio;
+  }
   return Millis(static_cast<int64_t>(ratio * aStep.estimated_run_ms()));
 }
 
