One piece of code for labels, for the pool of an operation, for open waves

ServiceCapacity had its own copy of the rule that ChooseInstance has for labels; two places computed the pool that a machine belongs to after an operation; each check of the waves, 20 a second on the leader, asked twice whether a wave is completed, which visits all of its machines.

HasRequiredLabel, MachineOp::DestinationPool and a list of the open waves serve both.

--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -188,4 +188,7 @@
 // time of best-effort tasks is not reserved.
 Resources OccupiedBy(const v1::StepSpec& aStep);
 
+// True if the instance has the label that the step requires.
+bool HasRequiredLabel(const InstanceView& aView, const v1::StepSpec& aStep);
+
 } // namespace vanillahatch
--- a/include/vanillahatch/core/jobs/machine_tracker.h
+++ b/include/vanillahatch/core/jobs/machine_tracker.h
@@ -28,6 +28,12 @@
   MachineOpPhase phase_ = MachineOpPhase::kOrdered;
   Millis since_; // start of the phase; the delay of a retry counts from it
   Millis orderedAt_;
+
+  // The pool of the machine after the operation.
+  const std::string& DestinationPool() const
+  {
+    return order_.pool_.empty() ? fromPool_ : order_.pool_;
+  }
 };
 
 struct MachineTrackerOptions
--- a/src/core/jobs/fleet_scheduler_maintenance.cpp
+++ b/src/core/jobs/fleet_scheduler_maintenance.cpp
@@ -276,10 +276,7 @@
   const auto& ops = machines_.Ops();
   const bool isAnyOrdered =
     std::any_of(ops.begin(), ops.end(), [&](const auto& aItem) {
-      const MachineOp& op = aItem.second;
-      const std::string& pool =
-        op.order_.pool_.empty() ? op.fromPool_ : op.order_.pool_;
-      return pool == service;
+      return aItem.second.DestinationPool() == service;
     });
   const auto& machines = machines_.Machines();
   return isAnyEmptied || isAnyOrdered ||
@@ -451,22 +448,22 @@
     return;
   }
   wavesAdvancedAt_ = aNow;
-  const bool isAnyWaveOpen = std::any_of(
-    store_.Waves().begin(), store_.Waves().end(), [&](const auto& aItem) {
-      return !IsWaveCompleted(aItem.first);
-    });
+  std::vector<const Wave*> openWaves;
+  for (const auto& [number, wave] : store_.Waves()) {
+    if (!IsWaveCompleted(number)) {
+      openWaves.push_back(&wave);
+    }
+  }
   const bool isAnyEvacuating =
     std::any_of(allViews_.begin(), allViews_.end(), [](const auto* aView) {
       return aView->evacuating_;
     });
-  if (isAnyWaveOpen || isAnyEvacuating) {
+  if (!openWaves.empty() || isAnyEvacuating) {
     MeasureServiceCapacities(aNow);
     ReviewEvacuations(aNow);
   }
-  for (const auto& [number, wave] : store_.Waves()) {
-    if (!IsWaveCompleted(number)) {
-      AdvanceWave(aNow, wave);
-    }
+  for (const Wave* wave : openWaves) {
+    AdvanceWave(aNow, *wave);
   }
   serviceCapacities_.clear(); // It refers to views.
   ConsolidateLongRunning(aNow);
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -190,7 +190,6 @@
   const v1::StepSpec& step = JobStore::SpecOf(aTask);
   const Resources& need = aCandidate.need_;
   const bool isLongRunning = step.lasting();
-  const std::string& label = step.required_label();
   if (aUsable.IsKnownNotToFit(need)) {
     return nullptr;
   }
@@ -210,17 +209,13 @@
     if (!aRack.empty() && view.StoredRecord().rack() != aRack) {
       continue;
     }
-    const auto& labels = view.StoredRecord().labels();
-    const bool hasLabel =
-      label.empty() ||
-      std::find(labels.begin(), labels.end(), label) != labels.end();
     const bool isBelowMaxPerInstance =
       step.max_per_instance() == 0 ||
       view.CountRunsOfStep(aTask) < step.max_per_instance();
     const bool hasAdvice =
       !aCandidate.needsAdvice_ ||
       advice_.TicketFor(aNow, ToAdviceStep(aTask), view.StoredInstance().key_);
-    if (!hasLabel || !isBelowMaxPerInstance || !hasAdvice) {
+    if (!HasRequiredLabel(view, step) || !isBelowMaxPerInstance || !hasAdvice) {
       continue;
     }
     const int64_t milliCpusLeft =
--- a/src/core/jobs/fleet_scheduler_pools.cpp
+++ b/src/core/jobs/fleet_scheduler_pools.cpp
@@ -83,8 +83,7 @@
     }
   }
   for (const auto& [name, op] : machines_.Ops()) {
-    const std::string& pool =
-      op.order_.pool_.empty() ? op.fromPool_ : op.order_.pool_;
+    const std::string& pool = op.DestinationPool();
     if (const auto it = pools.find(pool); it != pools.end()) {
       it->second.capacity_ += coresPerMachine;
       // A pool keeps its minimum number of machines while others are down.
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -24,6 +24,14 @@
   return need;
 }
 
+bool HasRequiredLabel(const InstanceView& aView, const v1::StepSpec& aStep)
+{
+  const auto& labels = aView.StoredRecord().labels();
+  return aStep.required_label().empty() ||
+         std::find(labels.begin(), labels.end(), aStep.required_label()) !=
+           labels.end();
+}
+
 InstanceView::InstanceView(Instance& aInstance,
                            Millis aLongestLease,
                            Millis aLastGrantAt,
--- a/src/core/jobs/service_capacity.cpp
+++ b/src/core/jobs/service_capacity.cpp
@@ -16,12 +16,8 @@
 
   bool CanTake(const TaskRef& aFirstTask, const v1::StepSpec& aSpec) const
   {
-    const auto& labels = view_->StoredRecord().labels();
-    const bool hasLabel =
-      aSpec.required_label().empty() ||
-      std::find(labels.begin(), labels.end(), aSpec.required_label()) !=
-        labels.end();
-    if (!hasLabel || !OccupiedBy(aSpec).FitsInto(freeCapacity_)) {
+    if (!HasRequiredLabel(*view_, aSpec) ||
+        !OccupiedBy(aSpec).FitsInto(freeCapacity_)) {
       return false;
     }
     if (aSpec.max_per_instance() == 0) {
