--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -532,6 +532,29 @@
   BOOST_TEST(!instance->mayHoldFormerLease_);
 }
 
+// Failure: the wait ended while orders for the former incarnation were still
+// sent, which the next one executes.
+BOOST_FIXTURE_TEST_CASE(FormerLeaseEndsBeforeItsIncarnationIsRemoved,
+                        FormerDeadlineFixture)
+{
+  FakeInstance& a = fleet_.AddInstance("a", "layout");
+  fleet_.RunFor(Millis(100));
+  fleet_.Restart("a");
+  v1::JobChanges report; // of the next incarnation; the former one stays
+  *report.add_changes()->mutable_put_instance() = a.record_;
+  fleet_.Store().Apply(report);
+  const Instance* instance = fleet_.Store().FindInstance(ToKey(a.record_));
+  const auto isFormerStored = [&] {
+    return fleet_.Store().FindInstancesById("a").size() == 2;
+  };
+  BOOST_REQUIRE(
+    fleet_.RunUntil([&] { return !isFormerStored(); }, Seconds(60)));
+  fleet_.RunFor(Seconds(9));
+  BOOST_TEST(instance->mayHoldFormerLease_);
+  fleet_.RunFor(Seconds(3));
+  BOOST_TEST(!instance->mayHoldFormerLease_);
+}
+
 BOOST_AUTO_TEST_CASE(UnreportedNextIncarnationIsNotGivenUpEarly)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
@@ -1245,6 +1268,52 @@
   BOOST_TEST(fleet.Scheduler().IsWaveCompleted(1));
 }
 
+// Failure: all machines of a service were idle, and maintained at once.
+BOOST_FIXTURE_TEST_CASE(IdleMachinesOfAServiceAreMaintainedAtOnce,
+                        TwoMachinesFixture)
+{
+  StartWave({ "m-a", "m-b" });
+  BOOST_TEST(fleet_.RunUntil([&] { return IsWaveCompleted(); }, Seconds(8)));
+  BOOST_TEST(fleet_.MaxInMaintenance() == 1U);
+}
+
+// Failure: a machine was evacuated though no other one has the label that its
+// tasks require.
+BOOST_FIXTURE_TEST_CASE(TasksAreEvacuatedFromTheirOnlyLabelledMachine,
+                        TwoMachinesFixture)
+{
+  fleet_.At("a").record_.add_labels("large");
+  fleet_.Report(fleet_.At("a"));
+  fleet_.RunFor(Millis(200));
+  v1::StepSpec step = SimulatedFleet::LongRunningStep(2, 1);
+  step.set_required_label("large");
+  const Job& job = fleet_.Submit("kept", "drafts", { step });
+  fleet_.RunFor(Seconds(3));
+  BOOST_REQUIRE(fleet_.At("a").running_.size() == 2U);
+  StartWave({ "m-a" });
+  BOOST_TEST(LongestInterruptionMs(job, Seconds(10)) == 0);
+}
+
+// Failure: the last machine of a service that was up moved to another one while
+// the others were down for maintenance.
+BOOST_FIXTURE_TEST_CASE(LastMachineMovesWhileTheOthersAreMaintained,
+                        TwoMachinesFixture)
+{
+  fleet_.AddInstance("c", "layout");
+  fleet_.RunFor(Millis(500));
+  StartWave({ "m-a", "m-b" });
+  BOOST_REQUIRE(fleet_.RunUntil([&] { return fleet_.MaxInMaintenance() == 2; },
+                                Seconds(2)));
+  const auto isMove = [](const MachineOrder& aOrder) {
+    return !aOrder.pool_.empty();
+  };
+  // The other service needs all machines.
+  fleet_.Submit("large", "archive", { SimulatedFleet::StepOf(90, 4000, 3000) });
+  fleet_.RunFor(Seconds(1));
+  const std::vector<MachineOrder>& orders = fleet_.MachineOrders();
+  BOOST_TEST(std::none_of(orders.begin(), orders.end(), isMove));
+}
+
 // Failure: a machine whose maintenance the platform refuses took no work any
 // more.
 BOOST_FIXTURE_TEST_CASE(MachineWithRefusedMaintenanceTakesNoWork,
