--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -129,7 +129,8 @@
   // The queue as it was last configured, also if it has been removed. Owned by
   // the store; null if the queue is not known.
   const v1::QueueSpec* queueSpec_ = nullptr;
-  std::string service_; // used if the queue is not known
+  std::string service_;  // used if the queue is not known
+  std::string customer_; // name; empty: of no customer
   v1::JobSpec spec_;
   uint64_t acceptanceIndex_ = 0; // position in the sequence of acceptance
   bool cancelled_ = false;
@@ -191,6 +192,9 @@
   const v1::QueueSpec* FindQueueFor(std::string_view aHost,
                                     std::string_view aPath) const;
   const v1::ServiceSpec* FindService(std::string_view aName) const;
+  // The customer as it was last configured, also if it has been removed while
+  // jobs are of it. Null if it is not known.
+  const v1::CustomerSpec* FindCustomer(std::string_view aName) const;
 
   Job* FindJob(const std::string& aId) const;
   // The job that was submitted there. Its queue may have been renamed or
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -225,6 +225,16 @@
   return it != services.end() ? &*it : nullptr;
 }
 
+const v1::CustomerSpec* JobStore::FindCustomer(std::string_view aName) const
+{
+  const auto& customers = config_.customers();
+  const auto it =
+    std::find_if(customers.begin(), customers.end(), [&](auto& aCustomer) {
+      return aCustomer.name() == aName;
+    });
+  return it != customers.end() ? &*it : nullptr;
+}
+
 Job* JobStore::FindJob(const std::string& aId) const
 {
   const auto it = jobs_.find(aId);
@@ -333,6 +343,7 @@
   job.queueAddress_ = AddressOfQueue(aJob);
   job.queueSpec_ = FindQueueOf(job);
   job.service_ = aJob.service();
+  job.customer_ = aJob.customer();
   job.spec_ = aJob.spec();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
   if (TakeCancelledEarly(AddressOf(job))) {
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -21,6 +21,7 @@
   aState.mutable_accepted()->set_host(aJob.queueAddress_.host_);
   aState.mutable_accepted()->set_path_prefix(aJob.queueAddress_.pathPrefix_);
   aState.mutable_accepted()->set_service(aJob.service_);
+  aState.mutable_accepted()->set_customer(aJob.customer_);
   *aState.mutable_accepted()->mutable_spec() = aJob.spec_;
   aState.set_cancelled(aJob.cancelled_);
   aState.set_failed(aJob.failed_);
