--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -1,55 +1,23 @@
 #include "vanillahatch/core/jobs/job_store.h"
 
 #include <algorithm>
-#include <iterator>
-#include <limits>
 
 namespace vanillahatch {
 
 namespace {
 
-// Applies to jobs whose queue is not known.
-constexpr uint32_t kDefaultMaxAttempts = 3;
-// Enough ended incarnations to recognize reports that arrive seconds late: a
-// thousand machines that follow the demand end about 150 instances per second.
-constexpr size_t kMaxDeparted = 4000;
 // Enough for every id that is cancelled within the time that a submission may
 // be on its way.
 constexpr size_t kMaxCancelledEarly = 4000;
-// Sufficient because readers poll several times per second.
-constexpr size_t kMaxRecordedChanges = 1000;
 
 } // namespace
 
-QueueAddress AddressOf(const v1::QueueSpec& aQueue)
-{
-  return { .host_ = aQueue.host(), .pathPrefix_ = aQueue.path_prefix() };
-}
-
 JobAddress AddressOf(const Job& aJob)
 {
   return { .host_ = aJob.queueAddress_.host_,
            .path_ = aJob.queueAddress_.pathPrefix_ + aJob.id_ };
 }
 
-InstanceKey ToKey(const v1::InstanceKey& aKey)
-{
-  return { .id_ = aKey.id(), .startedUnixMs_ = aKey.born_unix_ms() };
-}
-
-InstanceKey ToKey(const v1::InstanceRecord& aRecord)
-{
-  return { .id_ = aRecord.id(), .startedUnixMs_ = aRecord.born_unix_ms() };
-}
-
-v1::InstanceKey ToMessage(const InstanceKey& aKey)
-{
-  v1::InstanceKey key;
-  key.set_id(aKey.id_);
-  key.set_born_unix_ms(aKey.startedUnixMs_);
-  return key;
-}
-
 void JobStore::Apply(const v1::JobChanges& aChanges)
 {
   for (const v1::JobChange& change : aChanges.changes()) {
@@ -104,73 +72,6 @@
   }
 }
 
-void JobStore::PutConfig(const v1::FleetDocument& aConfig)
-{
-  if (aConfig.version() > config_.version()) {
-    UpdateRemovedQueues(aConfig);
-    config_ = aConfig;
-    IndexQueues();
-    ResolveQueuesOfJobs();
-  }
-}
-
-void JobStore::UpdateRemovedQueues(const v1::FleetDocument& aNext)
-{
-  std::set<QueueAddress> queuesOfJobs;
-  for (const auto& [id, job] : jobs_) {
-    queuesOfJobs.insert(job->queueAddress_);
-  }
-  std::erase_if(removedQueues_, [&](const auto& aItem) {
-    return !queuesOfJobs.contains(aItem.first);
-  });
-  // All of them: a job may be accepted that was proposed before.
-  for (const v1::QueueSpec& queue : config_.queues()) {
-    removedQueues_.insert_or_assign(AddressOf(queue), queue);
-  }
-  for (const v1::QueueSpec& queue : aNext.queues()) {
-    removedQueues_.erase(AddressOf(queue));
-  }
-}
-
-void JobStore::IndexQueues()
-{
-  queuesByName_.clear();
-  queuesByAddress_.clear();
-  queuesByHost_.clear();
-  for (const v1::QueueSpec& queue : config_.queues()) {
-    queuesByName_.try_emplace(queue.name(), &queue);
-    queuesByAddress_.try_emplace(AddressOf(queue), &queue);
-    queuesByHost_.emplace(queue.host(), &queue);
-  }
-}
-
-const v1::QueueSpec* JobStore::FindQueue(std::string_view aName) const
-{
-  const auto it = queuesByName_.find(aName);
-  return it != queuesByName_.end() ? it->second : nullptr;
-}
-
-QueueAddress JobStore::AddressOfQueue(const std::string& aName) const
-{
-  if (const v1::QueueSpec* queue = FindQueue(aName)) {
-    return AddressOf(*queue);
-  }
-  const auto removed = std::find_if(
-    removedQueues_.begin(), removedQueues_.end(), [&](const auto& aItem) {
-      return aItem.second.name() == aName;
-    });
-  return removed != removedQueues_.end() ? removed->first
-                                         : QueueAddress{ .pathPrefix_ = aName };
-}
-
-QueueAddress JobStore::AddressOfQueue(const v1::AcceptJob& aJob) const
-{
-  return aJob.path_prefix().empty()
-           ? AddressOfQueue(aJob.queue())
-           : QueueAddress{ .host_ = aJob.host(),
-                           .pathPrefix_ = aJob.path_prefix() };
-}
-
 JobAddress JobStore::AddressOfJob(const v1::CancelJob& aJob) const
 {
   if (!aJob.path().empty()) {
@@ -181,60 +82,6 @@
            .path_ = std::move(queue.pathPrefix_) + aJob.id() };
 }
 
-const v1::QueueSpec* JobStore::FindQueueOf(const Job& aJob) const
-{
-  const auto configured = queuesByAddress_.find(aJob.queueAddress_);
-  if (configured != queuesByAddress_.end()) {
-    return configured->second;
-  }
-  const auto removed = removedQueues_.find(aJob.queueAddress_);
-  return removed != removedQueues_.end() ? &removed->second
-                                         : FindQueue(aJob.queue_);
-}
-
-void JobStore::ResolveQueuesOfJobs()
-{
-  for (const auto& [id, job] : jobs_) {
-    job->queueSpec_ = FindQueueOf(*job);
-  }
-}
-
-const v1::QueueSpec* JobStore::FindQueueFor(std::string_view aHost,
-                                            std::string_view aPath) const
-{
-  const v1::QueueSpec* best = nullptr;
-  const auto [first, last] = queuesByHost_.equal_range(aHost);
-  for (auto it = first; it != last; ++it) {
-    const v1::QueueSpec& queue = *it->second;
-    const bool fits = aPath.starts_with(queue.path_prefix());
-    if (fits && (best == nullptr ||
-                 queue.path_prefix().size() > best->path_prefix().size())) {
-      best = &queue;
-    }
-  }
-  return best;
-}
-
-const v1::ServiceSpec* JobStore::FindService(std::string_view aName) const
-{
-  const auto& services = config_.services();
-  const auto it =
-    std::find_if(services.begin(), services.end(), [&](auto& aService) {
-      return aService.name() == aName;
-    });
-  return it != services.end() ? &*it : nullptr;
-}
-
-const v1::CustomerSpec* JobStore::FindCustomer(std::string_view aName) const
-{
-  const auto& customers = config_.customers();
-  const auto it =
-    std::find_if(customers.begin(), customers.end(), [&](auto& aCustomer) {
-      return aCustomer.name() == aName;
-    });
-  return it != customers.end() ? &*it : nullptr;
-}
-
 Job* JobStore::FindJob(const std::string& aId) const
 {
   const auto it = jobs_.find(aId);
@@ -311,25 +158,6 @@
   return it != waitingByQueue_.end() ? it->second : 0;
 }
 
-const std::string& JobStore::ServiceOf(const Job& aJob) const
-{
-  const v1::QueueSpec* queue = QueueOf(aJob);
-  return queue != nullptr ? queue->service() : aJob.service_;
-}
-
-uint32_t JobStore::MaxAttempts(const Job& aJob) const
-{
-  const v1::QueueSpec* queue = QueueOf(aJob);
-  return queue != nullptr ? std::max(queue->max_attempts(), 1U)
-                          : kDefaultMaxAttempts;
-}
-
-Instance* JobStore::FindInstance(const InstanceKey& aKey) const
-{
-  const auto it = instances_.find(aKey);
-  return it != instances_.end() ? it->second.get() : nullptr;
-}
-
 void JobStore::AcceptJob(const v1::AcceptJob& aJob)
 {
   auto [it, isNew] = jobs_.try_emplace(aJob.id());
@@ -628,155 +456,6 @@
   }
 }
 
-void JobStore::PutInstance(const v1::InstanceRecord& aRecord)
-{
-  const InstanceKey key = ToKey(aRecord);
-  if (HasDeparted(key)) {
-    return;
-  }
-  auto [it, isNew] = instances_.try_emplace(key);
-  if (isNew) {
-    it->second = std::make_unique<Instance>();
-    it->second->key_ = key;
-    it->second->serial_ = instanceChangeCount_ + 1;
-    it->second->mayHoldFormerLease_ = HasEarlierIncarnation(key);
-  }
-  RecordInstanceChange(key);
-  Instance& instance = *it->second;
-  RemoveFromMachineIndex(instance);
-  const uint64_t cursor = instance.record_.end_cursor();
-  instance.record_ = aRecord;
-  instance.record_.set_end_cursor(std::max(cursor, aRecord.end_cursor()));
-  instancesByMachine_.emplace(instance.record_.machine(), &instance);
-}
-
-void JobStore::RecordInstanceChange(const InstanceKey& aKey)
-{
-  ++instanceChangeCount_;
-  changedInstances_.push_back(aKey);
-  if (changedInstances_.size() > kMaxRecordedChanges) {
-    changedInstances_.pop_front();
-  }
-}
-
-std::optional<std::vector<InstanceKey>> JobStore::InstancesChangedSince(
-  uint64_t aSince) const
-{
-  const uint64_t count = instanceChangeCount_ - aSince;
-  if (count > changedInstances_.size()) {
-    return std::nullopt;
-  }
-  return std::vector<InstanceKey>(changedInstances_.end() -
-                                    static_cast<std::ptrdiff_t>(count),
-                                  changedInstances_.end());
-}
-
-void JobStore::RemoveFromMachineIndex(const Instance& aInstance)
-{
-  const auto [first, last] =
-    instancesByMachine_.equal_range(aInstance.record_.machine());
-  const auto it = std::find_if(
-    first, last, [&](const auto& aItem) { return aItem.second == &aInstance; });
-  if (it != last) {
-    instancesByMachine_.erase(it);
-  }
-}
-
-std::vector<const Instance*> JobStore::FindInstancesById(
-  const std::string& aId) const
-{
-  std::vector<const Instance*> found;
-  constexpr int64_t kEarliest = std::numeric_limits<int64_t>::min();
-  auto it = instances_.lower_bound({ .id_ = aId, .startedUnixMs_ = kEarliest });
-  for (; it != instances_.end() && it->first.id_ == aId; ++it) {
-    found.push_back(it->second.get());
-  }
-  return found;
-}
-
-std::vector<const Instance*> JobStore::FindInstancesOnMachine(
-  const std::string& aMachine) const
-{
-  std::vector<const Instance*> found;
-  const auto [first, last] = instancesByMachine_.equal_range(aMachine);
-  std::transform(first, last, std::back_inserter(found), [](const auto& aItem) {
-    return aItem.second;
-  });
-  return found;
-}
-
-bool JobStore::HasDeparted(const InstanceKey& aKey) const
-{
-  return departedSet_.contains(aKey);
-}
-
-bool JobStore::HasEarlierIncarnation(const InstanceKey& aKey) const
-{
-  constexpr int64_t kEarliest = std::numeric_limits<int64_t>::min();
-  const InstanceKey first{ .id_ = aKey.id_, .startedUnixMs_ = kEarliest };
-  return instances_.lower_bound(first) != instances_.lower_bound(aKey) ||
-         departedSet_.lower_bound(first) != departedSet_.lower_bound(aKey);
-}
-
-void JobStore::RecordDeparted(const InstanceKey& aKey)
-{
-  if (departedSet_.insert(aKey).second) {
-    departed_.push_back(aKey);
-  }
-  if (departed_.size() > kMaxDeparted) {
-    departedSet_.erase(departed_.front());
-    departed_.pop_front();
-  }
-}
-
-Instance* JobStore::FindNextIncarnation(const InstanceKey& aKey) const
-{
-  const auto it = instances_.upper_bound(aKey);
-  return it != instances_.end() && it->first.id_ == aKey.id_ ? it->second.get()
-                                                             : nullptr;
-}
-
-// Instances do not check which incarnation an order is for, so a start may have
-// been executed by the next one. Its tasks stay assigned until a listing of
-// that incarnation shows where they are.
-void JobStore::RemoveInstance(const v1::InstanceGone& aGone)
-{
-  const InstanceKey key = ToKey(aGone.key());
-  if (aGone.final()) {
-    RecordDeparted(key);
-  }
-  const auto it = instances_.find(key);
-  if (it == instances_.end()) {
-    if (aGone.mistaken() && departedSet_.erase(key) > 0) {
-      std::erase(departed_, key);
-    }
-    return;
-  }
-  const std::set<TaskRef> assigned = it->second->assigned_;
-  Instance* next = aGone.final() ? FindNextIncarnation(key) : nullptr;
-  for (const TaskRef& task : assigned) {
-    if (next != nullptr) {
-      TaskAt(task).instance_ = next;
-      next->assigned_.insert(task);
-    } else {
-      FinishRun(task, v1::RUN_STOPPED, {});
-    }
-  }
-  RemoveFromMachineIndex(*it->second);
-  instances_.erase(it);
-  RecordInstanceChange(key);
-  if (next != nullptr) {
-    RecordInstanceChange(next->key_);
-  }
-}
-
-void JobStore::EndFormerLease(const v1::FormerLeaseEnded& aEnded)
-{
-  if (Instance* instance = FindInstance(ToKey(aEnded.key()))) {
-    instance->mayHoldFormerLease_ = false;
-  }
-}
-
 void JobStore::RemoveJob(const v1::ForgetJob& aJob)
 {
   const auto it = jobs_.find(aJob.id());
