--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -12,6 +12,8 @@
 // Not thread-safe; see JobStoreReplica.
 #pragma once
 
+#include "vanillahatch/core/customers/customer_directory.h"
+
 #include "jobs.pb.h"
 
 #include <cstdint>
@@ -70,6 +72,16 @@
   friend auto operator<=>(const JobAddress&, const JobAddress&) = default;
 };
 
+// A cancellation of a job that is not stored; see `JobStore::CancelJob`.
+struct EarlyCancellation
+{
+  JobAddress job_;
+  std::string customer_; // of the caller; empty: of no customer
+
+  friend auto operator<=>(const EarlyCancellation&,
+                          const EarlyCancellation&) = default;
+};
+
 struct Job;
 struct Instance;
 
@@ -195,6 +207,8 @@
   // The customer as it was last configured, also if it has been removed while
   // jobs are of it. Null if it is not known.
   const v1::CustomerSpec* FindCustomer(std::string_view aName) const;
+  // Of the configuration, which other replicas may have replaced.
+  const CustomerDirectory& Customers() const { return customers_; }
 
   Job* FindJob(const std::string& aId) const;
   // The job that was submitted there. Its queue may have been renamed or
@@ -261,7 +275,11 @@
   // Keeps the queues that `aNext` removes, and forgets earlier ones that no job
   // is in.
   void UpdateRemovedQueues(const v1::FleetDocument& aNext);
-  void IndexQueues();
+  // Keeps the customers that `aNext` removes, without their keys, and forgets
+  // earlier ones that no job is of.
+  void UpdateRemovedCustomers(const v1::FleetDocument& aNext);
+  // Has to follow each change of the configuration.
+  void IndexConfig();
   // Finds the queue of each job. Has to follow each change of the queues.
   void ResolveQueuesOfJobs();
   const v1::QueueSpec* FindQueueOf(const Job& aJob) const;
@@ -270,9 +288,9 @@
   QueueAddress AddressOfQueue(const v1::AcceptJob& aJob) const;
   JobAddress AddressOfJob(const v1::CancelJob& aJob) const;
   void CancelJob(const v1::CancelJob& aJob);
-  void RecordCancelledEarly(JobAddress aJob);
+  void RecordCancelledEarly(EarlyCancellation aCancellation);
   // Returns whether the job was cancelled before it was accepted.
-  bool TakeCancelledEarly(const JobAddress& aJob);
+  bool TakeCancelledEarly(const EarlyCancellation& aCancellation);
   void StartRun(const v1::RunStart& aStart);
   void EndRun(const v1::RunEnd& aEnd);
   void FinishRun(const TaskRef& aTask,
@@ -304,6 +322,11 @@
   std::unordered_multimap<std::string_view, const v1::QueueSpec*> queuesByHost_;
   // Queues that the configuration lacks, as they were last configured.
   std::map<QueueAddress, v1::QueueSpec> removedQueues_;
+  CustomerDirectory customers_; // of `config_`
+  std::unordered_map<std::string_view, const v1::CustomerSpec*>
+    customersByName_; // of `config_`
+  // Customers that the configuration lacks, as they were last configured.
+  std::map<std::string, v1::CustomerSpec, std::less<>> removedCustomers_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_; // by id
   std::map<uint64_t, Job*> openJobs_; // by acceptance index
   std::map<QueueAddress, uint64_t> waitingByQueue_;
@@ -315,8 +338,8 @@
   std::set<InstanceKey> departedSet_;
   // The latest jobs that were cancelled before they were accepted, oldest
   // first, and the same as a set.
-  std::deque<JobAddress> cancelledEarly_;
-  std::set<JobAddress> cancelledEarlySet_;
+  std::deque<EarlyCancellation> cancelledEarly_;
+  std::set<EarlyCancellation> cancelledEarlySet_;
   uint64_t instanceChangeCount_ = 0;
   std::deque<InstanceKey> changedInstances_; // latest changes, oldest first
   uint64_t interruptedJobCount_ = 0;
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -174,7 +174,8 @@
   job.customer_ = aJob.customer();
   job.spec_ = aJob.spec();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
-  if (TakeCancelledEarly(AddressOf(job))) {
+  if (TakeCancelledEarly(
+        { .job_ = AddressOf(job), .customer_ = job.customer_ })) {
     job.cancelled_ = true;
     return;
   }
@@ -207,20 +208,23 @@
     const bool isThere = job != nullptr && AddressOf(*job) == address;
     job = isThere ? job : FindJobAt(address.host_, address.path_);
     if (job == nullptr) {
-      RecordCancelledEarly(std::move(address));
+      RecordCancelledEarly(
+        { .job_ = std::move(address), .customer_ = aJob.customer() });
     }
   }
-  if (job != nullptr && job->IsOpen()) {
+  const bool mayCancel = job != nullptr && (job->customer_.empty() ||
+                                            job->customer_ == aJob.customer());
+  if (mayCancel && job->IsOpen()) {
     CloseJob(*job);
     ++interruptedJobCount_;
     job->cancelled_ = true;
   }
 }
 
-void JobStore::RecordCancelledEarly(JobAddress aJob)
+void JobStore::RecordCancelledEarly(EarlyCancellation aCancellation)
 {
-  if (cancelledEarlySet_.insert(aJob).second) {
-    cancelledEarly_.push_back(std::move(aJob));
+  if (cancelledEarlySet_.insert(aCancellation).second) {
+    cancelledEarly_.push_back(std::move(aCancellation));
   }
   if (cancelledEarly_.size() > kMaxCancelledEarly) {
     cancelledEarlySet_.erase(cancelledEarly_.front());
@@ -228,12 +232,12 @@
   }
 }
 
-bool JobStore::TakeCancelledEarly(const JobAddress& aJob)
+bool JobStore::TakeCancelledEarly(const EarlyCancellation& aCancellation)
 {
-  if (cancelledEarlySet_.erase(aJob) == 0) {
+  if (cancelledEarlySet_.erase(aCancellation) == 0) {
     return false;
   }
-  std::erase(cancelledEarly_, aJob);
+  std::erase(cancelledEarly_, aCancellation);
   return true;
 }
 
--- a/src/core/jobs/job_store_config.cpp
+++ b/src/core/jobs/job_store_config.cpp
@@ -21,8 +21,9 @@
 {
   if (aConfig.version() > config_.version()) {
     UpdateRemovedQueues(aConfig);
+    UpdateRemovedCustomers(aConfig);
     config_ = aConfig;
-    IndexQueues();
+    IndexConfig();
     ResolveQueuesOfJobs();
   }
 }
@@ -45,7 +46,27 @@
   }
 }
 
-void JobStore::IndexQueues()
+void JobStore::UpdateRemovedCustomers(const v1::FleetDocument& aNext)
+{
+  std::set<std::string_view> customersOfJobs;
+  for (const auto& [id, job] : jobs_) {
+    customersOfJobs.insert(job->customer_);
+  }
+  std::erase_if(removedCustomers_, [&](const auto& aItem) {
+    return !customersOfJobs.contains(aItem.first);
+  });
+  // All of them: a job may be accepted that was proposed before.
+  for (const v1::CustomerSpec& customer : config_.customers()) {
+    v1::CustomerSpec& removed = removedCustomers_[customer.name()];
+    removed = customer;
+    removed.clear_keys();
+  }
+  for (const v1::CustomerSpec& customer : aNext.customers()) {
+    removedCustomers_.erase(customer.name());
+  }
+}
+
+void JobStore::IndexConfig()
 {
   queuesByName_.clear();
   queuesByAddress_.clear();
@@ -55,6 +76,11 @@
     queuesByAddress_.try_emplace(AddressOf(queue), &queue);
     queuesByHost_.emplace(queue.host(), &queue);
   }
+  customersByName_.clear();
+  for (const v1::CustomerSpec& customer : config_.customers()) {
+    customersByName_.try_emplace(customer.name(), &customer);
+  }
+  customers_ = CustomerDirectory(config_);
 }
 
 const v1::QueueSpec* JobStore::FindQueue(std::string_view aName) const
@@ -130,12 +156,12 @@
 
 const v1::CustomerSpec* JobStore::FindCustomer(std::string_view aName) const
 {
-  const auto& customers = config_.customers();
-  const auto it =
-    std::find_if(customers.begin(), customers.end(), [&](auto& aCustomer) {
-      return aCustomer.name() == aName;
-    });
-  return it != customers.end() ? &*it : nullptr;
+  const auto configured = customersByName_.find(aName);
+  if (configured != customersByName_.end()) {
+    return configured->second;
+  }
+  const auto removed = removedCustomers_.find(aName);
+  return removed != removedCustomers_.end() ? &removed->second : nullptr;
 }
 
 const std::string& JobStore::ServiceOf(const Job& aJob) const
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -57,6 +57,9 @@
   for (const auto& [address, queue] : removedQueues_) {
     *snapshot.add_removed_queues() = queue;
   }
+  for (const auto& [name, customer] : removedCustomers_) {
+    *snapshot.add_removed_customers() = customer;
+  }
   std::vector<const Job*> jobs;
   jobs.reserve(jobs_.size());
   for (const auto& [id, job] : jobs_) {
@@ -86,10 +89,11 @@
   for (const InstanceKey& key : departed_) {
     *snapshot.add_departed() = ToMessage(key);
   }
-  for (const JobAddress& job : cancelledEarly_) {
+  for (const EarlyCancellation& cancellation : cancelledEarly_) {
     v1::CancelJob& cancelled = *snapshot.add_cancelled_early();
-    cancelled.set_host(job.host_);
-    cancelled.set_path(job.path_);
+    cancelled.set_host(cancellation.job_.host_);
+    cancelled.set_path(cancellation.job_.path_);
+    cancelled.set_customer(cancellation.customer_);
   }
   return snapshot.SerializeAsString();
 }
@@ -168,10 +172,13 @@
   }
   JobStore fresh;
   fresh.config_ = snapshot.config();
-  fresh.IndexQueues();
+  fresh.IndexConfig();
   for (const v1::QueueSpec& queue : snapshot.removed_queues()) {
     fresh.removedQueues_.insert_or_assign(AddressOf(queue), queue);
   }
+  for (const v1::CustomerSpec& customer : snapshot.removed_customers()) {
+    fresh.removedCustomers_.insert_or_assign(customer.name(), customer);
+  }
   for (const v1::InstanceRecord& record : snapshot.instances()) {
     fresh.PutInstance(record);
   }
@@ -190,12 +197,13 @@
   }
   fresh.RestoreFormerLeases(snapshot);
   for (const v1::CancelJob& job : snapshot.cancelled_early()) {
-    fresh.RecordCancelledEarly(fresh.AddressOfJob(job));
+    fresh.RecordCancelledEarly(
+      { .job_ = fresh.AddressOfJob(job), .customer_ = job.customer() });
   }
   fresh.instanceChangeCount_ = instanceChangeCount_ + 1;
   fresh.changedInstances_.clear(); // the changed instances are unknown
   *this = std::move(fresh);
-  IndexQueues();
+  IndexConfig();
   ResolveQueuesOfJobs();
   return true;
 }
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -667,3 +667,130 @@
   BOOST_TEST(restored.FindJobAt("h", "/a/j") == restored.FindJob("j"));
   BOOST_TEST(restored.ServiceOf(*restored.FindJob("j")) == "layout");
 }
+
+namespace {
+
+// A configuration whose customers have these weights.
+v1::JobChange ConfigureCustomers(
+  uint64_t aVersion,
+  const std::vector<std::pair<std::string, double>>& aWeights)
+{
+  v1::JobChange change = Configure(aVersion, 2);
+  change.mutable_put_config()->set_checks_keys(true);
+  for (const auto& [name, weight] : aWeights) {
+    v1::CustomerSpec& customer = *change.mutable_put_config()->add_customers();
+    customer.set_name(name);
+    customer.set_weight(weight);
+    customer.add_keys("key of " + name);
+  }
+  return change;
+}
+
+v1::JobChange AcceptOf(const std::string& aCustomer, const std::string& aId)
+{
+  v1::JobChange change = Accept(aId, 1);
+  change.mutable_accept_job()->set_customer(aCustomer);
+  return change;
+}
+
+v1::JobChange CancelOf(const std::string& aCustomer, const std::string& aId)
+{
+  v1::JobChange change;
+  change.mutable_cancel_job()->set_id(aId);
+  change.mutable_cancel_job()->set_queue("drafts");
+  change.mutable_cancel_job()->set_customer(aCustomer);
+  return change;
+}
+
+} // namespace
+
+// Guards against jobs without weight and cap while an operator changes the
+// customers.
+BOOST_AUTO_TEST_CASE(RemovedCustomerKeepsItsLastSpecificationForItsJobs)
+{
+  JobStore store;
+  Apply(store,
+        { ConfigureCustomers(1, { { "a", 2 }, { "b", 3 }, { "c", 5 } }),
+          AcceptOf("a", "j"),
+          ConfigureCustomers(2, { { "b", 4 } }),
+          ConfigureCustomers(3, { { "b", 7 } }) });
+  JobStore successor;
+  BOOST_REQUIRE(successor.Restore(store.Snapshot()));
+  for (const JobStore* each : { &store, &successor }) {
+    BOOST_TEST(each->FindJob("j")->customer_ == "a");
+    BOOST_REQUIRE(each->FindCustomer("a") != nullptr);
+    BOOST_TEST(each->FindCustomer("a")->weight() == 2);
+    BOOST_TEST(each->FindCustomer("b")->weight() == 7);
+    BOOST_TEST(each->FindCustomer("c") == nullptr);
+  }
+  BOOST_TEST(successor.Snapshot() == store.Snapshot());
+  Apply(successor, { ConfigureCustomers(4, { { "a", 9 } }) });
+  BOOST_TEST(successor.FindCustomer("a")->weight() == 9);
+}
+
+BOOST_AUTO_TEST_CASE(KeysOfARemovedCustomerAreForgotten)
+{
+  JobStore store;
+  Apply(store,
+        { ConfigureCustomers(1, { { "a", 1 } }),
+          AcceptOf("a", "j"),
+          ConfigureCustomers(2, {}) });
+  BOOST_TEST(store.Snapshot().find("key of a") == std::string::npos);
+  const Caller caller = store.Customers().Identify(*store.FindQueue("drafts"),
+                                                   { .text_ = "key of a" });
+  BOOST_TEST(caller.IsUnauthorized());
+}
+
+BOOST_AUTO_TEST_CASE(SuccessorChecksTheKeysOfTheSnapshot)
+{
+  JobStore store;
+  Apply(store, { ConfigureCustomers(1, { { "a", 1 } }) });
+  JobStore successor;
+  BOOST_REQUIRE(successor.Restore(store.Snapshot()));
+  const Caller caller = successor.Customers().Identify(
+    *successor.FindQueue("drafts"), { .text_ = "key of a" });
+  BOOST_TEST(caller.customer_ == "a");
+}
+
+BOOST_AUTO_TEST_CASE(CancellationOfAnotherCustomerCancelsNoJob)
+{
+  JobStore store;
+  Apply(store, { AcceptOf("a", "j"), CancelOf("b", "j"), CancelOf("", "j") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_QUEUED);
+  Apply(store, { CancelOf("a", "j") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_CANCELLED);
+  Apply(store, { Accept("of-none", 1), CancelOf("b", "of-none") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("of-none")) == v1::JOB_CANCELLED);
+}
+
+BOOST_AUTO_TEST_CASE(EarlyCancellationIsOfItsCustomerAlsoAfterARestart)
+{
+  JobStore store;
+  Apply(store, { CancelOf("b", "j"), CancelOf("a", "k"), CancelOf("", "l") });
+  JobStore successor;
+  BOOST_REQUIRE(successor.Restore(store.Snapshot()));
+  for (JobStore* each : { &store, &successor }) {
+    Apply(*each, { AcceptOf("a", "j"), AcceptOf("a", "k"), Accept("l", 1) });
+    BOOST_TEST(each->PhaseOf(*each->FindJob("j")) == v1::JOB_QUEUED);
+    BOOST_TEST(each->PhaseOf(*each->FindJob("k")) == v1::JOB_CANCELLED);
+    BOOST_TEST(each->PhaseOf(*each->FindJob("l")) == v1::JOB_CANCELLED);
+  }
+}
+
+// A snapshot of a release that knew no customers.
+BOOST_AUTO_TEST_CASE(SnapshotWithoutCustomersIsReadAsOfNone)
+{
+  v1::JobStoreSnapshot snapshot;
+  *snapshot.mutable_config() = Configure(1, 2).put_config();
+  v1::JobState& job = *snapshot.add_jobs();
+  *job.mutable_accepted() = Accept("j", 1).accept_job();
+  job.set_not_started(true);
+  JobStore store;
+  BOOST_REQUIRE(store.Restore(snapshot.SerializeAsString()));
+  BOOST_TEST(store.FindJob("j")->customer_.empty());
+  const Caller caller =
+    store.Customers().Identify(*store.FindQueue("drafts"), { .text_ = "any" });
+  BOOST_TEST((caller.kind_ == CallerKind::kUnchecked));
+  Apply(store, { CancelOf("", "j") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_CANCELLED);
+}
