--- a/test/parser_mutation_test.cpp
+++ b/test/parser_mutation_test.cpp
@@ -125,6 +125,27 @@
   });
 }
 
+BOOST_AUTO_TEST_CASE(ConfigurationsWithCustomersSurviveMutation)
+{
+  const std::string valid =
+    R"({"version":7,"routes":[{"name":"r","host":"h","path_prefix":"/a/",)"
+    R"("service":"s","allow_anonymous":true}],"services":[{"name":"s"}],)"
+    R"("tenants":[{"name":"a","api_keys":["k1","k2"],"weight":143,)"
+    R"("cap":{"cpu":1000,"mem_mb":2000,"gpu":1}},)"
+    R"({"name":"b","api_keys":["k3"],"weight":0.5}]})";
+  BOOST_REQUIRE(platform::DecodeConfig(valid).has_value());
+  FeedMutations(valid, [](const std::string& aText) {
+    const auto config = platform::DecodeConfig(aText);
+    if (config) {
+      for (const v1::CustomerSpec& customer : config.value().customers()) {
+        BOOST_REQUIRE(!customer.name().empty());
+        BOOST_REQUIRE(customer.weight() >= 0);
+      }
+    }
+    return config.has_value();
+  });
+}
+
 BOOST_AUTO_TEST_CASE(ReportsSurviveMutation)
 {
   const std::string valid =
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -470,3 +470,150 @@
   BOOST_TEST(PercentEncode("aZ09-._~") == "aZ09-._~");
   BOOST_TEST(PercentEncode("a b&c=\r\n\xff") == "a%20b%26c%3D%0D%0A%FF");
 }
+
+namespace {
+
+std::string ConfigWithTenants(const std::string& aTenants)
+{
+  return ReplaceFirst(std::string(kConfig),
+                      R"("limits")",
+                      R"("tenants":)" + aTenants + R"(,"limits")");
+}
+
+CallKey DecodeKeyOf(const std::vector<std::string>& aHeaders)
+{
+  HttpRequest request;
+  for (const std::string& header : aHeaders) {
+    request.insert(boost::beast::http::field::authorization, header);
+  }
+  return DecodeKey(request);
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(TenantsAreDecoded)
+{
+  const auto config = DecodeConfig(ConfigWithTenants(
+    R"([{"name":"a","api_keys":["k1","k2"],"priority":1,"weight":143,)"
+    R"("cap":{"cpu":19924384,"mem_mb":65669500,"gpu":2}},{"name":"b"}])"));
+  BOOST_REQUIRE(config.has_value());
+  BOOST_TEST(config.value().checks_keys());
+  BOOST_REQUIRE(config.value().customers_size() == 2);
+  const v1::CustomerSpec& customer = config.value().customers(0);
+  BOOST_TEST(customer.name() == "a");
+  BOOST_TEST(customer.keys_size() == 2);
+  BOOST_TEST(customer.keys(1) == "k2");
+  BOOST_TEST(customer.weight() == 143);
+  BOOST_TEST(customer.cap().cpu_millis() == 19924384U);
+  BOOST_TEST(customer.cap().memory_mb() == 65669500U);
+  BOOST_TEST(customer.cap().gpus() == 2U);
+  BOOST_TEST(config.value().customers(1).keys().empty());
+  BOOST_TEST(!config.value().queues(0).allow_anonymous());
+}
+
+BOOST_AUTO_TEST_CASE(KeysAreCheckedWhereTheConfigurationHasTenants)
+{
+  BOOST_TEST(!DecodeConfig(kConfig).value().checks_keys());
+  BOOST_TEST(DecodeConfig(ConfigWithTenants("[]")).value().checks_keys());
+  const auto anonymous =
+    DecodeConfig(ReplaceFirst(std::string(kConfig),
+                              R"("stretch":1.6)",
+                              R"("stretch":1.6,"allow_anonymous":true)"));
+  BOOST_REQUIRE(anonymous.has_value());
+  BOOST_TEST(anonymous.value().queues(0).allow_anonymous());
+}
+
+BOOST_AUTO_TEST_CASE(InvalidTenantsAreRejected)
+{
+  const std::string longKey(kMaxKeyBytes + 1, 'k');
+  for (const std::string& tenants :
+       { std::string("null"),
+         std::string("{}"),
+         std::string("[7]"),
+         std::string(R"([{"api_keys":["k"]}])"),
+         std::string(R"([{"name":"","api_keys":["k"]}])"),
+         std::string(R"([{"name":7,"api_keys":["k"]}])"),
+         std::string(R"([{"name":"a"},{"name":"a"}])"),
+         std::string(R"([{"name":"a","api_keys":["k"]},)"
+                     R"({"name":"b","api_keys":["l","k"]}])"),
+         std::string(R"([{"name":"a","api_keys":"k"}])"),
+         std::string(R"([{"name":"a","api_keys":[7]}])"),
+         std::string(R"([{"name":"a","api_keys":[""]}])"),
+         R"([{"name":"a","api_keys":[")" + longKey + R"("]}])",
+         std::string(R"([{"name":"a","weight":-1}])"),
+         std::string(R"([{"name":"a","weight":1e300}])"),
+         std::string(R"([{"name":"a","weight":1e999}])"),
+         std::string(R"([{"name":"a","weight":"1"}])"),
+         std::string(R"([{"name":"a","cap":7}])"),
+         std::string(R"([{"name":"a","cap":{"cpu":-1}}])"),
+         std::string(R"([{"name":"a","cap":{"cpu":1.5}}])"),
+         std::string(R"([{"name":"a","cap":{"mem_mb":1e18}}])"),
+         std::string(R"([{"name":"a","cap":{"gpu":"1"}}])") }) {
+    const auto config = DecodeConfig(ConfigWithTenants(tenants));
+    BOOST_TEST(!config.has_value(), tenants);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(ErrorsOfAConfigurationContainNoKey)
+{
+  const std::string secret(64, 'k');
+  for (const std::string& keys :
+       { "\"" + secret + "\",\"\"", "\"" + secret + "\",7", "\"" + secret }) {
+    const auto config = DecodeConfig(
+      ConfigWithTenants(R"([{"name":"a","api_keys":[)" + keys + "]}]"));
+    BOOST_REQUIRE(!config.has_value());
+    BOOST_TEST(config.error().detail_.find(secret) == std::string::npos);
+  }
+  const auto shared = DecodeConfig(
+    ConfigWithTenants(R"([{"name":"a","api_keys":[")" + secret +
+                      R"("]},{"name":"b","api_keys":[")" + secret + R"("]}])"));
+  BOOST_REQUIRE(!shared.has_value());
+  BOOST_TEST(shared.error().detail_.find(secret) == std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(KeyOfACallIsDecoded)
+{
+  BOOST_TEST(DecodeKeyOf({}).text_.empty());
+  BOOST_TEST(!DecodeKeyOf({}).isMalformed_);
+  for (const std::vector<std::string>& headers :
+       { std::vector<std::string>{ "Bearer k1" },
+         { "bearer k1" },
+         { "Bearer   k1" },
+         { "Bearer k1", "Bearer k1" } }) {
+    BOOST_TEST(DecodeKeyOf(headers).text_ == "k1");
+    BOOST_TEST(!DecodeKeyOf(headers).isMalformed_);
+  }
+  BOOST_TEST(
+    DecodeKeyOf({ "Bearer " + std::string(kMaxKeyBytes, 'k') }).text_.size() ==
+    kMaxKeyBytes);
+}
+
+BOOST_AUTO_TEST_CASE(CredentialsThatAreNotOneKeyAreMalformed)
+{
+  for (const std::vector<std::string>& headers :
+       { std::vector<std::string>{ "" },
+         { "Bearer" },
+         { "Bearer " },
+         { "Basic k1" },
+         { "k1" },
+         { "Bearerk1" },
+         { "Bearer " + std::string(4000, 'k') },
+         { "Bearer k1", "Bearer k2" },
+         { "Bearer k1", "Basic k1" },
+         { "Bearer k1", "" } }) {
+    const CallKey key = DecodeKeyOf(headers);
+    BOOST_TEST(key.isMalformed_, headers.front());
+    BOOST_TEST(key.text_.empty());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(UnauthorizedCallIsAnsweredWith401AndHasNotRun)
+{
+  v1::JobReply reply;
+  reply.set_status(v1::JOB_CALL_UNAUTHORIZED);
+  reply.set_detail("the call needs the key of a customer");
+  const HttpResponse response = EncodeReply(reply);
+  BOOST_TEST(response.result_int() == 401U);
+  BOOST_TEST(response[boost::beast::http::field::www_authenticate] == "Bearer");
+  BOOST_TEST(response.body().find(R"("ran":"no")") != std::string::npos);
+}
