--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -70,6 +70,48 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(JobThatIsLargeInMemoryIsRejected)
+{
+  std::string steps;
+  for (int i = 0; i < 3; ++i) {
+    steps += R"({"count":10000},)";
+  }
+  BOOST_TEST(
+    !DecodeJob(R"({"steps":[)" + steps + R"({"count":1}]})").has_value());
+  BOOST_TEST(!DecodeJob(R"({"steps":[{"count":1,"image":")" +
+                        std::string(70000, 'i') + R"("}]})")
+                .has_value());
+  BOOST_TEST(
+    DecodeJob(R"({"steps":[{"count":10000},{"count":10000}]})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(JobThatRepeatsVeryManyTasksIsRejected)
+{
+  const std::string steps = R"("steps":[{"count":10}])";
+  BOOST_TEST(
+    !DecodeJob(R"({"repeat_count":4000000000,)" + steps + "}").has_value());
+  BOOST_TEST(!DecodeJob(R"({"repeat_count":20001,)" + steps + "}").has_value());
+  BOOST_TEST(DecodeJob(R"({"repeat_count":20000,)" + steps + "}").has_value());
+  BOOST_TEST(!DecodeJob(R"({"interval_ms":-1,)" + steps + "}").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(EarlierStepThatIsNamedTwiceIsKeptOnce)
+{
+  const auto job =
+    DecodeJob(R"({"steps":[{"count":1},{"count":1,"after":[0,0,0]}]})");
+  BOOST_REQUIRE(job.has_value());
+  BOOST_TEST(job.value().steps(1).after_steps_size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(JsonOfVeryManyValuesIsRejected)
+{
+  std::string body = R"({"a":[0)";
+  for (int i = 0; i < 250000; ++i) {
+    body += ",0";
+  }
+  BOOST_TEST(!ParseObject(body + "]}").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ConfigurationKeepsTheOriginalDocument)
 {
   const auto config = DecodeConfig(kConfig);
