--- a/include/vanillahatch/shell/http_client.h
+++ b/include/vanillahatch/shell/http_client.h
@@ -67,6 +67,10 @@
   // Closing a connection resets it, so that bytes that are still in transit are
   // not delivered later.
   bool resetOnClose_ = false;
+  // A longer answer ends the exchange as kUnknown.
+  uint64_t maxAnswerBytes_ = 64ULL << 20U;
+  // Shared with the servers of the process; null: answers are not counted.
+  std::shared_ptr<MemoryBudget> budget_;
 };
 
 class HttpClient
--- a/include/vanillahatch/shell/http_server.h
+++ b/include/vanillahatch/shell/http_server.h
@@ -8,6 +8,7 @@
 #pragma once
 
 #include "vanillahatch/core/upstream.h"
+#include "vanillahatch/shell/memory_budget.h"
 #include "vanillahatch/shell/settings.h"
 
 #include <boost/asio/awaitable.hpp>
@@ -32,6 +33,11 @@
   Endpoint endpoint_;
   Limits limits_;
   Millis idleTimeout_ = Seconds(60);
+  // From the first byte of a request to its last one.
+  Millis requestTimeout_ = Seconds(60);
+  // Shared with the other servers and clients of the process; null: the server
+  // has one of its own.
+  std::shared_ptr<MemoryBudget> budget_;
 };
 
 class HttpServer
--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -1,5 +1,6 @@
 #include "vanillahatch/shell/http_client.h"
 
+#include "shell/http_read.h"
 #include "vanillahatch/shell/dead_peer_detection.h"
 #include "vanillahatch/shell/system_clock.h"
 
@@ -21,7 +22,7 @@
 namespace {
 
 constexpr size_t kRequestHeaderBytes = 512; // estimate, to allocate once
-constexpr uint64_t kMaxAnswerBytes = 64ULL << 20U;
+constexpr uint32_t kMaxAnswerHeaderBytes = 16U << 10U;
 
 ExchangeResult Failed(ExchangeStatus aStatus, std::string aDetail)
 {
@@ -193,12 +194,25 @@
 asio::awaitable<ExchangeResult> HttpClient::ReadAnswer(Endpoint aEndpoint,
                                                        Stream aStream)
 {
-  boost::system::error_code error;
-  beast::flat_buffer buffer;
+  beast::flat_buffer buffer(kMaxAnswerHeaderBytes + kMaxReadBytes);
   http::response_parser<http::string_body> parser;
-  parser.body_limit(kMaxAnswerBytes);
-  co_await http::async_read(
-    *aStream, buffer, parser, asio::redirect_error(asio::use_awaitable, error));
+  parser.header_limit(kMaxAnswerHeaderBytes);
+  parser.body_limit(options_.maxAnswerBytes_);
+  const std::shared_ptr<MemoryBudget> budget = options_.budget_;
+  std::optional<MemoryBudget::Holding> holding;
+  const boost::system::error_code error =
+    co_await ReadMessage(*aStream, buffer, parser, [&] {
+      if (!budget) {
+        return true;
+      }
+      if (!holding) {
+        holding.emplace(*budget,
+                        MemoryBudget::Kind::kAnswer,
+                        [&stream = *aStream] { stream.close(); });
+        holding->WaitForPeer();
+      }
+      return holding->Resize(buffer.capacity() + parser.get().body().size());
+    });
   if (error) {
     co_return Failed(ExchangeStatus::kUnknown, error.message());
   }
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -1,12 +1,16 @@
 #include "vanillahatch/shell/http_server.h"
 
+#include "shell/http_read.h"
 #include "vanillahatch/shell/dead_peer_detection.h"
 #include "vanillahatch/shell/log.h"
+#include "vanillahatch/shell/system_clock.h"
+
 #include <array>
 
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/redirect_error.hpp>
+#include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
 #include <boost/beast/core.hpp>
 #include <boost/json.hpp>
@@ -24,11 +28,17 @@
 
 // Limits on reading the rest of a refused request before closing.
 constexpr Millis kDiscardTimeout = Seconds(2);
-constexpr size_t kMaxDiscardedBytes = 64U << 20U;
-
-} // namespace
+constexpr size_t kMaxDiscardedBytes = 8U << 20U;
+constexpr size_t kDiscardBufferBytes = 4096;
+constexpr size_t kMaxDiscarding = 64; // connections of one server
 
-namespace {
+// A buffer that has grown beyond this is not kept for the next request.
+constexpr size_t kIdleBufferBytes = 4096;
+// A request that has run gets such an answer even without room for it.
+constexpr size_t kSmallAnswerBytes = 4096;
+constexpr Millis kLogInterval = Seconds(1);
+constexpr Millis kAcceptRetry = Millis(50);
+constexpr const char* kRetryAfterSeconds = "1";
 
 // Bounds on detecting that a caller's connection is dead.
 constexpr Millis kUnacknowledged = Seconds(10);
@@ -44,6 +54,7 @@
     , options_(std::move(aOptions))
     , handler_(std::move(aHandler))
     , acceptor_(aIo)
+    , budget_(options_.budget_ ? options_.budget_ : MakeOwnBudget(options_))
   {
   }
 
@@ -77,6 +88,19 @@
   size_t OpenConnections() const { return open_; }
 
 private:
+  // Twice the largest request has room beside the part that is reserved for
+  // small ones.
+  static std::shared_ptr<MemoryBudget> MakeOwnBudget(
+    const HttpServerOptions& aOptions)
+  {
+    MemoryBudgetOptions budget;
+    budget.maxBytes_ = std::max(budget.maxBytes_,
+                                2 * size_t(aOptions.limits_.maxBodyBytes_) +
+                                  budget.reservedBytes_);
+    budget.maxConnections_ = aOptions.limits_.maxConnections_;
+    return std::make_shared<MemoryBudget>(budget);
+  }
+
   asio::awaitable<void> Accept()
   {
     for (;;) {
@@ -86,7 +110,21 @@
       if (error == asio::error::operation_aborted || stopping_) {
         co_return;
       }
-      if (error || open_ >= options_.limits_.maxConnections_) {
+      if (error) {
+        // Without descriptors, accepting fails at once each time.
+        asio::steady_timer timer(
+          io_, std::chrono::milliseconds(kAcceptRetry.Count()));
+        co_await timer.async_wait(
+          asio::redirect_error(asio::use_awaitable, error));
+        continue;
+      }
+      const uint64_t closedBefore = budget_->ClosedForConnections();
+      const bool isAdmitted =
+        open_ < options_.limits_.maxConnections_ && budget_->AdmitConnection();
+      if (!isAdmitted || budget_->ClosedForConnections() != closedBefore) {
+        LogLimited();
+      }
+      if (!isAdmitted) {
         continue;
       }
       asio::co_spawn(
@@ -105,10 +143,18 @@
     boost::system::error_code ignored;
     aStream->socket().set_option(tcp::no_delay(true), ignored);
     EnableDeadPeerDetection(aStream->socket(), kUnacknowledged, kKeepalive);
-    beast::flat_buffer buffer;
+    MemoryBudget::Holding holding(*budget_,
+                                  MemoryBudget::Kind::kConnection,
+                                  [&stream = *aStream] { stream.close(); });
+    beast::flat_buffer buffer(options_.limits_.maxHeaderBytes_ + kMaxReadBytes);
     bool keep = true;
-    while (keep && !stopping_) {
-      keep = co_await ServeOne(*aStream, buffer);
+    while (keep && !stopping_ && !holding.WasClosed()) {
+      if (buffer.capacity() > kIdleBufferBytes) {
+        buffer.shrink_to_fit();
+      }
+      holding.Resize(0);
+      holding.WaitForPeer();
+      keep = co_await ServeOne(*aStream, buffer, holding);
     }
     aStream->socket().shutdown(tcp::socket::shutdown_send, ignored);
     --open_;
@@ -116,21 +162,38 @@
 
   // Returns whether the connection may carry another request.
   asio::awaitable<bool> ServeOne(beast::tcp_stream& aStream,
-                                 beast::flat_buffer& aBuffer)
+                                 beast::flat_buffer& aBuffer,
+                                 MemoryBudget::Holding& aHolding)
   {
     http::request_parser<http::string_body> parser;
     parser.header_limit(options_.limits_.maxHeaderBytes_);
     parser.body_limit(options_.limits_.maxBodyBytes_);
     aStream.expires_after(
       std::chrono::milliseconds(options_.idleTimeout_.Count()));
-    boost::system::error_code error;
     idle_.insert(&aStream);
-    co_await http::async_read(aStream,
-                              aBuffer,
-                              parser,
-                              asio::redirect_error(asio::use_awaitable, error));
+    bool hasBegun = false;
+    boost::system::error_code error =
+      co_await ReadMessage(aStream, aBuffer, parser, [&] {
+        if (!hasBegun) {
+          hasBegun = true;
+          aStream.expires_after(
+            std::chrono::milliseconds(options_.requestTimeout_.Count()));
+        }
+        return aHolding.Resize(aBuffer.capacity() + parser.get().body().size());
+      });
     idle_.erase(&aStream);
+    if (aHolding.WasClosed()) {
+      LogLimited();
+      co_return false;
+    }
+    aHolding.Serve();
+    if (!error && !aHolding.Resize(parser.get().body().size())) {
+      error = make_error_code(boost::system::errc::not_enough_memory);
+    }
     if (error) {
+      parser.get().body() = std::string();
+      aHolding.Resize(aBuffer.capacity());
+      aHolding.WaitForPeer();
       co_await AnswerReadError(aStream, error);
       co_return false;
     }
@@ -141,6 +204,12 @@
     response.version(version);
     response.keep_alive(keep && !draining_ && !stopping_);
     response.prepare_payload();
+    const bool hasRoom = aHolding.Resize(response.body().size());
+    if (!hasRoom && response.body().size() > kSmallAnswerBytes) {
+      LogLimited();
+      co_return false;
+    }
+    aHolding.WaitForPeer();
     aStream.expires_after(
       std::chrono::milliseconds(options_.idleTimeout_.Count()));
     co_await http::async_write(
@@ -164,11 +233,17 @@
   asio::awaitable<void> AnswerReadError(beast::tcp_stream& aStream,
                                         boost::system::error_code aError)
   {
+    if (aError == boost::system::errc::not_enough_memory) {
+      LogLimited();
+    }
     unsigned status = 0;
     if (aError == http::error::body_limit) {
       status = 413;
-    } else if (aError == http::error::header_limit) {
+    } else if (aError == http::error::header_limit ||
+               aError == http::error::buffer_overflow) {
       status = 431;
+    } else if (aError == boost::system::errc::not_enough_memory) {
+      status = 503;
     } else if (aError.category() ==
                  http::make_error_code(http::error::bad_method).category() &&
                aError != http::error::end_of_stream &&
@@ -179,14 +254,22 @@
       co_return;
     }
     HttpResponse response =
-      MakeProblem(status, "malformed-request", "no", aError.message());
+      status == 503
+        ? MakeProblem(status, "busy", "no", "too much is being received")
+        : MakeProblem(status, "malformed-request", "no", aError.message());
+    if (status == 503) {
+      response.set(http::field::retry_after, kRetryAfterSeconds);
+    }
     response.keep_alive(false);
     response.prepare_payload();
     boost::system::error_code error;
+    aStream.expires_after(std::chrono::milliseconds(kDiscardTimeout.Count()));
     co_await http::async_write(
       aStream, response, asio::redirect_error(asio::use_awaitable, error));
-    if (!error) {
+    if (!error && discarding_ < kMaxDiscarding) {
+      ++discarding_;
       co_await DiscardRest(aStream);
+      --discarding_;
     }
   }
 
@@ -198,7 +281,7 @@
     boost::system::error_code error;
     aStream.socket().shutdown(tcp::socket::shutdown_send, error);
     aStream.expires_after(std::chrono::milliseconds(kDiscardTimeout.Count()));
-    std::array<char, 16384> discarded{};
+    std::array<char, kDiscardBufferBytes> discarded{};
     for (size_t total = 0; !error && total < kMaxDiscardedBytes;) {
       total += co_await aStream.async_read_some(
         asio::buffer(discarded),
@@ -206,12 +289,31 @@
     }
   }
 
+  void LogLimited()
+  {
+    const Millis now = BootTimeNow();
+    if (now - loggedAt_ < kLogInterval) {
+      return;
+    }
+    loggedAt_ = now;
+    LogWarning(Event::kConnectionsLimited,
+               { { "port", options_.endpoint_.port_ },
+                 { "bytes", budget_->BytesHeld() },
+                 { "connections", budget_->Connections() },
+                 { "closed_for_memory", budget_->ClosedForMemory() },
+                 { "closed_for_connections", budget_->ClosedForConnections() },
+                 { "refused", budget_->Refused() } });
+  }
+
   asio::io_context& io_;
   HttpServerOptions options_;
   HttpHandler handler_;
   tcp::acceptor acceptor_;
+  const std::shared_ptr<MemoryBudget> budget_;
   std::set<beast::tcp_stream*> idle_;
   size_t open_ = 0;
+  size_t discarding_ = 0;
+  Millis loggedAt_ = Millis() - kLogInterval;
   bool draining_ = false;
   bool stopping_ = false;
 };
--- a/test/http_client_test.cpp
+++ b/test/http_client_test.cpp
@@ -265,3 +265,30 @@
   }
   BOOST_TEST(harness.client_.IdleConnections() == 0U);
 }
+
+BOOST_AUTO_TEST_CASE(AnswerWithAPartOverItsLimitIsUnknown)
+{
+  const std::string chunked =
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2";
+  const std::string filler(size_t(256) << 10U, 'f');
+  for (const std::string& answer :
+       { "HTTP/1.1 200 OK\r\nX: " + filler,
+         chunked + "\r\n{}\r\n0\r\nX: " + filler,
+         chunked + ";" + filler,
+         "HTTP/1.1 200 OK\r\nContent-Length: 262144\r\n\r\n" + filler }) {
+    ClientHarness harness(answer);
+    harness.client_ = HttpClient({ .maxAnswerBytes_ = 262143 });
+    BOOST_TEST((harness.Call().status_ == ExchangeStatus::kUnknown));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(AnswerWithoutRoomInTheBudgetIsUnknown)
+{
+  const auto budget = std::make_shared<MemoryBudget>(MemoryBudgetOptions{
+    .maxBytes_ = size_t(200) << 10U, .reservedBytes_ = size_t(50) << 10U });
+  ClientHarness harness("HTTP/1.1 200 OK\r\nContent-Length: 262144\r\n\r\n" +
+                        std::string(size_t(256) << 10U, 'b'));
+  harness.client_ = HttpClient({ .budget_ = budget });
+  BOOST_TEST((harness.Call().status_ == ExchangeStatus::kUnknown));
+  BOOST_TEST(budget->BytesHeld() == 0U);
+}
--- a/test/http_server_test.cpp
+++ b/test/http_server_test.cpp
@@ -2,12 +2,17 @@
 #include "vanillahatch/shell/http_client.h"
 #include "vanillahatch/shell/http_server.h"
 
+#include <boost/asio/buffer.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/ip/tcp.hpp>
+#include <boost/asio/read_until.hpp>
+#include <boost/asio/redirect_error.hpp>
 #include <boost/asio/steady_timer.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/asio/write.hpp>
 #include <boost/test/unit_test.hpp>
+#include <list>
 #include <stdexcept>
 
 using namespace vanillahatch;
@@ -17,8 +22,13 @@
 
 namespace {
 
+using asio::ip::tcp;
+
 constexpr unsigned kHttpVersion = 11;
 constexpr std::chrono::milliseconds kSlowTime(200);
+constexpr size_t kLargeAnswerBytes = size_t(1) << 20U;
+constexpr size_t kMaxHeaderBytes = 16384;
+constexpr size_t kMaxBodyBytes = 262144;
 
 uint16_t FreePort()
 {
@@ -39,6 +49,9 @@
   if (aRequest.target() == "/slow") {
     co_await SleepFor(kSlowTime);
   }
+  if (aRequest.target() == "/large") {
+    co_return MakeJson(200, std::string(kLargeAnswerBytes, 'x'));
+  }
   if (aRequest.target() == "/throws") {
     throw std::runtime_error("unexpected");
   }
@@ -66,9 +79,65 @@
     return result->response_ ? result->response_->result_int() : 0;
   }
 
+  // Sends the text on a new connection, as far as the server takes it. Returns
+  // the status of the answer, 0 without one.
+  unsigned Send(std::string aText)
+  {
+    tcp::socket socket(io_);
+    std::optional<unsigned> status;
+    asio::co_spawn(
+      io_,
+      [&]() -> asio::awaitable<void> {
+        co_await socket.async_connect(
+          { asio::ip::make_address("127.0.0.1"), endpoint_.port_ },
+          asio::use_awaitable);
+        boost::system::error_code error;
+        co_await asio::async_write(
+          socket,
+          asio::buffer(aText),
+          asio::redirect_error(asio::use_awaitable, error));
+        std::string answer;
+        co_await asio::async_read_until(
+          socket,
+          asio::dynamic_buffer(answer),
+          "\r\n",
+          asio::redirect_error(asio::use_awaitable, error));
+        const size_t space = answer.find(' ');
+        status = space == std::string::npos
+                   ? 0
+                   : static_cast<unsigned>(std::stoul(answer.substr(space)));
+      },
+      asio::detached);
+    while (!status) {
+      io_.run_one();
+    }
+    return *status;
+  }
+
+  // Connects, sends the text and leaves the connection open.
+  tcp::socket& Hold(const std::string& aText)
+  {
+    held_.emplace_back(io_);
+    held_.back().connect(
+      { asio::ip::make_address("127.0.0.1"), endpoint_.port_ });
+    asio::write(held_.back(), asio::buffer(aText));
+    io_.run_for(std::chrono::milliseconds(20));
+    return held_.back();
+  }
+
   asio::io_context io_{ 1 };
   const Endpoint endpoint_{ .address_ = "127.0.0.1", .port_ = FreePort() };
-  HttpServer server_{ io_, { .endpoint_ = endpoint_ }, Answer };
+  const std::shared_ptr<MemoryBudget> budget_ = std::make_shared<MemoryBudget>(
+    MemoryBudgetOptions{ .maxBytes_ = 2 * kMaxBodyBytes,
+                         .reservedBytes_ = kMaxBodyBytes / 2,
+                         .maxConnections_ = 8 });
+  HttpServer server_{ io_,
+                      { .endpoint_ = endpoint_,
+                        .limits_ = { .maxBodyBytes_ = kMaxBodyBytes,
+                                     .maxHeaderBytes_ = kMaxHeaderBytes },
+                        .budget_ = budget_ },
+                      Answer };
+  std::list<tcp::socket> held_;
   HttpClient client_;
 };
 
@@ -95,4 +164,63 @@
   BOOST_TEST(Get("/slow") == 200U);
 }
 
+BOOST_AUTO_TEST_CASE(RequestAtEachLimitIsServed)
+{
+  const std::string start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string filler = "X-Filler: ";
+  const std::string end = "\r\nContent-Length: 262144\r\n\r\n";
+  const size_t padding =
+    kMaxHeaderBytes - start.size() - filler.size() - end.size();
+  BOOST_TEST(Send(start + filler + std::string(padding, 'h') + end +
+                  std::string(kMaxBodyBytes, 'b')) == 200U);
+  BOOST_TEST(Send(start + "Transfer-Encoding: chunked\r\n\r\n40000;a=b\r\n" +
+                  std::string(kMaxBodyBytes, 'b') +
+                  "\r\n0\r\nX-Checksum: 7\r\n\r\n") == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(RequestWithAPartOverItsLimitIsRefused)
+{
+  const std::string start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string filler = "X: " + std::string(4 * kMaxHeaderBytes, 'f');
+  const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n2";
+  BOOST_TEST(Send(start + filler) == 431U);
+  BOOST_TEST(Send(chunked + "\r\n{}\r\n0\r\n" + filler + filler) == 431U);
+  BOOST_TEST(Send(chunked + ";" + filler + filler) == 431U);
+  BOOST_TEST(Send(start + "Content-Length: 262145\r\n\r\n") == 413U);
+}
+
+BOOST_AUTO_TEST_CASE(UnfinishedRequestsAreClosedOldestFirstWhenMemoryIsShort)
+{
+  const std::string unfinished =
+    "POST /x HTTP/1.1\r\nHost: h\r\nContent-Length: 262144\r\n\r\n" +
+    std::string(kMaxBodyBytes - 1, 'b');
+  for (int i = 0; i < 4; ++i) {
+    Hold(unfinished);
+  }
+  BOOST_TEST(budget_->ClosedForMemory() == 3U);
+  BOOST_TEST(budget_->BytesHeld() <= 2 * kMaxBodyBytes);
+  BOOST_TEST(Get("/succeeds") == 200U);
+  BOOST_TEST(Send(unfinished + "b") == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(AnswersThatAreNotReadStayWithinTheBudget)
+{
+  const std::string get = "GET /large HTTP/1.1\r\nHost: h\r\n\r\n";
+  for (int i = 0; i < 6; ++i) {
+    Hold(get + get + get + get);
+  }
+  BOOST_TEST(budget_->BytesHeld() <= 2 * kMaxBodyBytes);
+  BOOST_TEST(Get("/succeeds") == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(IdleConnectionGivesWayToANewOneAtTheLimit)
+{
+  for (int i = 0; i < 12; ++i) {
+    Hold("");
+  }
+  BOOST_TEST(budget_->Connections() == 8U);
+  BOOST_TEST(budget_->ClosedForConnections() == 4U);
+  BOOST_TEST(Get("/succeeds") == 200U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -257,6 +257,9 @@
 move_s = 1.5
 max_hold_ms = 10000
 far_x = 1.5
+[limits]
+memory_mb = 384
+max_fds = 5000
 [cloud]
 address = "10.200.0.107:8621"
 rate_per_s = 64.0
@@ -267,6 +270,8 @@
   BOOST_TEST(settings.value().machineMoveTime_.Count() == 1500);
   BOOST_TEST(settings.value().maxLease_.Count() == 10000);
   BOOST_TEST(settings.value().remoteRackFactor_ == 1.5);
+  BOOST_TEST(settings.value().memoryMb_ == 384U);
+  BOOST_TEST(settings.value().maxDescriptors_ == 5000U);
   BOOST_TEST(!settings.value().clientEndpoint_.has_value());
   BOOST_TEST(settings.value().controlEndpoint_->port_ == 8623);
 }
--- /dev/null
+++ b/test/process/hostile_stored_test.py
@@ -0,0 +1,51 @@
+"""More accepted jobs than the memory of a scheduler holds.
+
+    python3 test/process/hostile_stored_test.py BUILD_DIR"""
+
+import os
+import sys
+import threading
+
+sys.path.insert(0, os.path.dirname(__file__))
+import hostile  # noqa: E402
+import platform_test as platform  # noqa: E402
+
+MEMORY_MB = (96, 128)  # gateway, scheduler
+SENDERS = 8
+JOBS = 20000
+JOB = {"spec": "x" * 4000, "steps": [{"count": 1, "cpu": 500, "mem_mb": 10,
+                                      "estimate_ms": 300}]}
+
+
+def submit(sender):
+    for number in range(sender, JOBS, SENDERS):
+        try:
+            platform.client("POST", "/q/%016x" % (number | 1 << 32), JOB)
+        except OSError:
+            pass  # The job may be refused.
+
+
+def attack(_):
+    threads = [threading.Thread(target=submit, args=(sender,))
+               for sender in range(SENDERS)]
+    for thread in threads:
+        thread.start()
+    for thread in threads:
+        thread.join()
+    return []
+
+
+def check_client(_):
+    """A new job may be refused; those that were accepted can be read."""
+    platform.until("an ordinary client is answered",
+                   lambda: platform.state("%016x" % (1 << 32)) == "queued")
+
+
+def main():
+    hostile.run_cases([{"name": "20,000 jobs of 4,000 bytes without a runner",
+                        "attack": attack, "memory_mb": MEMORY_MB,
+                        "check_client": check_client}])
+
+
+if __name__ == "__main__":
+    main()
