--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -82,6 +82,7 @@
   kLeaderLost = 651,
   kSettingsReloaded = 652,
   kCallsUnauthorized = 660,
+  kConnectionsLimited = 665,
 };
 
 struct EventEntry
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -80,6 +80,7 @@
   EventEntry{ Event::kLeaderLost, "leader-lost" },
   EventEntry{ Event::kSettingsReloaded, "settings-reloaded" },
   EventEntry{ Event::kCallsUnauthorized, "calls-unauthorized" },
+  EventEntry{ Event::kConnectionsLimited, "connections-limited" },
 };
 
 } // namespace
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -70,6 +70,48 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(JobThatIsLargeInMemoryIsRejected)
+{
+  std::string steps;
+  for (int i = 0; i < 3; ++i) {
+    steps += R"({"count":10000},)";
+  }
+  BOOST_TEST(
+    !DecodeJob(R"({"steps":[)" + steps + R"({"count":1}]})").has_value());
+  BOOST_TEST(!DecodeJob(R"({"steps":[{"count":1,"image":")" +
+                        std::string(70000, 'i') + R"("}]})")
+                .has_value());
+  BOOST_TEST(
+    DecodeJob(R"({"steps":[{"count":10000},{"count":10000}]})").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(JobThatRepeatsVeryManyTasksIsRejected)
+{
+  const std::string steps = R"("steps":[{"count":10}])";
+  BOOST_TEST(
+    !DecodeJob(R"({"repeat_count":4000000000,)" + steps + "}").has_value());
+  BOOST_TEST(!DecodeJob(R"({"repeat_count":20001,)" + steps + "}").has_value());
+  BOOST_TEST(DecodeJob(R"({"repeat_count":20000,)" + steps + "}").has_value());
+  BOOST_TEST(!DecodeJob(R"({"interval_ms":-1,)" + steps + "}").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(EarlierStepThatIsNamedTwiceIsKeptOnce)
+{
+  const auto job =
+    DecodeJob(R"({"steps":[{"count":1},{"count":1,"after":[0,0,0]}]})");
+  BOOST_REQUIRE(job.has_value());
+  BOOST_TEST(job.value().steps(1).after_steps_size() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(JsonOfVeryManyValuesIsRejected)
+{
+  std::string body = R"({"a":[0)";
+  for (int i = 0; i < 250000; ++i) {
+    body += ",0";
+  }
+  BOOST_TEST(!ParseObject(body + "]}").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(ConfigurationKeepsTheOriginalDocument)
 {
   const auto config = DecodeConfig(kConfig);
@@ -215,6 +257,9 @@
 move_s = 1.5
 max_hold_ms = 10000
 far_x = 1.5
+[limits]
+memory_mb = 384
+max_fds = 5000
 [cloud]
 address = "10.200.0.107:8621"
 rate_per_s = 64.0
@@ -225,6 +270,8 @@
   BOOST_TEST(settings.value().machineMoveTime_.Count() == 1500);
   BOOST_TEST(settings.value().maxLease_.Count() == 10000);
   BOOST_TEST(settings.value().remoteRackFactor_ == 1.5);
+  BOOST_TEST(settings.value().memoryMb_ == 384U);
+  BOOST_TEST(settings.value().maxDescriptors_ == 5000U);
   BOOST_TEST(!settings.value().clientEndpoint_.has_value());
   BOOST_TEST(settings.value().controlEndpoint_->port_ == 8623);
 }
