--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -203,7 +203,7 @@
     uint32_t minInstances_ = 0;
   };
 
-  // fleet_scheduler.cpp
+  // fleet_scheduler_views.cpp
   // Must come first in each event that uses a view: the log may have removed
   // the instance since the last event.
   void SyncViews(Millis aNow);
@@ -212,6 +212,8 @@
   bool AddInheritedRuns(Millis aNow, InstanceView& aView);
   void AddToIndex(InstanceView& aView);
   void RemoveFromIndex(const InstanceView& aView);
+
+  // fleet_scheduler.cpp
   void PollInstances(Millis aNow);
   bool MayGrantLeases(Millis aNow) const
   {
@@ -281,8 +283,7 @@
                    RunView& aRun,
                    std::string_view aReason);
 
-  // fleet_scheduler_placement.cpp
-  void PlaceTasks(Millis aNow);
+  // fleet_scheduler_backlog.cpp
   // Collects and sorts the waiting steps; the longer the backlog, the less
   // often.
   void RankBacklog(Millis aNow);
@@ -297,10 +298,13 @@
   // How long a task of the step occupies capacity: its run time and the time
   // that its start order and its end are in flight.
   Millis EstimateOccupancy(const Job& aJob, const v1::StepSpec& aStep) const;
-  void CollectUsableInstances(Millis aNow);
   JobUrgency UrgencyOf(Millis aNow,
                        const Job& aJob,
                        const Occurrence* aOccurrence);
+
+  // fleet_scheduler_placement.cpp
+  void PlaceTasks(Millis aNow);
+  void CollectUsableInstances(Millis aNow);
   // Returns null if no instance is suitable; an empty `aRack` means any rack.
   InstanceView* ChooseInstance(Millis aNow,
                                UsableInstances& aUsable,
