--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -22,6 +22,8 @@
 #include "vanillahatch/core/jobs/pool_balancer.h"
 #include "vanillahatch/core/jobs/service_capacity.h"
 #include "vanillahatch/core/jobs/task_run_time_estimator.h"
+#include "vanillahatch/core/sharing/customer_ledger.h"
+#include "vanillahatch/core/sharing/fair_backlog.h"
 
 #include <functional>
 #include <unordered_map>
@@ -60,6 +62,7 @@
   std::string task_; // as text; empty if the finding concerns no task
   uint32_t run_ = 0;
   std::string instance_; // id
+  std::string customer_; // empty if the finding concerns no customer
   std::string_view description_;
 };
 
@@ -85,9 +88,10 @@
   // instance leaves.
   std::function<void(const TaskRef&, uint32_t)> onStartWithheld_;
   std::function<void(const MachineOrder&, std::string_view)> onMachine_;
-  // Both are called about once a second.
+  // These are called about once a second.
   std::function<void(const PoolLoad&)> onPool_;
   std::function<void(const DispatchLoad&)> onDispatch_;
+  std::function<void(const CustomerLoad&)> onCustomer_;
   // The state of this replica differed from the log and was corrected.
   std::function<void(const AuditFinding&)> onAudit_;
 };
@@ -169,6 +173,8 @@
     std::string_view service_; // of the step's queue; owned by the store
     Resources need_;           // of each task
     Millis expectedOccupancy_; // of each task; see EstimateOccupancy
+    CustomerId customer_ = kNoCustomer;
+    Resources declaredNeed_; // of each task; counts against the cap
     bool needsAdvice_ = false;
   };
 
@@ -234,6 +240,7 @@
   void Audit(Millis aNow);
   void AuditInstance(const Instance& aInstance);
   void AuditProposedStarts();
+  void AuditLedger();
   uint64_t Propose(v1::JobChanges aChanges, PendingProposal aPending);
   // For an order that is decided now and expires.
   OrderTarget TargetOf(Millis aNow, const InstanceView& aView) const;
@@ -302,8 +309,20 @@
                        const Job& aJob,
                        const Occurrence* aOccurrence);
 
+  // fleet_scheduler_sharing.cpp
+  void RefreshLedger();
+  void MeasureServices();
+  // Determines the order among customers in the ranked backlog.
+  void AssignFairBacklog();
+  // Calls `PlaceCandidate` for each candidate.
+  void PlaceFairly(Millis aNow);
+  // True if the cap keeps the next start of the step back: of a gang all tasks,
+  // else one. Records that `aTasks` tasks are held.
+  bool IsHeldByCap(const Candidate& aCandidate, uint32_t aTasks);
+
   // fleet_scheduler_placement.cpp
   void PlaceTasks(Millis aNow);
+  void PlaceCandidate(Millis aNow, const Candidate& aCandidate);
   void CollectUsableInstances(Millis aNow);
   // Returns null if no instance is suitable; an empty `aRack` means any rack.
   InstanceView* ChooseInstance(Millis aNow,
@@ -374,6 +393,9 @@
   FleetSchedulerOptions options_;
   SchedulerTrace trace_;
   const Millis leaderSince_;
+  // What the runs in `views_` are charged to.
+  CustomerLedger ledger_;
+  uint64_t ledgerConfigVersion_ = 0;
   Millis leaderLeaseExpiresAt_; // zero: not held
   std::map<InstanceKey, InstanceView> views_;
   // Pointers into `views_`, for fast iteration and search.
@@ -399,6 +421,7 @@
   std::map<std::string, DemandForecaster> demandForecasters_; // by service
   Resources machineCapacity_;      // of the machine with the most cores
   std::vector<Candidate> backlog_; // most urgent first
+  FairBacklog fairBacklog_;        // of `backlog_`
   Millis rankedAt_;
   uint64_t rankedConfigVersion_ = 0;
   // Of this round, by service.
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -15,6 +15,7 @@
 #include "vanillahatch/core/jobs/instance_lease.h"
 #include "vanillahatch/core/jobs/orders.h"
 #include "vanillahatch/core/resources.h"
+#include "vanillahatch/core/sharing/customer_ledger.h"
 
 #include <map>
 
@@ -56,6 +57,7 @@
   bool isLatencySensitive_ = false; // has a target for its tail latency
   bool isBestEffort_ = false; // uses processor time that others leave unused
   bool isReleased_ = false;   // it has ended and its capacity was released
+  RunCharge charge_;          // if the view has a ledger
 };
 
 // Summary of the runs of one instance, as the scheduler needs it per round.
@@ -75,6 +77,9 @@
                Millis aLastGrantAt,
                Millis aNow);
 
+  // Charges the runs that are added from now on; call it before any is. The
+  // ledger must outlive the view.
+  void SetLedger(CustomerLedger& aLedger) { ledger_ = &aLedger; }
   // Updates the capacity after a committed change of the instance's record.
   void RefreshCapacity();
   // False if the record was removed, even if another has replaced it.
@@ -101,6 +106,14 @@
   // Releases the capacity of a run whose end the instance has listed.
   void ReleaseCapacityOf(RunView& aRun);
   void RemoveRun(const TaskRef& aTask);
+  void RemoveAllRuns();
+  // Runs of customers' tasks that a listing shows and the log does not assign
+  // to the instance. They count against the cap until a listing lacks them.
+  void ClearUnassignedRuns();
+  void AddUnassignedRun(const TaskRef& aTask);
+  bool HasUnassignedRuns() const { return !unassignedRuns_.empty(); }
+  // Charges all runs to a copy of the ledger; see `CustomerLedger::CorrectBy`.
+  void Recount(CustomerLedger& aLedger) const;
 
   // Capacity occupied by all runs, including those proposed or being stopped.
   const Resources& Used() const { return used_; }
@@ -168,6 +181,8 @@
   bool formerLeaseEndProposed_ = false; // see `Instance::mayHoldFormerLease_`
 
 private:
+  ServiceId ChargedService() const;
+
   Instance* instance_;
   uint64_t serial_; // of the instance when the view was made
   InstanceLease lease_;
@@ -178,12 +193,18 @@
   uint32_t longRunningRuns_ = 0;
   uint32_t latencySensitiveRuns_ = 0;
   uint32_t bestEffortRuns_ = 0;
+  CustomerLedger* ledger_ = nullptr;
+  std::vector<RunCharge> unassignedRuns_;
   // Any access that may modify a run invalidates the summary.
   mutable bool isSummaryValid_ = false;
   mutable uint64_t summarizedInterruptedJobs_ = 0;
   mutable RunSummary summary_;
 };
 
+// What one task of the step needs, including processor time that is not
+// reserved.
+Resources DeclaredNeedOf(const v1::StepSpec& aStep);
+
 // Capacity that one task of the step occupies on its instance. The processor
 // time of best-effort tasks is not reserved.
 Resources OccupiedBy(const v1::StepSpec& aStep);
--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -60,6 +60,8 @@
   , options_(aOptions)
   , trace_(std::move(aTrace))
   , leaderSince_(aNow)
+  , ledger_(
+      [this](std::string_view aName) { return store_.FindCustomer(aName); })
   , machines_(options_.machines_)
 {
   if (!store_.OpenJobs().empty()) {
@@ -247,8 +249,8 @@
     const bool isClockStale =
       view.Lease().IsClockKnown() &&
       aNow - view.Lease().ObservedAt() > kClockReadInterval;
-    const bool needsListing =
-      hasRuns || hasNewEnds || !view.contacted_ || isClockStale;
+    const bool needsListing = hasRuns || hasNewEnds || !view.contacted_ ||
+                              isClockStale || view.HasUnassignedRuns();
     if (!needsListing) {
       continue;
     }
--- a/src/core/jobs/fleet_scheduler_audit.cpp
+++ b/src/core/jobs/fleet_scheduler_audit.cpp
@@ -54,6 +54,7 @@
                  { .run_ = run, .phase_ = RunPhase::kInDoubt, .since_ = aNow });
   }
   AuditProposedStarts();
+  AuditLedger();
 }
 
 // Collects runs that the log assigns to the instance and its view lacks.
@@ -86,4 +87,18 @@
   }
 }
 
+// A charge that is never released would hold back its customer's tasks forever.
+void FleetScheduler::AuditLedger()
+{
+  CustomerLedger recount = ledger_.WithoutCharges();
+  for (const InstanceView* view : allViews_) {
+    view->Recount(recount);
+  }
+  for (std::string& customer : ledger_.CorrectBy(recount)) {
+    trace_.onAudit_(
+      { .customer_ = std::move(customer),
+        .description_ = "charges of a customer differ from its runs" });
+  }
+}
+
 } // namespace vanillahatch
--- a/src/core/jobs/fleet_scheduler_backlog.cpp
+++ b/src/core/jobs/fleet_scheduler_backlog.cpp
@@ -39,6 +39,14 @@
   if (aJob.acceptanceIndex_ < firstOwnAcceptanceIndex_) {
     return; // It arrived under an earlier leader.
   }
+  const v1::StepSpec& first = aJob.spec_.steps(0);
+  const uint32_t allowedTasks =
+    ledger_.RecordArrival(ledger_.FindOrAdd(aJob.customer_),
+                          DeclaredNeedOf(first),
+                          first.task_count());
+  if (allowedTasks == 0) {
+    return; // Work beyond a cap needs no capacity.
+  }
   double coreMillis = 0;
   for (const v1::StepSpec& step : aJob.spec_.steps()) {
     if (!step.lasting()) {
@@ -127,6 +135,8 @@
         .service_ = store_.ServiceOf(aJob),
         .need_ = OccupiedBy(spec),
         .expectedOccupancy_ = EstimateOccupancy(aJob, spec),
+        .customer_ = ledger_.FindOrAdd(aJob.customer_),
+        .declaredNeed_ = DeclaredNeedOf(spec),
         .needsAdvice_ = queue != nullptr && queue->needs_advice() });
   }
 }
@@ -161,6 +171,7 @@
             [](const Candidate& aLeft, const Candidate& aRight) {
               return ComesBefore(aLeft.urgency_, aRight.urgency_);
             });
+  AssignFairBacklog();
 }
 
 } // namespace vanillahatch
--- a/src/core/jobs/fleet_scheduler_maintenance.cpp
+++ b/src/core/jobs/fleet_scheduler_maintenance.cpp
@@ -243,7 +243,8 @@
   }
   for (const Candidate& candidate : backlog_) {
     const v1::StepSpec& spec = JobStore::SpecOf(candidate.firstTask_);
-    if (!spec.lasting() || !candidate.firstTask_.job_->IsOpen()) {
+    if (!spec.lasting() || !candidate.firstTask_.job_->IsOpen() ||
+        !ledger_.MayStart(candidate.customer_, candidate.declaredNeed_)) {
       continue;
     }
     const auto capacity = serviceCapacities_.find(candidate.service_);
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -126,19 +126,24 @@
 
 void FleetScheduler::RecordWaiting(const Candidate& aCandidate, uint32_t aTasks)
 {
+  const uint32_t allowedTasks = ledger_.RecordWaiting(
+    aCandidate.customer_, aCandidate.declaredNeed_, aTasks);
+  if (allowedTasks == 0) {
+    return;
+  }
   const auto it = waitingWork_.find(aCandidate.service_);
   WaitingWork& waiting = it != waitingWork_.end()
                            ? it->second
                            : waitingWork_[std::string(aCandidate.service_)];
   const double cores =
-    aTasks * OccupiedCores(aCandidate.need_, machineCapacity_);
+    allowedTasks * OccupiedCores(aCandidate.need_, machineCapacity_);
   const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.firstTask_);
   if (spec.lasting()) {
     waiting.longRunningCores_ += cores;
     const uint32_t perInstance = std::max(spec.max_per_instance(), 1U);
     waiting.minInstances_ =
       std::max(waiting.minInstances_,
-               spec.max_per_instance() > 0 ? aTasks / perInstance : 1U);
+               spec.max_per_instance() > 0 ? allowedTasks / perInstance : 1U);
     return;
   }
   waiting.cores_ += cores;
@@ -165,6 +170,9 @@
     if (!isPending || proposedStarts_.contains(task)) {
       continue;
     }
+    if (IsHeldByCap(aCandidate, spec.task_count() - i)) {
+      return;
+    }
     InstanceView* view = nullptr;
     if (startsInRound_ < kMaxStartsPerRound) {
       view =
@@ -279,6 +287,7 @@
 {
   startsInRound_ = 0;
   waitingWork_.clear();
+  RefreshLedger();
   RankBacklog(aNow);
   if (backlog_.empty()) {
     return;
@@ -288,31 +297,34 @@
   usableInstances_.clear();
   if (MayGrantLeases(aNow)) {
     CollectUsableInstances(aNow);
+    MeasureServices();
   }
-  for (const Candidate& candidate : backlog_) {
-    const TaskRef& firstTask = candidate.firstTask_;
-    if (!firstTask.job_->IsOpen()) {
-      continue; // The job was closed after the backlog was ranked.
-    }
-    const Occurrence* occurrence =
-      JobStore::FindOccurrence(*firstTask.job_, firstTask.occurrence_);
-    const v1::StepSpec& spec = JobStore::SpecOf(firstTask);
-    const uint32_t pending = occurrence != nullptr
-                               ? occurrence->steps_[firstTask.step_].pending_
-                               : spec.task_count();
-    const auto usable = usableInstances_.find(candidate.service_);
-    const bool cannotFit = usable == usableInstances_.end() ||
-                           usable->second.IsKnownNotToFit(candidate.need_);
-    if (pending == 0) {
-      continue;
-    }
-    if (cannotFit) {
-      RecordWaiting(candidate, pending);
-    } else if (spec.gang()) {
-      PlaceGang(aNow, candidate, usable->second);
-    } else {
-      PlaceStep(aNow, candidate, usable->second);
-    }
+  PlaceFairly(aNow);
+}
+
+void FleetScheduler::PlaceCandidate(Millis aNow, const Candidate& aCandidate)
+{
+  const TaskRef& firstTask = aCandidate.firstTask_;
+  if (!firstTask.job_->IsOpen()) {
+    return; // The job was closed after the backlog was ranked.
+  }
+  const Occurrence* occurrence =
+    JobStore::FindOccurrence(*firstTask.job_, firstTask.occurrence_);
+  const v1::StepSpec& spec = JobStore::SpecOf(firstTask);
+  const uint32_t pending = occurrence != nullptr
+                             ? occurrence->steps_[firstTask.step_].pending_
+                             : spec.task_count();
+  if (pending == 0 || IsHeldByCap(aCandidate, pending)) {
+    return;
+  }
+  const auto usable = usableInstances_.find(aCandidate.service_);
+  if (usable == usableInstances_.end() ||
+      usable->second.IsKnownNotToFit(aCandidate.need_)) {
+    RecordWaiting(aCandidate, pending);
+  } else if (spec.gang()) {
+    PlaceGang(aNow, aCandidate, usable->second);
+  } else {
+    PlaceStep(aNow, aCandidate, usable->second);
   }
 }
 
--- a/src/core/jobs/fleet_scheduler_pools.cpp
+++ b/src/core/jobs/fleet_scheduler_pools.cpp
@@ -168,6 +168,8 @@
     poolsTracedAt_ = aNow;
     std::for_each(pools.begin(), pools.end(), trace_.onPool_);
     trace_.onDispatch_(MeasureDispatch());
+    const std::vector<CustomerLoad> customers = ledger_.MeasureLoads();
+    std::for_each(customers.begin(), customers.end(), trace_.onCustomer_);
   }
   PoolBalancerOptions poolOptions = options_.pools_;
   poolOptions.maxMoves_ = std::max(
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -368,9 +368,13 @@
                                     InstanceView& aView,
                                     const InstanceListing& aListing)
 {
+  aView.ClearUnassignedRuns();
   for (const RunningTask& running : aListing.running_) {
     const std::optional<TaskRef> ref = store_.FindTask(running.task_);
     RunView* run = ref ? aView.FindRun(*ref, running.run_) : nullptr;
+    if (run == nullptr && ref) {
+      aView.AddUnassignedRun(*ref);
+    }
     if (run == nullptr) {
       // A run of an earlier leader or an earlier run of the task; its result
       // is not needed.
--- a/src/core/jobs/fleet_scheduler_views.cpp
+++ b/src/core/jobs/fleet_scheduler_views.cpp
@@ -57,6 +57,7 @@
   if (known != nullptr && (instance == nullptr || !known->IsOf(instance))) {
     RemoveFromIndex(*known);
     viewsByKey_.erase(aKey);
+    known->RemoveAllRuns();
     views_.erase(aKey);
     known = nullptr;
   }
@@ -89,6 +90,7 @@
                                     view.lastGrantAt_ + kMaxOrderDelay);
     trace_.onInstance_(aKey, "may hold a lease of its former incarnation");
   }
+  view.SetLedger(ledger_);
   viewsByKey_.emplace(aKey, &view);
   AddToIndex(view);
   AddInheritedRuns(aNow, view);
--- a/src/core/jobs/instance_view.cpp
+++ b/src/core/jobs/instance_view.cpp
@@ -13,11 +13,27 @@
            .accelerators_ = aAmount.gpus() };
 }
 
+RunCharge ChargeFor(CustomerLedger& aLedger,
+                    const TaskRef& aTask,
+                    ServiceId aService,
+                    const Resources& aOccupied)
+{
+  return { .customer_ = aLedger.FindOrAdd(aTask.job_->customer_),
+           .service_ = aService,
+           .need_ = DeclaredNeedOf(JobStore::SpecOf(aTask)),
+           .occupied_ = aOccupied };
+}
+
 } // namespace
 
+Resources DeclaredNeedOf(const v1::StepSpec& aStep)
+{
+  return FromMessage(aStep.need());
+}
+
 Resources OccupiedBy(const v1::StepSpec& aStep)
 {
-  Resources need = FromMessage(aStep.need());
+  Resources need = DeclaredNeedOf(aStep);
   if (aStep.best_effort()) {
     need.milliCpus_ = 0;
   }
@@ -78,6 +94,10 @@
   longRunningRuns_ += aRun.isLongRunning_ ? 1 : 0;
   latencySensitiveRuns_ += aRun.isLatencySensitive_ ? 1 : 0;
   bestEffortRuns_ += aRun.isBestEffort_ ? 1 : 0;
+  if (ledger_ != nullptr) {
+    aRun.charge_ =
+      ledger_->Charge(ChargeFor(*ledger_, aTask, ChargedService(), aRun.need_));
+  }
   isSummaryValid_ = false;
   return runs_.emplace(aTask, std::move(aRun)).first->second;
 }
@@ -95,6 +115,9 @@
   longRunningRuns_ -= aRun.isLongRunning_ ? 1 : 0;
   latencySensitiveRuns_ -= aRun.isLatencySensitive_ ? 1 : 0;
   bestEffortRuns_ -= aRun.isBestEffort_ ? 1 : 0;
+  if (ledger_ != nullptr) {
+    ledger_->Release(aRun.charge_);
+  }
 }
 
 void InstanceView::RemoveRun(const TaskRef& aTask)
@@ -108,6 +131,49 @@
   runs_.erase(it);
 }
 
+ServiceId InstanceView::ChargedService() const
+{
+  return ledger_->FindOrAddService(StoredRecord().service());
+}
+
+void InstanceView::RemoveAllRuns()
+{
+  for (auto& [task, run] : runs_) {
+    ReleaseCapacityOf(run);
+  }
+  runs_.clear();
+  isSummaryValid_ = false;
+  ClearUnassignedRuns();
+}
+
+void InstanceView::ClearUnassignedRuns()
+{
+  for (const RunCharge& charge : unassignedRuns_) {
+    ledger_->Release(charge);
+  }
+  unassignedRuns_.clear();
+}
+
+void InstanceView::AddUnassignedRun(const TaskRef& aTask)
+{
+  if (ledger_ != nullptr && !aTask.job_->customer_.empty()) {
+    unassignedRuns_.push_back(
+      ledger_->Charge(ChargeFor(*ledger_, aTask, ChargedService(), {})));
+  }
+}
+
+void InstanceView::Recount(CustomerLedger& aLedger) const
+{
+  for (const auto& [task, run] : runs_) {
+    if (!run.isReleased_) {
+      aLedger.Charge(ChargeFor(aLedger, task, run.charge_.service_, run.need_));
+    }
+  }
+  for (const RunCharge& charge : unassignedRuns_) {
+    aLedger.Charge(charge);
+  }
+}
+
 bool InstanceView::HasCapacityFor(const Resources& aNeed) const
 {
   return (used_ + aNeed).FitsInto(capacity_);
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -25,6 +25,7 @@
 // Idle connections are closed this often: instances come and go as machines
 // move between pools, and file descriptors are limited.
 constexpr Millis kCloseIdleInterval = Seconds(1);
+constexpr double kPercent = 100.0;
 
 std::string FormatTask(const v1::TaskName& aTask)
 {
@@ -32,6 +33,23 @@
          std::to_string(aTask.step()) + '.' + std::to_string(aTask.index());
 }
 
+std::string LabelledMetric(std::string_view aName, std::string_view aCustomer)
+{
+  std::string metric(aName);
+  metric += "{customer=\"";
+  for (const char character : aCustomer) {
+    if (character == '\n') {
+      metric += "\\n";
+      continue;
+    }
+    if (character == '"' || character == '\\') {
+      metric += '\\';
+    }
+    metric += character;
+  }
+  return metric + "\"}";
+}
+
 } // namespace
 
 FleetDriver::FleetDriver(asio::io_context& aIo,
@@ -523,6 +541,25 @@
                   { "late", aLoad.late_ },
                   { "overdue", aLoad.overdue_ } });
       },
+    .onCustomer_ =
+      [this](const CustomerLoad& aLoad) {
+        const auto set = [&](std::string_view aMetric, double aValue) {
+          metrics_.Set(LabelledMetric(aMetric, aLoad.customer_), aValue);
+        };
+        set("vh_customer_share_percent", kPercent * aLoad.share_);
+        set("vh_customer_cap_use_percent", kPercent * aLoad.capUse_);
+        set("vh_customer_waiting_tasks", aLoad.waitingTasks_);
+        set("vh_customer_held_tasks", aLoad.heldTasks_);
+        LogInfo(
+          Event::kCustomerMeasured,
+          { { "customer", aLoad.customer_ },
+            { "share_percent", static_cast<int>(kPercent * aLoad.share_) },
+            { "weight_percent",
+              static_cast<int>(kPercent * aLoad.shareByWeight_) },
+            { "cap_percent", static_cast<int>(kPercent * aLoad.capUse_) },
+            { "waiting", aLoad.waitingTasks_ },
+            { "held", aLoad.heldTasks_ } });
+      },
     .onAudit_ =
       [this](const AuditFinding& aFinding) {
         metrics_.Count("vh_audit_findings_total");
@@ -530,6 +567,7 @@
                  { { "task", aFinding.task_ },
                    { "run", aFinding.run_ },
                    { "instance", aFinding.instance_ },
+                   { "customer", aFinding.customer_ },
                    { "what", aFinding.description_ } });
       },
   };
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -89,7 +89,11 @@
                              .formerLeaderLease_ = kLeaderLease,
                              .machineOrderDelay_ = machineOrderDelay_ },
       SchedulerTrace{
-        .onStart_ = [this](const StartOrder&) { ++starts_; },
+        .onStart_ =
+          [this](const StartOrder& aOrder) {
+            ++starts_;
+            startedTasks_.push_back(KeyOf(aOrder.task_));
+          },
         .onEnd_ = [](const TaskRef&, const EndedTask&, const InstanceKey&) {},
         .onInstance_ = [](const InstanceKey&, std::string_view) {},
         .onInDoubt_ = [this](const TaskRef&,
@@ -103,6 +107,10 @@
           },
         .onPool_ = [](const PoolLoad&) {},
         .onDispatch_ = [this](const DispatchLoad& aLoad) { dispatch_ = aLoad; },
+        .onCustomer_ =
+          [this](const CustomerLoad& aLoad) {
+            customerLoads_[aLoad.customer_] = aLoad;
+          },
         .onAudit_ =
           [this](const AuditFinding& aFinding) {
             ++auditFindings_;
@@ -129,6 +137,7 @@
     v1::JobChanges changes;
     v1::FleetDocument& config = *changes.add_changes()->mutable_put_config();
     config.set_version(store_.Config().version() + 1);
+    *config.mutable_customers() = store_.Config().customers();
     for (const auto& [name, isSpare] : aServices) {
       v1::ServiceSpec& service = *config.add_services();
       service.set_name(name);
@@ -148,6 +157,30 @@
     store_.Apply(changes);
   }
 
+  struct Customer
+  {
+    std::string name_;
+    double weight_ = 1.0;
+    uint32_t capCores_ = 0; // 0: unlimited
+  };
+
+  // Replaces the customers of the configuration.
+  void PutCustomers(std::vector<Customer> aCustomers)
+  {
+    v1::JobChanges changes;
+    v1::FleetDocument& config = *changes.add_changes()->mutable_put_config();
+    config = store_.Config();
+    config.set_version(config.version() + 1);
+    config.clear_customers();
+    for (const Customer& customer : aCustomers) {
+      v1::CustomerSpec& spec = *config.add_customers();
+      spec.set_name(customer.name_);
+      spec.set_weight(customer.weight_);
+      spec.mutable_cap()->set_cpu_millis(customer.capCores_ * 1000);
+    }
+    store_.Apply(changes);
+  }
+
   FakeInstance& AddInstance(const std::string& aId,
                             const std::string& aService,
                             uint32_t aCores = 16,
@@ -216,13 +249,15 @@
 
   Job& Submit(const std::string& aId,
               const std::string& aQueue,
-              std::vector<v1::StepSpec> aSteps)
+              std::vector<v1::StepSpec> aSteps,
+              const std::string& aCustomer = {})
   {
     v1::JobChanges changes;
     v1::AcceptJob& job = *changes.add_changes()->mutable_accept_job();
     job.set_id(aId);
     job.set_queue(aQueue);
     job.set_service(store_.FindQueue(aQueue)->service());
+    job.set_customer(aCustomer);
     for (v1::StepSpec& step : aSteps) {
       *job.mutable_spec()->add_steps() = std::move(step);
     }
@@ -300,6 +335,37 @@
     return copies;
   }
 
+  // What the customer's runs need that the instances run now, in thousandths
+  // of a core, and the most at any accepted start so far.
+  uint32_t RunningMilliCpus(const std::string& aCustomer) const
+  {
+    uint32_t milliCpus = 0;
+    for (const auto& [id, instance] : instances_) {
+      for (const FakeInstance::Run& run : instance.running_) {
+        const Job* job = store_.FindJob(run.task_.job());
+        if (job != nullptr && job->customer_ == aCustomer) {
+          milliCpus += job->spec_.steps(static_cast<int>(run.task_.step()))
+                         .need()
+                         .cpu_millis();
+        }
+      }
+    }
+    return milliCpus;
+  }
+  uint32_t MaxRunningMilliCpus(const std::string& aCustomer) const
+  {
+    const auto it = maxRunningMilliCpus_.find(aCustomer);
+    return it != maxRunningMilliCpus_.end() ? it->second : 0;
+  }
+  void ForgetMaxRunning() { maxRunningMilliCpus_.clear(); }
+  // As last traced.
+  const CustomerLoad& LoadOf(const std::string& aCustomer)
+  {
+    return customerLoads_[aCustomer];
+  }
+  // In the order of their start orders; see `KeyOf`.
+  const std::vector<std::string>& StartedTasks() const { return startedTasks_; }
+
   Millis Now() const { return now_; }
   JobStore& Store() { return store_; }
   FleetScheduler& Scheduler() { return *scheduler_; }
@@ -444,6 +510,11 @@
         .run_ = aOrder.run_,
         .endsAt_ = spec.lasting() ? Millis::Max()
                                   : now_ + Millis(spec.estimated_run_ms()) });
+    const std::string& customer = aOrder.ref_.job_->customer_;
+    if (!customer.empty()) {
+      uint32_t& max = maxRunningMilliCpus_[customer];
+      max = std::max(max, RunningMilliCpus(customer));
+    }
     return { .status_ = OrderStatus::kAccepted, .clock_ = clock };
   }
 
@@ -781,6 +852,9 @@
   std::vector<OpenListing> openListings_;
   std::vector<MachineOrder> machineOrders_;
   DispatchLoad dispatch_;
+  std::map<std::string, CustomerLoad> customerLoads_;
+  std::map<std::string, uint32_t> maxRunningMilliCpus_; // by customer
+  std::vector<std::string> startedTasks_;
   size_t starts_ = 0;
   size_t runsInDoubt_ = 0;
   size_t startsWithheld_ = 0;
