--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -96,7 +96,9 @@
   TaskPhase phase_ = TaskPhase::kPending;
   uint32_t run_ = 0; // number of the latest run; 0: never started
   uint32_t failures_ = 0;
-  Instance* instance_ = nullptr; // set while assigned
+  // Set while assigned. Of customers' gangs also while the step is done and a
+  // run of this task may go on.
+  Instance* instance_ = nullptr;
   std::string checkpoint_;
 };
 
@@ -204,7 +206,7 @@
   // Jobs that are neither completed, failed nor cancelled, by acceptance index.
   const std::map<uint64_t, Job*>& OpenJobs() const { return openJobs_; }
   size_t JobCount() const { return jobs_.size(); }
-  // Closed jobs without any task that may still run.
+  // Closed jobs without any task that may still run, as far as the log shows.
   std::vector<const Job*> FinishedJobs() const;
   // Number of open jobs of the queue of which no run is known to have begun.
   uint64_t CountWaitingJobs(const QueueAddress& aQueue) const;
@@ -278,6 +280,8 @@
   void FinishRun(const TaskRef& aTask,
                  v1::RunOutcome aOutcome,
                  const std::string& aCheckpoint);
+  // No run of the task may exist on its instance any more.
+  static void Unassign(const TaskRef& aTask);
   void CountFailure(const TaskRef& aTask);
   void FinishTask(const TaskRef& aTask);
   void PutInstance(const v1::InstanceRecord& aRecord);
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -276,10 +276,16 @@
   const auto runsNothing = [](const Job& aJob) {
     return std::all_of(
       aJob.occurrences_.begin(), aJob.occurrences_.end(), [](auto& aItem) {
-        return std::all_of(
-          aItem.second.steps_.begin(),
-          aItem.second.steps_.end(),
-          [](const Step& aStep) { return aStep.assigned_ == 0; });
+        return std::all_of(aItem.second.steps_.begin(),
+                           aItem.second.steps_.end(),
+                           [](const Step& aStep) {
+                             return std::all_of(aStep.tasks_.begin(),
+                                                aStep.tasks_.end(),
+                                                [](const Task& aTask) {
+                                                  return aTask.instance_ ==
+                                                         nullptr;
+                                                });
+                           });
       });
   };
   std::vector<const Job*> settled;
@@ -538,7 +544,12 @@
                            task.run_ == aEnd.run() &&
                            aEnd.outcome() == v1::RUN_DONE &&
                            task.instance_->key_.id_ == aEnd.instance().id();
-  if (isCurrent || wasReplaced) {
+  const bool isRestOfGang = task.phase_ == TaskPhase::kDone &&
+                            task.run_ == aEnd.run() && instance != nullptr &&
+                            task.instance_ == instance;
+  if (isRestOfGang) {
+    Unassign(*ref);
+  } else if (isCurrent || wasReplaced) {
     FinishRun(*ref, aEnd.outcome(), aEnd.checkpoint());
   } else if (wasRemoved && !SpecOf(*ref).lasting()) {
     --ref->job_->occurrences_.at(ref->occurrence_).steps_[ref->step_].pending_;
@@ -553,8 +564,7 @@
   Task& task = TaskAt(aTask);
   Step& step =
     aTask.job_->occurrences_.at(aTask.occurrence_).steps_[aTask.step_];
-  task.instance_->assigned_.erase(aTask);
-  task.instance_ = nullptr;
+  Unassign(aTask);
   --step.assigned_;
   if (!aCheckpoint.empty()) {
     task.checkpoint_ = aCheckpoint;
@@ -571,6 +581,13 @@
   }
 }
 
+void JobStore::Unassign(const TaskRef& aTask)
+{
+  Task& task = TaskAt(aTask);
+  task.instance_->assigned_.erase(aTask);
+  task.instance_ = nullptr;
+}
+
 void JobStore::CountFailure(const TaskRef& aTask)
 {
   Step& step =
@@ -603,12 +620,13 @@
       --step.pending_;
     } else if (task.phase_ == TaskPhase::kAssigned &&
                task.instance_ != nullptr) {
-      task.instance_->assigned_.erase({ .job_ = &job,
-                                        .occurrence_ = aTask.occurrence_,
-                                        .step_ = aTask.step_,
-                                        .index_ = i });
-      task.instance_ = nullptr;
       --step.assigned_;
+      // The runs of the others count against a customer's cap until they end.
+      if (job.customer_.empty()) {
+        TaskRef other = aTask;
+        other.index_ = i;
+        Unassign(other);
+      }
     }
     task.phase_ = TaskPhase::kDone;
     task.checkpoint_.clear();
@@ -758,6 +776,8 @@
     if (next != nullptr) {
       TaskAt(task).instance_ = next;
       next->assigned_.insert(task);
+    } else if (TaskAt(task).phase_ == TaskPhase::kDone) {
+      Unassign(task);
     } else {
       FinishRun(task, v1::RUN_STOPPED, {});
     }
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -118,16 +118,20 @@
       if (task.run_ > 0 && !aState.not_started()) {
         MarkStarted(job);
       }
+      task.instance_ = saved.has_instance()
+                         ? FindInstance(ToKey(saved.instance()))
+                         : nullptr;
       if (task.phase_ == TaskPhase::kDone) {
         ++step.done_;
       } else if (task.phase_ == TaskPhase::kPending) {
         ++step.pending_;
       } else {
         ++step.assigned_;
-        task.instance_ = FindInstance(ToKey(saved.instance()));
         if (task.instance_ == nullptr) {
           return false;
         }
+      }
+      if (task.instance_ != nullptr) {
         task.instance_->assigned_.insert({ .job_ = &job,
                                            .occurrence_ = state.occurrence(),
                                            .step_ = state.step(),
--- a/test/fleet_sharing_test.cpp
+++ b/test/fleet_sharing_test.cpp
@@ -422,6 +422,31 @@
   BOOST_TEST(fleet_.RunningMilliCpus("a") <= 8 * kCore);
 }
 
+// The end of one task of a gang completes its step in the log.
+BOOST_AUTO_TEST_CASE(ASuccessorCountsTheRestOfACompletedGang)
+{
+  fleet_.PutCustomers({ { "a", 1.0, 8 } });
+  AddInstances(4);
+  v1::StepSpec gang = SimulatedFleet::StepOf(4, 2 * kCore, 1000);
+  gang.set_gang(true);
+  gang.set_max_per_instance(1);
+  const Job& job = fleet_.Submit(
+    "g", "drafts", { gang, SimulatedFleet::StepOf(1, 2 * kCore, 60000) }, "a");
+  fleet_.RunFor(Millis(500));
+  // These go on, and their instances fall silent.
+  for (const std::string id : { "i1", "i2", "i3" }) {
+    fleet_.At(id).running_.at(0).endsAt_ = Millis::Max();
+    fleet_.At(id).isReachable_ = false;
+  }
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return job.occurrences_.at(0).steps_[0].IsDone(); }, Seconds(2)));
+  fleet_.StartLeader(2);
+  fleet_.ForgetMaxRunning();
+  SubmitMany("a", 4, SimulatedFleet::StepOf(4, 2 * kCore, 500));
+  fleet_.RunFor(Seconds(3));
+  BOOST_TEST(fleet_.MaxRunningMilliCpus("a") <= 8 * kCore);
+}
+
 BOOST_AUTO_TEST_CASE(TheTraceShowsSharesAndHeldWork)
 {
   fleet_.PutCustomers({ { "a", 1.0, 8 }, { "b", 3.0 } });
