--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -118,9 +118,8 @@
       if (task.run_ > 0 && !aState.not_started()) {
         MarkStarted(job);
       }
-      task.instance_ = saved.has_instance()
-                         ? FindInstance(ToKey(saved.instance()))
-                         : nullptr;
+      task.instance_ =
+        saved.has_instance() ? FindInstance(ToKey(saved.instance())) : nullptr;
       if (task.phase_ == TaskPhase::kDone) {
         ++step.done_;
       } else if (task.phase_ == TaskPhase::kPending) {
