--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -83,6 +83,7 @@
   kSettingsReloaded = 652,
   kCallsUnauthorized = 660,
   kConnectionsLimited = 665,
+  kCustomerMeasured = 670,
 };
 
 struct EventEntry
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -1,4 +1,4 @@
-// Ranking of waiting tasks and choice of an instance for each.
+// Choice of an instance for each waiting task.
 #include "vanillahatch/core/jobs/fleet_scheduler.h"
 
 #include <algorithm>
@@ -13,162 +13,9 @@
 // CPU kept free of other work on instances with long-running tasks, so that a
 // long-running task lost elsewhere fits there and ties up no other machine.
 constexpr uint32_t kReservedMilliCpus = 2000;
-// Arrivals of closed jobs are kept up to about this number.
-constexpr size_t kMaxClosedArrivals = 256;
-// Ranking costs about 1 us per candidate. The interval grows with the backlog,
-// so that ranking takes about a twentieth of a core until the interval reaches
-// its maximum.
-constexpr int64_t kCandidatesPerMilli = 50;
-constexpr Millis kMaxRankInterval = Millis(60);
-
-// Returns how many occurrences of the job are due.
-uint32_t DueOccurrences(const Job& aJob, Millis aUnixNow)
-{
-  if (aJob.spec_.repeat_count() == 0) {
-    return 1;
-  }
-  const int64_t sinceFirst = aUnixNow.Count() - aJob.spec_.first_due_unix_ms();
-  if (sinceFirst < 0) {
-    return 0;
-  }
-  const int64_t interval =
-    std::max<int64_t>(aJob.spec_.repeat_interval_ms(), 1);
-  const int64_t due = sinceFirst / interval + 1;
-  return static_cast<uint32_t>(
-    std::min<int64_t>(due, aJob.spec_.repeat_count()));
-}
 
 } // namespace
 
-void FleetScheduler::RecordArrival(Millis aNow, const Job& aJob)
-{
-  if (aJob.acceptanceIndex_ < firstOwnAcceptanceIndex_) {
-    return; // It arrived under an earlier leader.
-  }
-  double coreMillis = 0;
-  for (const v1::StepSpec& step : aJob.spec_.steps()) {
-    if (!step.lasting()) {
-      coreMillis += static_cast<double>(step.task_count()) *
-                    OccupiedCores(OccupiedBy(step), machineCapacity_) *
-                    static_cast<double>(EstimateOccupancy(aJob, step).Count());
-    }
-  }
-  demandForecasters_[store_.ServiceOf(aJob)].RecordArrival(aNow, coreMillis);
-}
-
-Millis FleetScheduler::EstimateOccupancy(const Job& aJob,
-                                         const v1::StepSpec& aStep) const
-{
-  return runTimes_.EstimateRun(aJob.queueAddress_, aStep) + runTimes_.Delay();
-}
-
-CriticalPath FleetScheduler::RemainingPath(const Job& aJob,
-                                           const Occurrence* aOccurrence) const
-{
-  std::vector<bool> done(static_cast<size_t>(aJob.spec_.steps_size()), false);
-  for (size_t i = 0; aOccurrence != nullptr && i < done.size(); ++i) {
-    done[i] = aOccurrence->steps_[i].IsDone();
-  }
-  return runTimes_.RemainingPath(aJob.queueAddress_, aJob.spec_, done);
-}
-
-JobUrgency FleetScheduler::UrgencyOf(Millis aNow,
-                                     const Job& aJob,
-                                     const Occurrence* aOccurrence)
-{
-  const auto [it, isNew] = arrivals_.try_emplace(aJob.acceptanceIndex_);
-  Arrival& arrival = it->second;
-  const v1::QueueSpec* queue = JobStore::QueueOf(aJob);
-  if (isNew) {
-    RecordArrival(aNow, aJob);
-    const double stretch = queue != nullptr ? queue->stretch() : 1.0;
-    const Millis target(queue != nullptr ? queue->target_latency_ms() : 0);
-    const CriticalPath path = RemainingPath(aJob, nullptr);
-    arrival.arrivedAt_ = aNow;
-    arrival.objective_ =
-      target + Millis(static_cast<int64_t>(
-                 stretch * static_cast<double>(path.runTime_.Count())));
-    arrival.remaining_ = path;
-  }
-  const uint32_t stepsDone =
-    aOccurrence != nullptr ? aOccurrence->stepsDone_ : 0;
-  if (stepsDone != arrival.stepsDone_) {
-    arrival.stepsDone_ = stepsDone;
-    arrival.remaining_ = RemainingPath(aJob, aOccurrence);
-  }
-  return RankJob(aNow,
-                 { .isLongRunning_ = aJob.spec_.steps(0).lasting(),
-                   .isStarted_ = aOccurrence != nullptr,
-                   .priority_ = queue != nullptr ? queue->priority() : 0,
-                   .arrivedAt_ = arrival.arrivedAt_,
-                   .objective_ = arrival.objective_,
-                   .remainingChain_ = arrival.remaining_.runTime_,
-                   .delay_ = runTimes_.Delay() * arrival.remaining_.steps_,
-                   .acceptanceIndex_ = aJob.acceptanceIndex_ });
-}
-
-void FleetScheduler::CollectCandidates(Millis aNow,
-                                       Job& aJob,
-                                       uint32_t aOccurrence,
-                                       std::vector<Candidate>& aOut)
-{
-  const Occurrence* occurrence = JobStore::FindOccurrence(aJob, aOccurrence);
-  if (occurrence != nullptr && occurrence->IsDone()) {
-    return;
-  }
-  const v1::QueueSpec* queue = JobStore::QueueOf(aJob);
-  for (int i = 0; i < aJob.spec_.steps_size(); ++i) {
-    const auto step = static_cast<uint32_t>(i);
-    const bool hasPending =
-      occurrence == nullptr || occurrence->steps_[step].pending_ > 0;
-    if (!hasPending || !JobStore::IsStepReady(aJob, occurrence, step)) {
-      continue;
-    }
-    const v1::StepSpec& spec = aJob.spec_.steps(i);
-    aOut.push_back(
-      { .firstTask_ = { .job_ = &aJob,
-                        .occurrence_ = aOccurrence,
-                        .step_ = step },
-        .urgency_ = UrgencyOf(aNow, aJob, occurrence),
-        .service_ = store_.ServiceOf(aJob),
-        .need_ = OccupiedBy(spec),
-        .expectedOccupancy_ = EstimateOccupancy(aJob, spec),
-        .needsAdvice_ = queue != nullptr && queue->needs_advice() });
-  }
-}
-
-void FleetScheduler::RankBacklog(Millis aNow)
-{
-  const auto length = static_cast<int64_t>(backlog_.size());
-  const Millis interval =
-    std::min(Millis(length / kCandidatesPerMilli), kMaxRankInterval);
-  if (aNow - rankedAt_ < interval &&
-      rankedConfigVersion_ == store_.Config().version()) {
-    return;
-  }
-  rankedAt_ = aNow;
-  rankedConfigVersion_ = store_.Config().version();
-  const auto& open = store_.OpenJobs();
-  if (arrivals_.size() > 2 * open.size() + kMaxClosedArrivals) {
-    std::erase_if(arrivals_, [&](const auto& aItem) {
-      return !open.contains(aItem.first);
-    });
-    advice_.RetainJobs(open);
-  }
-  backlog_.clear();
-  for (const auto& [order, job] : open) {
-    const uint32_t due = DueOccurrences(*job, unixNow_);
-    for (uint32_t number = 0; number < due; ++number) {
-      CollectCandidates(aNow, *job, number, backlog_);
-    }
-  }
-  std::sort(backlog_.begin(),
-            backlog_.end(),
-            [](const Candidate& aLeft, const Candidate& aRight) {
-              return ComesBefore(aLeft.urgency_, aRight.urgency_);
-            });
-}
-
 bool FleetScheduler::UsableInstances::IsKnownNotToFit(
   const Resources& aNeed) const
 {
@@ -279,19 +126,24 @@
 
 void FleetScheduler::RecordWaiting(const Candidate& aCandidate, uint32_t aTasks)
 {
+  const uint32_t allowedTasks = ledger_.RecordWaiting(
+    aCandidate.customer_, aCandidate.declaredNeed_, aTasks);
+  if (allowedTasks == 0) {
+    return;
+  }
   const auto it = waitingWork_.find(aCandidate.service_);
   WaitingWork& waiting = it != waitingWork_.end()
                            ? it->second
                            : waitingWork_[std::string(aCandidate.service_)];
   const double cores =
-    aTasks * OccupiedCores(aCandidate.need_, machineCapacity_);
+    allowedTasks * OccupiedCores(aCandidate.need_, machineCapacity_);
   const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.firstTask_);
   if (spec.lasting()) {
     waiting.longRunningCores_ += cores;
     const uint32_t perInstance = std::max(spec.max_per_instance(), 1U);
     waiting.minInstances_ =
       std::max(waiting.minInstances_,
-               spec.max_per_instance() > 0 ? aTasks / perInstance : 1U);
+               spec.max_per_instance() > 0 ? allowedTasks / perInstance : 1U);
     return;
   }
   waiting.cores_ += cores;
@@ -318,6 +170,9 @@
     if (!isPending || proposedStarts_.contains(task)) {
       continue;
     }
+    if (IsHeldByCap(aCandidate, spec.task_count() - i)) {
+      return;
+    }
     InstanceView* view = nullptr;
     if (startsInRound_ < kMaxStartsPerRound) {
       view =
@@ -432,6 +287,7 @@
 {
   startsInRound_ = 0;
   waitingWork_.clear();
+  RefreshLedger();
   RankBacklog(aNow);
   if (backlog_.empty()) {
     return;
@@ -441,31 +297,34 @@
   usableInstances_.clear();
   if (MayGrantLeases(aNow)) {
     CollectUsableInstances(aNow);
+    MeasureServices();
   }
-  for (const Candidate& candidate : backlog_) {
-    const TaskRef& firstTask = candidate.firstTask_;
-    if (!firstTask.job_->IsOpen()) {
-      continue; // The job was closed after the backlog was ranked.
-    }
-    const Occurrence* occurrence =
-      JobStore::FindOccurrence(*firstTask.job_, firstTask.occurrence_);
-    const v1::StepSpec& spec = JobStore::SpecOf(firstTask);
-    const uint32_t pending = occurrence != nullptr
-                               ? occurrence->steps_[firstTask.step_].pending_
-                               : spec.task_count();
-    const auto usable = usableInstances_.find(candidate.service_);
-    const bool cannotFit = usable == usableInstances_.end() ||
-                           usable->second.IsKnownNotToFit(candidate.need_);
-    if (pending == 0) {
-      continue;
-    }
-    if (cannotFit) {
-      RecordWaiting(candidate, pending);
-    } else if (spec.gang()) {
-      PlaceGang(aNow, candidate, usable->second);
-    } else {
-      PlaceStep(aNow, candidate, usable->second);
-    }
+  PlaceFairly(aNow);
+}
+
+void FleetScheduler::PlaceCandidate(Millis aNow, const Candidate& aCandidate)
+{
+  const TaskRef& firstTask = aCandidate.firstTask_;
+  if (!firstTask.job_->IsOpen()) {
+    return; // The job was closed after the backlog was ranked.
+  }
+  const Occurrence* occurrence =
+    JobStore::FindOccurrence(*firstTask.job_, firstTask.occurrence_);
+  const v1::StepSpec& spec = JobStore::SpecOf(firstTask);
+  const uint32_t pending = occurrence != nullptr
+                             ? occurrence->steps_[firstTask.step_].pending_
+                             : spec.task_count();
+  if (pending == 0 || IsHeldByCap(aCandidate, pending)) {
+    return;
+  }
+  const auto usable = usableInstances_.find(aCandidate.service_);
+  if (usable == usableInstances_.end() ||
+      usable->second.IsKnownNotToFit(aCandidate.need_)) {
+    RecordWaiting(aCandidate, pending);
+  } else if (spec.gang()) {
+    PlaceGang(aNow, aCandidate, usable->second);
+  } else {
+    PlaceStep(aNow, aCandidate, usable->second);
   }
 }
 
--- a/src/core/jobs/job_store_instances.cpp
+++ b/src/core/jobs/job_store_instances.cpp
@@ -171,6 +171,8 @@
     if (next != nullptr) {
       TaskAt(task).instance_ = next;
       next->assigned_.insert(task);
+    } else if (TaskAt(task).phase_ == TaskPhase::kDone) {
+      Unassign(task);
     } else {
       FinishRun(task, v1::RUN_STOPPED, {});
     }
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -81,6 +81,7 @@
   EventEntry{ Event::kSettingsReloaded, "settings-reloaded" },
   EventEntry{ Event::kCallsUnauthorized, "calls-unauthorized" },
   EventEntry{ Event::kConnectionsLimited, "connections-limited" },
+  EventEntry{ Event::kCustomerMeasured, "customer-measured" },
 };
 
 } // namespace
