--- a/test/fleet_sharing_test.cpp
+++ b/test/fleet_sharing_test.cpp
@@ -212,13 +212,13 @@
 
 BOOST_AUTO_TEST_CASE(StartsOfOneRoundStayWithinTheCap)
 {
-  fleet_.PutCustomers({ { "a", 1.0, 9 } });
+  fleet_.PutCustomers({ { "a", 1.0, 7 } });
   AddInstances(4);
   const std::vector<Job*> jobs =
     SubmitMany("a", 10, SimulatedFleet::StepOf(4, 2 * kCore, 300));
   BOOST_TEST(
     fleet_.RunUntil([&] { return AreAllCompleted(jobs); }, Seconds(20)));
-  BOOST_TEST(fleet_.MaxRunningMilliCpus("a") == 8 * kCore);
+  BOOST_TEST(fleet_.MaxRunningMilliCpus("a") == 6 * kCore);
 }
 
 BOOST_AUTO_TEST_CASE(TheCapCoversAllServicesTogether)
@@ -262,20 +262,23 @@
 
 BOOST_AUTO_TEST_CASE(WorkThatTheCapHoldsRequestsNoMachines)
 {
-  const auto countMachineOrders = [](int aJobs) {
-    SharingFixture held;
-    held.fleet_.Configure({ { "layout", false }, { "rest", true } }, kQueues);
-    held.fleet_.PutCustomers({ { "a", 1.0, 12 } });
-    for (int i = 0; i < 8; ++i) {
-      held.fleet_.AddInstance("spare" + std::to_string(i), "rest");
-    }
-    held.AddInstances(1);
-    held.SubmitMany("a", aJobs, SimulatedFleet::StepOf(2, 2 * kCore, 9000));
-    held.fleet_.RunFor(Seconds(8));
-    BOOST_TEST(held.fleet_.RunningMilliCpus("a") == 12 * kCore);
-    return held.fleet_.MachineOrders().size();
+  const auto measureDemand = [](int aJobs) {
+    SharingFixture full;
+    full.fleet_.PutCustomers({ { "a", 1.0, 12 }, { "b", 1.0 } });
+    full.AddInstances(1);
+    full.SubmitMany("b", 1, SimulatedFleet::StepOf(8, 2 * kCore, 9000));
+    full.fleet_.RunFor(Seconds(3));
+    full.SubmitMany("a", aJobs, SimulatedFleet::StepOf(5, 2 * kCore, 9000));
+    full.fleet_.RunFor(Seconds(3));
+    BOOST_TEST(full.fleet_.RunningMilliCpus("b") == 16 * kCore);
+    return full.fleet_.HighestLoad("layout");
   };
-  BOOST_TEST(countMachineOrders(50) == countMachineOrders(3));
+  const PoolLoad withinCap = measureDemand(3);
+  const PoolLoad beyondCap = measureDemand(50);
+  BOOST_TEST(withinCap.demandCores_ > 16.0);
+  BOOST_TEST(withinCap.demandCores_ <= 16.0 + 12.0);
+  BOOST_TEST(beyondCap.demandCores_ == withinCap.demandCores_);
+  BOOST_TEST(beyondCap.forecastCores_ == withinCap.forecastCores_);
 }
 
 BOOST_AUTO_TEST_CASE(ASuccessorCountsTheRunsItInherits)
@@ -395,31 +398,34 @@
   BOOST_TEST(fleet_.MaxRunningMilliCpus("a") == 8 * kCore);
 }
 
-// Its end is reported by a process that the log believes to run nothing.
-BOOST_AUTO_TEST_CASE(RunsThatTheLogDoesNotAssignCountOnceListed)
+// Its instance is too small for other tasks, so that only the run itself is a
+// reason to list it.
+BOOST_AUTO_TEST_CASE(RunsThatTheLogDoesNotAssignCountUntilTheyAreGone)
 {
   fleet_.PutCustomers({ { "a", 1.0, 8 } });
-  AddInstances(2);
-  const Job& stray =
+  FakeInstance& small = fleet_.AddInstance("small", "layout", 1);
+  AddInstances(1);
+  const Job& job =
     *SubmitMany("a", 1, SimulatedFleet::StepOf(2, 2 * kCore, 60000))[0];
   fleet_.RunFor(Millis(300));
-  FakeInstance& other = fleet_.At("i1");
-  other.ignoresStops_ = true;
   BOOST_TEST(fleet_.RunningMilliCpus("a") == 4 * kCore);
   v1::TaskName name;
-  name.set_job(stray.id_);
-  other.running_.push_back(
+  name.set_job(job.id_);
+  small.running_.push_back(
     { .task_ = name, .run_ = 9, .endsAt_ = Millis::Max() });
-  other.deadline_ = Millis::Max();
+  small.deadline_ = Millis::Max();
+  small.ignoresStops_ = true;
   fleet_.StartLeader(2);
   fleet_.RunFor(Millis(300));
   fleet_.ForgetMaxRunning();
-  SubmitMany("a", 4, SimulatedFleet::StepOf(4, 2 * kCore, 300));
+  SubmitMany("a", 20, SimulatedFleet::StepOf(4, 2 * kCore, 300));
   fleet_.RunFor(Seconds(1));
   BOOST_TEST(fleet_.MaxRunningMilliCpus("a") == 8 * kCore);
-  other.ignoresStops_ = false;
+  small.ignoresStops_ = false;
   fleet_.RunFor(Seconds(1));
-  BOOST_TEST(fleet_.RunningMilliCpus("a") <= 8 * kCore);
+  BOOST_TEST(small.running_.empty());
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.RunningMilliCpus("a") == 8 * kCore; }, Seconds(1)));
 }
 
 // The end of one task of a gang completes its step in the log.
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -105,7 +105,14 @@
           [this](const MachineOrder& aOrder, std::string_view) {
             machineOrders_.push_back(aOrder);
           },
-        .onPool_ = [](const PoolLoad&) {},
+        .onPool_ =
+          [this](const PoolLoad& aLoad) {
+            PoolLoad& highest = highestLoads_[aLoad.service_];
+            highest.demandCores_ =
+              std::max(highest.demandCores_, aLoad.demandCores_);
+            highest.forecastCores_ =
+              std::max(highest.forecastCores_, aLoad.forecastCores_);
+          },
         .onDispatch_ = [this](const DispatchLoad& aLoad) { dispatch_ = aLoad; },
         .onCustomer_ =
           [this](const CustomerLoad& aLoad) {
@@ -358,6 +365,11 @@
     return it != maxRunningMilliCpus_.end() ? it->second : 0;
   }
   void ForgetMaxRunning() { maxRunningMilliCpus_.clear(); }
+  // The highest present and expected demand for the service, as traced.
+  const PoolLoad& HighestLoad(const std::string& aService)
+  {
+    return highestLoads_[aService];
+  }
   // As last traced.
   const CustomerLoad& LoadOf(const std::string& aCustomer)
   {
@@ -852,6 +864,7 @@
   std::vector<OpenListing> openListings_;
   std::vector<MachineOrder> machineOrders_;
   DispatchLoad dispatch_;
+  std::map<std::string, PoolLoad> highestLoads_; // by service
   std::map<std::string, CustomerLoad> customerLoads_;
   std::map<std::string, uint32_t> maxRunningMilliCpus_; // by customer
   std::vector<std::string> startedTasks_;
