--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -19,11 +19,14 @@
 #include "vanillahatch/core/jobs/instance_view.h"
 #include "vanillahatch/core/jobs/job_order.h"
 #include "vanillahatch/core/jobs/machine_tracker.h"
+#include "vanillahatch/core/jobs/near_placement.h"
 #include "vanillahatch/core/jobs/pool_balancer.h"
 #include "vanillahatch/core/jobs/service_capacity.h"
 #include "vanillahatch/core/jobs/task_run_time_estimator.h"
 
+#include <array>
 #include <functional>
+#include <span>
 #include <unordered_map>
 
 namespace vanillahatch {
@@ -49,6 +52,10 @@
   // How long a new leader sends no machine orders. Where the platform does not
   // check fencing tokens, all orders of the former leader must arrive first.
   Millis machineOrderDelay_;
+  // How many times as long a task runs away from its data, or the tasks of a
+  // gang for one rack on several.
+  double remoteRackFactor_ = 1.0;
+  NearWaitRule nearWaitRule_ = &WaitForNearPlace;
   PoolBalancerOptions pools_;
   MachineTrackerOptions machines_;
 };
@@ -73,6 +80,18 @@
   size_t overdue_ = 0;
 };
 
+// A step whose tasks wait, or waited, for places in a rack while there was free
+// capacity elsewhere.
+struct NearWaitReport
+{
+  TaskRef firstTask_;
+  std::string_view rack_; // empty: any rack that takes the whole gang
+  bool isEnded_ = false;  // the rest is known only then
+  Millis waited_;
+  uint32_t endedNear_ = 0; // tasks that got a place in the rack
+  uint32_t endedFar_ = 0;
+};
+
 // Callbacks for logs and metrics; all must be set.
 struct SchedulerTrace
 {
@@ -84,6 +103,7 @@
   // A committed start was not sent, because the leader lease had expired or the
   // instance leaves.
   std::function<void(const TaskRef&, uint32_t)> onStartWithheld_;
+  std::function<void(const NearWaitReport&)> onNearWait_;
   std::function<void(const MachineOrder&, std::string_view)> onMachine_;
   // Both are called about once a second.
   std::function<void(const PoolLoad&)> onPool_;
@@ -191,6 +211,26 @@
     bool IsKnownNotToFit(const Resources& aNeed) const;
   };
 
+  // What one round found out about places in racks.
+  struct NearRound
+  {
+    struct PlacesKey
+    {
+      std::string service_;
+      std::string rack_;
+      std::string label_;
+      std::array<int64_t, 3> need_;
+
+      friend auto operator<=>(const PlacesKey&, const PlacesKey&) = default;
+    };
+
+    Millis at_;
+    std::map<PlacesKey, RackPlaces> places_;
+    // Processor need of the tasks that wait, by service and rack.
+    std::map<std::string, int64_t> waitingMilliCpus_;
+    std::map<std::string, bool> isCapacityShort_; // by service
+  };
+
   // Work of one service that waits for free capacity.
   struct WaitingWork
   {
@@ -301,6 +341,11 @@
   JobUrgency UrgencyOf(Millis aNow,
                        const Job& aJob,
                        const Occurrence* aOccurrence);
+  // Capacity that an instance must have free for a task of that need: on
+  // instances with long-running tasks some is kept free of other work.
+  static Resources RequiredCapacity(const InstanceView& aView,
+                                    const Resources& aNeed,
+                                    bool aIsLongRunning);
   // Returns null if no instance is suitable; an empty `aRack` means any rack.
   InstanceView* ChooseInstance(Millis aNow,
                                UsableInstances& aUsable,
@@ -326,6 +371,36 @@
                     uint32_t aRun);
   void RecordWaiting(const Candidate& aCandidate, uint32_t aTasks);
 
+  // fleet_scheduler_near.cpp
+  // True if tasks of the step may wait for a place near their data.
+  bool MayWaitForNearPlace(const Candidate& aCandidate) const;
+  // Called when there is a place elsewhere but none in one of the racks. If the
+  // tasks wait, they count as ahead of those that ask later in the round.
+  bool WaitsForRack(Millis aNow,
+                    const Candidate& aCandidate,
+                    const UsableInstances& aUsable,
+                    std::span<const std::string> aRacks,
+                    uint32_t aTasks);
+  std::optional<Millis> ExpectPlaces(Millis aNow,
+                                     const Candidate& aCandidate,
+                                     const UsableInstances& aUsable,
+                                     const std::string& aRack,
+                                     uint32_t aTasks);
+  // True if more work waits for the service than its free capacity takes.
+  bool IsCapacityShort(const Candidate& aCandidate,
+                       const UsableInstances& aUsable);
+  void BeginNearRound(Millis aNow);
+  // Called once a round for a step that started tasks or that waits.
+  void RecordNearRound(Millis aNow,
+                       const Candidate& aCandidate,
+                       const NearWaits::Round& aRound);
+  // Called after `ProposeStart`.
+  void RecordPlacement(Millis aNow,
+                       InstanceView& aView,
+                       const TaskRef& aTask,
+                       uint32_t aRun,
+                       bool aIsFar);
+
   // fleet_scheduler_maintenance.cpp and fleet_scheduler_pools.cpp
   void RequestMachineList(Millis aNow);
   InstanceView* FindOnMachine(const std::string& aMachine);
@@ -401,6 +476,8 @@
   std::map<std::string, WaitingWork, std::less<>> waitingWork_;
   std::map<std::string, UsableInstances, std::less<>> usableInstances_;
   AdviceCache advice_;
+  NearWaits nearWaits_;
+  NearRound nearRound_;
   MachineTracker machines_;
   // During a check of the waves, by service.
   std::map<std::string, ServiceCapacity, std::less<>> serviceCapacities_;
--- a/include/vanillahatch/core/jobs/instance_view.h
+++ b/include/vanillahatch/core/jobs/instance_view.h
@@ -37,6 +37,9 @@
   Millis since_;                        // start of the phase
   std::optional<Millis> placedAt_;      // set if this leader placed it
   std::optional<Millis> acceptedClock_; // instance's clock at acceptance
+  // Set at placement where a run elsewhere takes longer than near its data.
+  std::optional<Millis> expectedEndAt_;
+  bool isFar_ = false; // away from its data, or its gang from one rack
   bool stopRequested_ = false;
   bool stopRespectsBudget_ = false;  // delayed while others are unavailable
   bool stopBecauseUnlisted_ = false; // requested only because it was not listed
--- a/include/vanillahatch/core/jobs/job_order.h
+++ b/include/vanillahatch/core/jobs/job_order.h
@@ -46,6 +46,9 @@
   uint64_t acceptanceIndex_ = 0;
 };
 
+// Expected time from now to the end of a job that goes on at once, with a
+// margin: its tasks do not all start at once, and the slowest determines it.
+Millis ExpectedTimeToEnd(Millis aRemainingChain, Millis aDelay);
 JobUrgency RankJob(Millis aNow, const JobProgress& aJob);
 bool ComesBefore(const JobUrgency& aLeft, const JobUrgency& aRight);
 
--- a/include/vanillahatch/core/jobs/task_run_time_estimator.h
+++ b/include/vanillahatch/core/jobs/task_run_time_estimator.h
@@ -7,6 +7,10 @@
 // grows with the load of the leader, and an objective that grew with it would
 // count jobs as in time that are late for their callers.
 //
+// Run times are those near the data of a task. A run known to have been slower
+// by a factor, because it was elsewhere, counts with its run time divided by
+// that factor; how long tasks occupy capacity includes it.
+//
 //   estimator.Record(job.queueAddress_, step, Millis(640));
 //   estimator.RecordDelay(Millis(40));
 //   Millis expected = estimator.EstimateRun(job.queueAddress_, step);
@@ -31,17 +35,23 @@
 class TaskRunTimeEstimator
 {
 public:
-  // Ignored if the step declares no estimate.
+  // `aSlowdown`: by what factor the run was slower than near its data. Ignored
+  // if the step declares no estimate.
   void Record(const QueueAddress& aQueue,
               const v1::StepSpec& aStep,
-              Millis aMeasured);
+              Millis aMeasured,
+              double aSlowdown = 1.0);
   // Records the time from the placement of a task to the receipt of its end,
   // less its run time.
   void RecordDelay(Millis aMeasured);
   Millis Delay() const;
-  // Returns the declared estimate until a run was recorded.
+  // Both return the declared estimate until a run was recorded.
   Millis EstimateRun(const QueueAddress& aQueue,
                      const v1::StepSpec& aStep) const;
+  // As run so far, near and elsewhere.
+  Millis EstimateOccupancy(const QueueAddress& aQueue,
+                           const v1::StepSpec& aStep) const;
+  bool HasSamples(const QueueAddress& aQueue, const v1::StepSpec& aStep) const;
   // The critical path over the steps that are not done; `aDone` is indexed by
   // step.
   CriticalPath RemainingPath(const QueueAddress& aQueue,
@@ -51,10 +61,15 @@
 private:
   struct Estimate
   {
-    double ratio_ = 1.0; // measured to declared
+    double ratio_ = 1.0;          // measured near the data to declared
+    double occupancyRatio_ = 1.0; // measured to declared
     uint32_t samples_ = 0;
   };
 
+  // Null if no run was recorded.
+  const Estimate* Find(const QueueAddress& aQueue,
+                       const v1::StepSpec& aStep) const;
+
   using EstimatesByImage = std::map<std::string, Estimate>;
 
   std::map<QueueAddress, EstimatesByImage> estimates_;
--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -81,6 +81,7 @@
   kLeaderFound = 650,
   kLeaderLost = 651,
   kSettingsReloaded = 652,
+  kNearWaitEnded = 675,
 };
 
 struct EventEntry
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -38,6 +38,30 @@
     std::min<int64_t>(due, aJob.spec_.repeat_count()));
 }
 
+// True if a task of the step takes longer on that rack. Without a rack that is
+// unknown.
+bool IsFarFromData(const v1::StepSpec& aStep, std::string_view aRack)
+{
+  return !aStep.data_rack().empty() && !aRack.empty() &&
+         aRack != aStep.data_rack();
+}
+
+// True if the gang takes longer than near its data on one rack.
+bool IsFarGang(
+  const v1::StepSpec& aStep,
+  const std::vector<std::pair<InstanceView*, TaskRef>>& aPlacements)
+{
+  std::set<std::string_view> racks;
+  for (const auto& [view, task] : aPlacements) {
+    racks.insert(view->StoredRecord().rack());
+  }
+  racks.erase("");
+  const bool isSpread = aStep.same_rack() && racks.size() > 1;
+  return isSpread || std::any_of(racks.begin(), racks.end(), [&](auto aRack) {
+           return IsFarFromData(aStep, aRack);
+         });
+}
+
 } // namespace
 
 void FleetScheduler::RecordArrival(Millis aNow, const Job& aJob)
@@ -59,7 +83,8 @@
 Millis FleetScheduler::EstimateOccupancy(const Job& aJob,
                                          const v1::StepSpec& aStep) const
 {
-  return runTimes_.EstimateRun(aJob.queueAddress_, aStep) + runTimes_.Delay();
+  return runTimes_.EstimateOccupancy(aJob.queueAddress_, aStep) +
+         runTimes_.Delay();
 }
 
 CriticalPath FleetScheduler::RemainingPath(const Job& aJob,
@@ -177,6 +202,17 @@
                      [&](auto& aRefused) { return aRefused.FitsInto(aNeed); });
 }
 
+Resources FleetScheduler::RequiredCapacity(const InstanceView& aView,
+                                           const Resources& aNeed,
+                                           bool aIsLongRunning)
+{
+  Resources required = aNeed;
+  if (!aIsLongRunning && aView.LongRunningRunCount() > 0) {
+    required.milliCpus_ += kReservedMilliCpus;
+  }
+  return required;
+}
+
 // Best fit: chooses the instance with the least remaining CPU, so that large
 // tasks still find free capacity and other instances become idle. Long-running
 // tasks are packed onto few instances, since a machine that runs one cannot be
@@ -193,16 +229,13 @@
   if (aUsable.IsKnownNotToFit(need)) {
     return nullptr;
   }
-  Resources needBesideLongRunning = need;
-  needBesideLongRunning.milliCpus_ += isLongRunning ? 0 : kReservedMilliCpus;
   InstanceView* best = nullptr;
   int64_t bestMilliCpusLeft = 0;
   uint32_t bestLongRunning = 0;
   bool fitsAnywhere = false;
   for (InstanceView* candidate : aUsable.views_) {
     const InstanceView& view = *candidate;
-    if (!view.HasCapacityFor(
-          view.LongRunningRunCount() > 0 ? needBesideLongRunning : need)) {
+    if (!view.HasCapacityFor(RequiredCapacity(view, need, isLongRunning))) {
       continue;
     }
     fitsAnywhere = true;
@@ -307,6 +340,11 @@
   const Occurrence* occurrence =
     JobStore::FindOccurrence(job, aCandidate.firstTask_.occurrence_);
   const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.firstTask_);
+  const std::string& dataRack = spec.data_rack();
+  bool isRackFull = dataRack.empty();
+  bool mayWait = MayWaitForNearPlace(aCandidate);
+  InstanceView* elsewhere = nullptr; // suits the tasks that wait
+  NearWaits::Round round;
   for (uint32_t i = 0; i < spec.task_count(); ++i) {
     TaskRef task = aCandidate.firstTask_;
     task.index_ = i;
@@ -320,10 +358,11 @@
     }
     InstanceView* view = nullptr;
     if (startsInRound_ < kMaxStartsPerRound) {
-      view =
-        spec.data_rack().empty()
-          ? nullptr
-          : ChooseInstance(aNow, aUsable, aCandidate, task, spec.data_rack());
+      view = isRackFull
+               ? nullptr
+               : ChooseInstance(aNow, aUsable, aCandidate, task, dataRack);
+      isRackFull = view == nullptr;
+      view = view != nullptr ? view : std::exchange(elsewhere, nullptr);
       view = view != nullptr
                ? view
                : ChooseInstance(aNow, aUsable, aCandidate, task, {});
@@ -331,10 +370,25 @@
     if (view == nullptr) {
       RequestAdvice(aNow, aCandidate, aUsable);
       RecordWaiting(aCandidate, spec.task_count() - i);
-      return;
+      break;
     }
-    ProposeStart(aNow, *view, task, (known != nullptr ? known->run_ : 0) + 1);
+    // Later tasks of the step would wait longer.
+    mayWait =
+      mayWait &&
+      (!isRackFull ||
+       WaitsForRack(aNow, aCandidate, aUsable, std::span(&dataRack, 1), 1));
+    if (mayWait && isRackFull) {
+      ++round.waiting_;
+      elsewhere = view;
+      continue;
+    }
+    const uint32_t run = (known != nullptr ? known->run_ : 0) + 1;
+    const bool isFar = IsFarFromData(spec, view->StoredRecord().rack());
+    ProposeStart(aNow, *view, task, run);
+    RecordPlacement(aNow, *view, task, run, isFar);
+    round.startedNear_ += isRackFull ? 0 : 1;
   }
+  RecordNearRound(aNow, aCandidate, round);
 }
 
 // Starts all tasks of the gang under one run number, or none; on one rack if
@@ -366,6 +420,7 @@
       racks.insert(view.StoredRecord().rack());
     }
   }
+  NearWaits::Round round;
   // In descending order, so that the empty name, which means any rack, is last.
   for (auto rack = racks.rbegin(); rack != racks.rend(); ++rack) {
     std::vector<std::pair<InstanceView*, TaskRef>> placements;
@@ -384,13 +439,29 @@
       view->RemoveRun(task);
       aUsable.refusedNeeds_.clear();
     }
-    if (placements.size() == spec.task_count()) {
+    if (placements.size() < spec.task_count()) {
+      continue;
+    }
+    const bool isFar = IsFarGang(spec, placements);
+    bool waits = false;
+    if (isFar && rack->empty() && MayWaitForNearPlace(aCandidate)) {
+      const std::vector<std::string> named(std::next(racks.begin()),
+                                           racks.end());
+      waits = WaitsForRack(aNow, aCandidate, aUsable, named, spec.task_count());
+    }
+    if (waits) {
+      round.waiting_ = spec.task_count();
+    } else {
       for (const auto& [view, task] : placements) {
         ProposeStart(aNow, *view, task, run);
+        RecordPlacement(aNow, *view, task, run, isFar);
       }
-      return;
+      round.startedNear_ = isFar ? 0 : spec.task_count();
     }
+    RecordNearRound(aNow, aCandidate, round);
+    return;
   }
+  RecordNearRound(aNow, aCandidate, round);
   RequestAdvice(aNow, aCandidate, aUsable);
   RecordWaiting(aCandidate, spec.task_count());
 }
--- a/src/core/jobs/fleet_scheduler_runs.cpp
+++ b/src/core/jobs/fleet_scheduler_runs.cpp
@@ -319,7 +319,10 @@
     return;
   }
   const Millis runTime = *aEndClock - *aRun.acceptedClock_;
-  runTimes_.Record(aTask.job_->queueAddress_, JobStore::SpecOf(aTask), runTime);
+  runTimes_.Record(aTask.job_->queueAddress_,
+                   JobStore::SpecOf(aTask),
+                   runTime,
+                   aRun.isFar_ ? options_.remoteRackFactor_ : 1.0);
   runTimes_.RecordDelay(aNow - *aRun.placedAt_ - runTime);
 }
 
--- a/src/core/jobs/job_order.cpp
+++ b/src/core/jobs/job_order.cpp
@@ -18,9 +18,8 @@
   if (aJob.isLongRunning_) {
     return UrgencyClass::kLongRunning;
   }
-  const Millis chain =
-    aJob.remainingChain_ * kChainTimePercent / 100 + aJob.delay_ + kStartMargin;
-  const Millis endsAt = aNow + chain;
+  const Millis endsAt =
+    aNow + ExpectedTimeToEnd(aJob.remainingChain_, aJob.delay_);
   if (endsAt <= aJob.arrivedAt_ + aJob.objective_) {
     return aJob.isStarted_ ? UrgencyClass::kStarted : UrgencyClass::kInTime;
   }
@@ -31,6 +30,11 @@
 
 } // namespace
 
+Millis ExpectedTimeToEnd(Millis aRemainingChain, Millis aDelay)
+{
+  return aRemainingChain * kChainTimePercent / 100 + aDelay + kStartMargin;
+}
+
 JobUrgency RankJob(Millis aNow, const JobProgress& aJob)
 {
   return { .class_ = Classify(aNow, aJob),
--- a/src/core/jobs/task_run_time_estimator.cpp
+++ b/src/core/jobs/task_run_time_estimator.cpp
@@ -19,7 +19,8 @@
 
 void TaskRunTimeEstimator::Record(const QueueAddress& aQueue,
                                   const v1::StepSpec& aStep,
-                                  Millis aMeasured)
+                                  Millis aMeasured,
+                                  double aSlowdown)
 {
   if (aStep.estimated_run_ms() == 0) {
     return;
@@ -29,21 +30,44 @@
                        static_cast<double>(aStep.estimated_run_ms());
   ++estimate.samples_;
   const double weight = std::max(kNewestRunWeight, 1.0 / estimate.samples_);
-  estimate.ratio_ += weight * (ratio - estimate.ratio_);
+  estimate.ratio_ += weight * (ratio / aSlowdown - estimate.ratio_);
+  estimate.occupancyRatio_ += weight * (ratio - estimate.occupancyRatio_);
 }
 
-Millis TaskRunTimeEstimator::EstimateRun(const QueueAddress& aQueue,
-                                         const v1::StepSpec& aStep) const
+const TaskRunTimeEstimator::Estimate* TaskRunTimeEstimator::Find(
+  const QueueAddress& aQueue,
+  const v1::StepSpec& aStep) const
 {
-  double ratio = 1.0;
   const auto ofQueue = estimates_.find(aQueue);
-  if (ofQueue != estimates_.end()) {
-    const auto it = ofQueue->second.find(aStep.image());
-    ratio = it != ofQueue->second.end() ? it->second.ratio_ : ratio;
+  if (ofQueue == estimates_.end()) {
+    return nullptr;
   }
+  const auto it = ofQueue->second.find(aStep.image());
+  return it != ofQueue->second.end() ? &it->second : nullptr;
+}
+
+Millis TaskRunTimeEstimator::EstimateRun(const QueueAddress& aQueue,
+                                         const v1::StepSpec& aStep) const
+{
+  const Estimate* estimate = Find(aQueue, aStep);
+  const double ratio = estimate != nullptr ? estimate->ratio_ : 1.0;
   return Millis(static_cast<int64_t>(ratio * aStep.estimated_run_ms()));
 }
 
+Millis TaskRunTimeEstimator::EstimateOccupancy(const QueueAddress& aQueue,
+                                               const v1::StepSpec& aStep) const
+{
+  const Estimate* estimate = Find(aQueue, aStep);
+  const double ratio = estimate != nullptr ? estimate->occupancyRatio_ : 1.0;
+  return Millis(static_cast<int64_t>(ratio * aStep.estimated_run_ms()));
+}
+
+bool TaskRunTimeEstimator::HasSamples(const QueueAddress& aQueue,
+                                      const v1::StepSpec& aStep) const
+{
+  return Find(aQueue, aStep) != nullptr;
+}
+
 void TaskRunTimeEstimator::RecordDelay(Millis aMeasured)
 {
   const auto measured = static_cast<double>(aMeasured.Count());
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -144,6 +144,7 @@
                              .finishedJobRetention_ =
                                options_.finishedJobRetention_,
                              .machineOrderDelay_ = options_.machineOrderDelay_,
+                             .remoteRackFactor_ = options_.remoteRackFactor_,
                              .machines_ = options_.machines_ },
       MakeTrace(),
       clock_.Now());
@@ -493,6 +494,23 @@
           Event::kStartWithheld,
           { { "task", FormatTask(JobStore::NameOf(aTask)) }, { "run", aRun } });
       },
+    .onNearWait_ =
+      [this](const NearWaitReport& aReport) {
+        if (!aReport.isEnded_) {
+          metrics_.Count("vh_near_waits_total");
+          return;
+        }
+        metrics_.Count("vh_near_waits_ended_near_total", aReport.endedNear_);
+        metrics_.Count("vh_near_waits_ended_far_total", aReport.endedFar_);
+        metrics_.Observe("vh_near_wait_milliseconds",
+                         static_cast<double>(aReport.waited_.Count()));
+        LogInfo(Event::kNearWaitEnded,
+                { { "task", FormatTask(JobStore::NameOf(aReport.firstTask_)) },
+                  { "rack", aReport.rack_ },
+                  { "near", aReport.endedNear_ },
+                  { "far", aReport.endedFar_ },
+                  { "waited_ms", aReport.waited_.Count() } });
+      },
     .onMachine_ =
       [](const MachineOrder& aOrder, std::string_view aReason) {
         LogInfo(Event::kMachineOrdered,
--- a/src/scheduler/fleet_driver.h
+++ b/src/scheduler/fleet_driver.h
@@ -26,7 +26,8 @@
   Millis longestLease_ = Seconds(10); // see FleetSchedulerOptions
   Millis formerLeaderLease_;          // see FleetSchedulerOptions
   Millis finishedJobRetention_ = Seconds(120);
-  Millis machineOrderDelay_; // see FleetSchedulerOptions
+  Millis machineOrderDelay_;      // see FleetSchedulerOptions
+  double remoteRackFactor_ = 1.0; // see FleetSchedulerOptions
   MachineTrackerOptions machines_;
 };
 
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -79,6 +79,7 @@
   EventEntry{ Event::kLeaderFound, "leader-found" },
   EventEntry{ Event::kLeaderLost, "leader-lost" },
   EventEntry{ Event::kSettingsReloaded, "settings-reloaded" },
+  EventEntry{ Event::kNearWaitEnded, "near-wait-ended" },
 };
 
 } // namespace
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -87,9 +87,15 @@
       FleetSchedulerOptions{ .fencingToken_ = aFencingToken,
                              .longestLease_ = kLongestLease,
                              .formerLeaderLease_ = kLeaderLease,
-                             .machineOrderDelay_ = machineOrderDelay_ },
+                             .machineOrderDelay_ = machineOrderDelay_,
+                             .remoteRackFactor_ = remoteRackFactor_,
+                             .nearWaitRule_ = nearWaitRule_ },
       SchedulerTrace{
-        .onStart_ = [this](const StartOrder&) { ++starts_; },
+        .onStart_ =
+          [this](const StartOrder& aOrder) {
+            startLog_.push_back(KeyOf(aOrder.task_) + '@' +
+                                aOrder.target_.instance_.id_);
+          },
         .onEnd_ = [](const TaskRef&, const EndedTask&, const InstanceKey&) {},
         .onInstance_ = [](const InstanceKey&, std::string_view) {},
         .onInDoubt_ = [this](const TaskRef&,
@@ -97,6 +103,13 @@
                              std::string_view) { ++runsInDoubt_; },
         .onStartWithheld_ = [this](const TaskRef&,
                                    uint32_t) { ++startsWithheld_; },
+        .onNearWait_ =
+          [this](const NearWaitReport& aReport) {
+            nearWaits_ += aReport.isEnded_ ? 0 : 1;
+            waitsEndedNear_ += aReport.endedNear_;
+            waitsEndedFar_ += aReport.endedFar_;
+            longestNearWait_ = std::max(longestNearWait_, aReport.waited_);
+          },
         .onMachine_ =
           [this](const MachineOrder& aOrder, std::string_view) {
             machineOrders_.push_back(aOrder);
@@ -151,7 +164,8 @@
   FakeInstance& AddInstance(const std::string& aId,
                             const std::string& aService,
                             uint32_t aCores = 16,
-                            int64_t aStartedUnixMs = 1000)
+                            int64_t aStartedUnixMs = 1000,
+                            const std::string& aRack = {})
   {
     FakeInstance& instance = instances_[aId];
     instance = {};
@@ -163,6 +177,7 @@
     instance.record_.set_machine("m-" + aId);
     instance.record_.mutable_capacity()->set_cpu_millis(aCores * 1000);
     instance.record_.mutable_capacity()->set_memory_mb(64000);
+    instance.record_.set_rack(aRack);
     instance.clockOffset_ = Millis(5000);
     Report(instance);
     return instance;
@@ -308,7 +323,9 @@
   {
     return machineOrders_;
   }
-  size_t Starts() const { return starts_; }
+  size_t Starts() const { return startLog_.size(); }
+  // TASK@INSTANCE of each start.
+  const std::vector<std::string>& StartLog() const { return startLog_; }
   const DispatchLoad& LastDispatch() const { return dispatch_; }
   size_t RunsInDoubt() const { return runsInDoubt_; }
   size_t StartsWithheld() const { return startsWithheld_; }
@@ -332,6 +349,14 @@
   // changes before it receives their commits.
   bool reportsCommitsLate_ = false;
   Millis machineOrderDelay_; // of leaders started later
+  // Of leaders started later, and of tasks away from their data or their gang.
+  double remoteRackFactor_ = 1.0;
+  NearWaitRule nearWaitRule_ = &WaitForNearPlace; // of leaders started later
+  double runTimeRatio_ = 1.0;                     // of declared run times
+  size_t NearWaitCount() const { return nearWaits_; }
+  size_t WaitsEndedNear() const { return waitsEndedNear_; }
+  size_t WaitsEndedFar() const { return waitsEndedFar_; }
+  Millis LongestNearWait() const { return longestNearWait_; }
   // Delay of replies to starts and listings, as with a leader that has too
   // little processor time.
   Millis replyDelay_;
@@ -443,10 +468,31 @@
       { .task_ = aOrder.task_,
         .run_ = aOrder.run_,
         .endsAt_ = spec.lasting() ? Millis::Max()
-                                  : now_ + Millis(spec.estimated_run_ms()) });
+                                  : now_ + RunTimeOn(aInstance, aOrder) });
     return { .status_ = OrderStatus::kAccepted, .clock_ = clock };
   }
 
+  Millis RunTimeOn(const FakeInstance& aInstance,
+                   const StartOrder& aOrder) const
+  {
+    const v1::StepSpec& spec = JobStore::SpecOf(aOrder.ref_);
+    const std::string& rack = aInstance.record_.rack();
+    bool isFar = !spec.data_rack().empty() && spec.data_rack() != rack;
+    for (const auto& [key, instance] : store_.Instances()) {
+      const bool hasGangMember =
+        spec.same_rack() &&
+        std::any_of(instance->assigned_.begin(),
+                    instance->assigned_.end(),
+                    [&](const TaskRef& aTask) {
+                      return aTask.job_ == aOrder.ref_.job_ &&
+                             aTask.step_ == aOrder.ref_.step_;
+                    });
+      isFar = isFar || (hasGangMember && instance->record_.rack() != rack);
+    }
+    return Millis(static_cast<int64_t>(spec.estimated_run_ms() * runTimeRatio_ *
+                                       (isFar ? remoteRackFactor_ : 1.0)));
+  }
+
   void DeliverReply(std::function<void()> aReply)
   {
     if (replyDelay_ == Millis()) {
@@ -781,9 +827,13 @@
   std::vector<OpenListing> openListings_;
   std::vector<MachineOrder> machineOrders_;
   DispatchLoad dispatch_;
-  size_t starts_ = 0;
+  std::vector<std::string> startLog_;
   size_t runsInDoubt_ = 0;
   size_t startsWithheld_ = 0;
+  size_t nearWaits_ = 0;
+  size_t waitsEndedNear_ = 0;
+  size_t waitsEndedFar_ = 0;
+  Millis longestNearWait_;
   size_t ordersWithSendBy_ = 0;
   size_t ordersWithWrongSendBy_ = 0;
   size_t maxInMaintenance_ = 0;
