--- a/src/core/jobs/fleet_scheduler_backlog.cpp
+++ b/src/core/jobs/fleet_scheduler_backlog.cpp
@@ -61,7 +61,8 @@
 Millis FleetScheduler::EstimateOccupancy(const Job& aJob,
                                          const v1::StepSpec& aStep) const
 {
-  return runTimes_.EstimateRun(aJob.queueAddress_, aStep) + runTimes_.Delay();
+  return runTimes_.EstimateOccupancy(aJob.queueAddress_, aStep) +
+         runTimes_.Delay();
 }
 
 CriticalPath FleetScheduler::RemainingPath(const Job& aJob,
