--- a/src/core/jobs/fleet_scheduler_near.cpp
+++ b/src/core/jobs/fleet_scheduler_near.cpp
@@ -169,6 +169,9 @@
   double waitingCores = 0;
   for (const Candidate& candidate : backlog_) {
     const TaskRef& first = candidate.firstTask_;
+    if (waitingCores > freeCores) {
+      break;
+    }
     if (candidate.service_ != aCandidate.service_ || !first.job_->IsOpen()) {
       continue;
     }
