--- a/test/fleet_sharing_test.cpp
+++ b/test/fleet_sharing_test.cpp
@@ -446,11 +446,30 @@
   }
   BOOST_TEST(fleet_.RunUntil(
     [&] { return job.occurrences_.at(0).steps_[0].IsDone(); }, Seconds(2)));
+  BOOST_REQUIRE(fleet_.Store().Restore(fleet_.Store().Snapshot()));
   fleet_.StartLeader(2);
   fleet_.ForgetMaxRunning();
-  SubmitMany("a", 4, SimulatedFleet::StepOf(4, 2 * kCore, 500));
+  SubmitMany("a", 40, SimulatedFleet::StepOf(4, 2 * kCore, 1000));
   fleet_.RunFor(Seconds(3));
   BOOST_TEST(fleet_.MaxRunningMilliCpus("a") <= 8 * kCore);
+  // Two of them end, and the third is lost with its instance.
+  for (const std::string id : { "i1", "i2" }) {
+    fleet_.At(id).isReachable_ = true;
+    fleet_.At(id).running_.at(0).endsAt_ = fleet_.Now();
+  }
+  fleet_.RunFor(Seconds(20));
+  const Step& step = fleet_.Store().FindJob("g")->occurrences_.at(0).steps_[0];
+  BOOST_TEST(step.IsDone());
+  BOOST_TEST(step.pending_ == 0U);
+  BOOST_TEST(
+    std::none_of(step.tasks_.begin(), step.tasks_.end(), [](const Task& aTask) {
+      return aTask.instance_ != nullptr;
+    }));
+  fleet_.StartLeader(3);
+  fleet_.RunFor(Seconds(1));
+  BOOST_TEST(fleet_.RunUntil(
+    [&] { return fleet_.RunningMilliCpus("a") == 8 * kCore; }, Seconds(2)));
+  BOOST_TEST(fleet_.MaxRunningMilliCpus("a") == 8 * kCore);
 }
 
 BOOST_AUTO_TEST_CASE(TheTraceShowsSharesAndHeldWork)
