--- a/test/fleet_sharing_test.cpp
+++ b/test/fleet_sharing_test.cpp
@@ -472,6 +472,25 @@
   BOOST_TEST(fleet_.MaxRunningMilliCpus("a") == 8 * kCore);
 }
 
+BOOST_AUTO_TEST_CASE(AuditCorrectsChargesThatAreNotReleased)
+{
+  fleet_.PutCustomers({ { "a", 1.0, 8 } });
+  AddInstances(1);
+  SubmitMany("a", 1, SimulatedFleet::StepOf(4, 2 * kCore, 1000));
+  fleet_.RunFor(Millis(500));
+  const auto& views = fleet_.Scheduler().Views();
+  auto& view = const_cast<InstanceView&>(views.begin()->second);
+  for (auto& [task, run] : view.Runs()) {
+    run.charge_.need_ = {};
+  }
+  fleet_.expectsAuditFindings_ = true;
+  fleet_.RunFor(Seconds(2));
+  BOOST_TEST(fleet_.AuditFindings() == 1U);
+  SubmitMany("a", 4, SimulatedFleet::StepOf(4, 2 * kCore, 1000));
+  fleet_.RunFor(Millis(500));
+  BOOST_TEST(fleet_.RunningMilliCpus("a") == 8 * kCore);
+}
+
 BOOST_AUTO_TEST_CASE(TheTraceShowsSharesAndHeldWork)
 {
   fleet_.PutCustomers({ { "a", 1.0, 8 }, { "b", 3.0 } });
