--- a/src/core/customers/customer_directory.cpp
+++ b/src/core/customers/customer_directory.cpp
@@ -35,14 +35,15 @@
   if (aKey.isMalformed_) {
     return { .kind_ = CallerKind::kUnauthorized };
   }
-  if (!aKey.text_.empty()) {
-    const auto it = customersByKey_.find(aKey.text_);
-    if (it != customersByKey_.end()) {
-      return { .kind_ = CallerKind::kCustomer, .customer_ = it->second };
-    }
+  if (aKey.text_.empty()) {
+    return { .kind_ = aQueue.allow_anonymous() ? CallerKind::kAnonymous
+                                               : CallerKind::kUnauthorized };
+  }
+  const auto it = customersByKey_.find(aKey.text_);
+  if (it == customersByKey_.end()) {
+    return { .kind_ = CallerKind::kUnauthorized };
   }
-  return { .kind_ = aQueue.allow_anonymous() ? CallerKind::kAnonymous
-                                             : CallerKind::kUnauthorized };
+  return { .kind_ = CallerKind::kCustomer, .customer_ = it->second };
 }
 
 } // namespace vanillahatch
