--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -13,7 +13,7 @@
 
 // Also the reply to a caller that may not know who has the job.
 constexpr const char* kIdTaken = "another job has this id";
-constexpr const char* kNoSuchJob = "no such job";
+constexpr const char* kJobOfAnother = "the job is of another customer";
 
 struct ResolvedPlace
 {
@@ -56,15 +56,6 @@
     aReply, v1::JOB_CALL_UNAUTHORIZED, "the call needs the key of a customer");
 }
 
-// A job of another customer is as if it were not stored.
-const Job* FindVisibleJob(const JobStore& aStore,
-                          const v1::JobPlace& aPlace,
-                          const Caller& aCaller)
-{
-  const Job* job = aStore.FindJobAt(aPlace.host(), aPlace.path());
-  return job != nullptr && aCaller.MayAccess(job->customer_) ? job : nullptr;
-}
-
 void FillResolvedState(const JobStore& aStore,
                        const v1::JobPlace& aJobPlace,
                        const ResolvedPlace& aResolved,
@@ -84,9 +75,13 @@
     aReply.set_waiting(aStore.CountWaitingJobs(AddressOf(*aResolved.queue_)));
     return;
   }
-  const Job* job = FindVisibleJob(aStore, aJobPlace, aResolved.caller_);
+  const Job* job = aStore.FindJobAt(aJobPlace.host(), aJobPlace.path());
   if (job == nullptr) {
-    SetStatus(aReply, v1::JOB_CALL_NO_JOB, kNoSuchJob);
+    SetStatus(aReply, v1::JOB_CALL_NO_JOB, "no such job");
+    return;
+  }
+  if (!aResolved.caller_.MayAccess(job->customer_)) {
+    SetStatus(aReply, v1::JOB_CALL_FORBIDDEN, kJobOfAnother);
     return;
   }
   aReply.set_status(v1::JOB_CALL_OK);
@@ -129,8 +124,9 @@
   ResolvedPlace place = ResolvePlace(aStore, aJobPlace, {});
   place.caller_ = aCaller;
   FillResolvedState(aStore, aJobPlace, place, aReply);
-  const Job* job = FindVisibleJob(aStore, aJobPlace, aCaller);
-  if (job != nullptr && job->IsOpen()) {
+  const Job* job = aStore.FindJobAt(aJobPlace.host(), aJobPlace.path());
+  const bool isOpen = job != nullptr && job->IsOpen();
+  if (aReply.status() == v1::JOB_CALL_OK && isOpen) {
     RefuseUnproposedChange(aReply); // It has another owner than expected.
   }
 }
@@ -316,8 +312,8 @@
                                     const Caller& aCaller,
                                     v1::JobReply& aReply)
 {
-  const Job* job = FindVisibleJob(aStore, aPlace, aCaller);
-  if (job == nullptr) {
+  const Job* job = aStore.FindJobAt(aPlace.host(), aPlace.path());
+  if (job == nullptr || !aCaller.MayAccess(job->customer_)) {
     SetStatus(aReply, v1::JOB_CALL_INVALID, kIdTaken);
     return;
   }
@@ -344,10 +340,11 @@
     });
     const bool showsJob =
       aReply->status() == v1::JOB_CALL_OK && !aReply->is_count();
-    const bool mayAnswer =
-      caller.kind_ == CallerKind::kUnchecked
-        ? showsJob
-        : (showsJob || caller.IsUnauthorized()) && HasLedSince(term);
+    const bool mayAnswer = caller.kind_ == CallerKind::kUnchecked
+                             ? showsJob
+                             : (showsJob || caller.IsUnauthorized() ||
+                                aReply->status() == v1::JOB_CALL_FORBIDDEN) &&
+                                 HasLedSince(term);
     if (mayAnswer) {
       Finish(reactor, *aReply);
       return reactor;
@@ -386,7 +383,7 @@
     }
     const Job* job = aStore.FindJobAt(requested.host(), requested.path());
     if (job != nullptr && !place.caller_.MayAccess(job->customer_)) {
-      SetStatus(*aReply, v1::JOB_CALL_NO_JOB, kNoSuchJob);
+      SetStatus(*aReply, v1::JOB_CALL_FORBIDDEN, kJobOfAnother);
       return decision;
     }
     v1::CancelJob& cancel =
--- a/test/customer_calls_test.cpp
+++ b/test/customer_calls_test.cpp
@@ -289,11 +289,14 @@
              std::string::npos);
 }
 
-BOOST_FIXTURE_TEST_CASE(JobOfAnotherCustomerIsAsIfItWereNotStored, OneReplica)
+BOOST_FIXTURE_TEST_CASE(JobOfAnotherCustomerIsForbidden, OneReplica)
 {
   BOOST_TEST(leader_.Submit("/keyed/a", "k1").status() == v1::JOB_CALL_OK);
-  BOOST_TEST(leader_.Show("/keyed/a", "t1").status() == v1::JOB_CALL_NO_JOB);
-  BOOST_TEST(leader_.Cancel("/keyed/a", "t1").status() == v1::JOB_CALL_NO_JOB);
+  for (const v1::JobReply& reply :
+       { leader_.Show("/keyed/a", "t1"), leader_.Cancel("/keyed/a", "t1") }) {
+    BOOST_TEST(reply.status() == v1::JOB_CALL_FORBIDDEN);
+    BOOST_TEST(reply.phase() == v1::JobReply().phase());
+  }
   BOOST_TEST(leader_.Submit("/keyed/a", "t1").status() == v1::JOB_CALL_INVALID);
   BOOST_TEST(leader_.Submit("/anonymous/a", "").status() ==
              v1::JOB_CALL_INVALID);
@@ -303,6 +306,42 @@
   BOOST_TEST(leader_.Show("/keyed/a", "k1").phase() == v1::JOB_CANCELLED);
 }
 
+// The reply to a cancellation that a job is gone promises that it starts no
+// more.
+BOOST_FIXTURE_TEST_CASE(OpenJobIsNotGoneForAnonymousCallsThatItsQueueNowAllows,
+                        OneReplica)
+{
+  BOOST_TEST(leader_.Submit("/keyed/a", "k1").status() == v1::JOB_CALL_OK);
+  v1::FleetDocument config = MakeConfig(2, { { "kiosks", { "k1" } } });
+  for (v1::QueueSpec& queue : *config.mutable_queues()) {
+    queue.set_allow_anonymous(true);
+  }
+  BOOST_REQUIRE(leader_.Configure(config));
+  BOOST_TEST(leader_.Show("/keyed/a", "").status() == v1::JOB_CALL_FORBIDDEN);
+  BOOST_TEST(leader_.Cancel("/keyed/a", "").status() == v1::JOB_CALL_FORBIDDEN);
+  BOOST_TEST(leader_.Show("/keyed/a", "k1").phase() == v1::JOB_QUEUED);
+  BOOST_TEST(leader_.Cancel("/keyed/a", "k1").phase() == v1::JOB_CANCELLED);
+}
+
+BOOST_FIXTURE_TEST_CASE(CancellationThatMeetsANewJobOfAnotherIsForbidden,
+                        OneReplica)
+{
+  std::future<v1::JobReply> submission;
+  std::future<v1::JobReply> cancellation;
+  {
+    const HeldReplica held(leader_.Log());
+    submission = std::async(std::launch::async,
+                            [&] { return leader_.Submit("/keyed/a", "k1"); });
+    std::this_thread::sleep_for(kTimeForFirstLook);
+    cancellation = std::async(std::launch::async,
+                              [&] { return leader_.Cancel("/keyed/a", "t1"); });
+    std::this_thread::sleep_for(kTimeForFirstLook);
+  }
+  BOOST_TEST(submission.get().status() == v1::JOB_CALL_OK);
+  BOOST_TEST(cancellation.get().status() == v1::JOB_CALL_FORBIDDEN);
+  BOOST_TEST(leader_.Show("/keyed/a", "k1").phase() == v1::JOB_QUEUED);
+}
+
 BOOST_FIXTURE_TEST_CASE(CancellationBeforeTheJobIsOnlyOfTheSameCustomer,
                         OneReplica)
 {
@@ -333,7 +372,7 @@
   BOOST_TEST(leader_.Show("/keyed/a", isFirst ? "k1" : "t1").status() ==
              v1::JOB_CALL_OK);
   BOOST_TEST(leader_.Show("/keyed/a", isFirst ? "t1" : "k1").status() ==
-             v1::JOB_CALL_NO_JOB);
+             v1::JOB_CALL_FORBIDDEN);
 }
 
 BOOST_FIXTURE_TEST_CASE(JobIsReachedWithTheKeysThatItsCustomerHasNow,
@@ -343,7 +382,7 @@
   // The other customer gets the key that the first one had.
   BOOST_REQUIRE(leader_.Configure(
     MakeConfig(2, { { "kiosks", { "k2" } }, { "transit", { "k1" } } })));
-  BOOST_TEST(leader_.Show("/keyed/a", "k1").status() == v1::JOB_CALL_NO_JOB);
+  BOOST_TEST(leader_.Show("/keyed/a", "k1").status() == v1::JOB_CALL_FORBIDDEN);
   BOOST_TEST(leader_.Show("/keyed/a", "t1").status() ==
              v1::JOB_CALL_UNAUTHORIZED);
   BOOST_TEST(leader_.Show("/keyed/a", "k2").status() == v1::JOB_CALL_OK);
@@ -375,9 +414,10 @@
   }
   BOOST_TEST(leader_.Cancel("/anonymous/a", "k1").phase() == v1::JOB_CANCELLED);
   BOOST_TEST(leader_.Submit("/anonymous/b", "k1").status() == v1::JOB_CALL_OK);
-  BOOST_TEST(leader_.Show("/anonymous/b", "").status() == v1::JOB_CALL_NO_JOB);
+  BOOST_TEST(leader_.Show("/anonymous/b", "").status() ==
+             v1::JOB_CALL_FORBIDDEN);
   BOOST_TEST(leader_.Cancel("/anonymous/b", "").status() ==
-             v1::JOB_CALL_NO_JOB);
+             v1::JOB_CALL_FORBIDDEN);
   BOOST_TEST(leader_.Show("/anonymous/b", "k1").phase() == v1::JOB_QUEUED);
 }
 
--- a/test/job_gateway_test.cpp
+++ b/test/job_gateway_test.cpp
@@ -267,6 +267,18 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(ForbiddenCancellationAfterOneWithoutReplyIsUnknown)
+{
+  BOOST_TEST(Call(JobCallKind::kCancel, { v1::JOB_CALL_FORBIDDEN }) ==
+             v1::JOB_CALL_FORBIDDEN);
+  BOOST_TEST(
+    Call(JobCallKind::kCancel, { std::nullopt, v1::JOB_CALL_FORBIDDEN }) ==
+    v1::JOB_CALL_UNKNOWN);
+  BOOST_TEST(
+    Call(JobCallKind::kShow, { std::nullopt, v1::JOB_CALL_FORBIDDEN }) ==
+    v1::JOB_CALL_FORBIDDEN);
+}
+
 BOOST_AUTO_TEST_CASE(RefusalAfterAnAttemptAtAnotherReplicaStaysARefusal)
 {
   BOOST_TEST(Call(JobCallKind::kSubmit,
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -657,6 +657,17 @@
   }
 }
 
+// A 410 to a cancellation would promise that nothing of the job starts.
+BOOST_AUTO_TEST_CASE(ForbiddenCallIsAnsweredWith403AndHasNotRun)
+{
+  v1::JobReply reply;
+  reply.set_status(v1::JOB_CALL_FORBIDDEN);
+  reply.set_detail("the job is of another customer");
+  const HttpResponse response = EncodeReply(reply);
+  BOOST_TEST(response.result_int() == 403U);
+  BOOST_TEST(response.body().find(R"("ran":"no")") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(UnauthorizedCallIsAnsweredWith401AndHasNotRun)
 {
   v1::JobReply reply;
--- a/test/process/customers_test.py
+++ b/test/process/customers_test.py
@@ -86,9 +86,11 @@
                     method, credentials, status))
         platform.check(ask(front, "GET", "/open/" + JOB)[0] == 410,
                        "an anonymous call")
-        platform.check(status_of(front, OTHER_KEY) == 410, "another's job")
+        platform.check(ask(front, "GET", "/open/" + JOB, bearer("unknown"))[0]
+                       == 401, "an unknown key where none is needed")
+        platform.check(status_of(front, OTHER_KEY) == 403, "another's job")
         platform.check(
-            ask(front, "DELETE", "/q/" + JOB, bearer(OTHER_KEY))[0] == 410,
+            ask(front, "DELETE", "/q/" + JOB, bearer(OTHER_KEY))[0] == 403,
             "cancelling another's job")
         platform.check(ask(front, "GET", "/q/" + JOB, bearer(key(1)))
                        == (200, "queued"), "its own job")
