--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -542,10 +542,11 @@
 {
   const auto config = DecodeConfig(ConfigWithTenants(
     R"([{"name":"a","api_keys":["k1","k2"],"priority":1,"weight":143,)"
-    R"("cap":{"cpu":19924384,"mem_mb":65669500,"gpu":2}},{"name":"b"}])"));
+    R"("cap":{"cpu":19924384,"mem_mb":65669500,"gpu":2}},)"
+    R"({"name":"b","api_keys":[]},{"name":"c","api_keys":[],"weight":0}])"));
   BOOST_REQUIRE(config.has_value());
   BOOST_TEST(config.value().checks_keys());
-  BOOST_REQUIRE(config.value().customers_size() == 2);
+  BOOST_REQUIRE(config.value().customers_size() == 3);
   const v1::CustomerSpec& customer = config.value().customers(0);
   BOOST_TEST(customer.name() == "a");
   BOOST_TEST(customer.keys_size() == 2);
@@ -555,6 +556,8 @@
   BOOST_TEST(customer.cap().memory_mb() == 65669500U);
   BOOST_TEST(customer.cap().gpus() == 2U);
   BOOST_TEST(config.value().customers(1).keys().empty());
+  BOOST_TEST(config.value().customers(1).weight() == 1);
+  BOOST_TEST(config.value().customers(2).weight() == 0);
   BOOST_TEST(!config.value().queues(0).allow_anonymous());
 }
 
@@ -570,9 +573,36 @@
   BOOST_TEST(anonymous.value().queues(0).allow_anonymous());
 }
 
+// Such a configuration would open each job and make revoked keys work again.
+BOOST_AUTO_TEST_CASE(ConfigurationWithoutTenantsIsRejectedWhereTheyAreNeeded)
+{
+  const ConfigOptions options{ .needsTenants_ = true };
+  BOOST_TEST(!DecodeConfig(kConfig, options).has_value());
+  BOOST_TEST(!DecodeConfig(ConfigWithTenants("null"), options).has_value());
+  BOOST_TEST(DecodeConfig(ConfigWithTenants("[]"), options).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(ContractsTellWhetherTenantsAreNeeded)
+{
+  const std::string base = "node = \"core-1\"\nip = \"10.1.0.12\"\n"
+                           "internal_ports = [7060,7075]\n"
+                           "seeds = [\"10.1.0.12:8623\"]\n";
+  for (const auto& [contracts, areNeeded] :
+       { std::pair("", false),
+         { "contracts = []", false },
+         { "contracts = \"tenants\"", false },
+         { R"(contracts = ["base","sched"])", false },
+         { R"(contracts = ["base",7,"tenants","quota"])", true } }) {
+    const auto settings = ParseNodeSettings(base + contracts);
+    BOOST_REQUIRE(settings.has_value());
+    BOOST_TEST(settings.value().configNeedsTenants_ == areNeeded, contracts);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(InvalidTenantsAreRejected)
 {
   const std::string longKey(kMaxKeyBytes + 1, 'k');
+  const std::string longName(257, 'n');
   for (const std::string& tenants :
        { std::string("null"),
          std::string("{}"),
@@ -580,22 +610,26 @@
          std::string(R"([{"api_keys":["k"]}])"),
          std::string(R"([{"name":"","api_keys":["k"]}])"),
          std::string(R"([{"name":7,"api_keys":["k"]}])"),
-         std::string(R"([{"name":"a"},{"name":"a"}])"),
+         std::string(R"([{"name":"a","api_keys":["k"]},)"
+                     R"({"name":"a","api_keys":["l"]}])"),
+         std::string(R"([{"name":"a"}])"),
+         std::string(R"([{"name":"a","api_keys":null}])"),
+         R"([{"name":")" + longName + R"(","api_keys":["k"]}])",
          std::string(R"([{"name":"a","api_keys":["k"]},)"
                      R"({"name":"b","api_keys":["l","k"]}])"),
          std::string(R"([{"name":"a","api_keys":"k"}])"),
          std::string(R"([{"name":"a","api_keys":[7]}])"),
          std::string(R"([{"name":"a","api_keys":[""]}])"),
          R"([{"name":"a","api_keys":[")" + longKey + R"("]}])",
-         std::string(R"([{"name":"a","weight":-1}])"),
-         std::string(R"([{"name":"a","weight":1e300}])"),
-         std::string(R"([{"name":"a","weight":1e999}])"),
-         std::string(R"([{"name":"a","weight":"1"}])"),
-         std::string(R"([{"name":"a","cap":7}])"),
-         std::string(R"([{"name":"a","cap":{"cpu":-1}}])"),
-         std::string(R"([{"name":"a","cap":{"cpu":1.5}}])"),
-         std::string(R"([{"name":"a","cap":{"mem_mb":1e18}}])"),
-         std::string(R"([{"name":"a","cap":{"gpu":"1"}}])") }) {
+         std::string(R"([{"name":"a","api_keys":[],"weight":-1}])"),
+         std::string(R"([{"name":"a","api_keys":[],"weight":1e300}])"),
+         std::string(R"([{"name":"a","api_keys":[],"weight":1e999}])"),
+         std::string(R"([{"name":"a","api_keys":[],"weight":"1"}])"),
+         std::string(R"([{"name":"a","api_keys":[],"cap":7}])"),
+         std::string(R"([{"name":"a","api_keys":[],"cap":{"cpu":-1}}])"),
+         std::string(R"([{"name":"a","api_keys":[],"cap":{"cpu":1.5}}])"),
+         std::string(R"([{"name":"a","api_keys":[],"cap":{"mem_mb":1e18}}])"),
+         std::string(R"([{"name":"a","api_keys":[],"cap":{"gpu":"1"}}])") }) {
     const auto config = DecodeConfig(ConfigWithTenants(tenants));
     BOOST_TEST(!config.has_value(), tenants);
   }
