--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -63,6 +63,9 @@
 
 QueueAddress AddressOf(const v1::QueueSpec& aQueue);
 
+// The customer whose job alone the cancellation holds for; unset: for each job.
+std::optional<std::string> OwnerNeededFor(const v1::CancelJob& aJob);
+
 // Where callers reach a job, which may not be stored.
 struct JobAddress
 {
@@ -76,7 +79,8 @@
 struct EarlyCancellation
 {
   JobAddress job_;
-  std::string customer_; // of the caller; empty: of no customer
+  // Of the job that it holds for, empty: of no customer; unset: of any job.
+  std::optional<std::string> customer_;
 
   friend auto operator<=>(const EarlyCancellation&,
                           const EarlyCancellation&) = default;
@@ -292,7 +296,7 @@
   void CancelJob(const v1::CancelJob& aJob);
   void RecordCancelledEarly(EarlyCancellation aCancellation);
   // Returns whether the job was cancelled before it was accepted.
-  bool TakeCancelledEarly(const EarlyCancellation& aCancellation);
+  bool TakeCancelledEarly(const Job& aJob);
   void StartRun(const v1::RunStart& aStart);
   void EndRun(const v1::RunEnd& aEnd);
   void FinishRun(const TaskRef& aTask,
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -12,6 +12,11 @@
 
 } // namespace
 
+std::optional<std::string> OwnerNeededFor(const v1::CancelJob& aJob)
+{
+  return aJob.checked_owner() ? std::optional(aJob.customer()) : std::nullopt;
+}
+
 JobAddress AddressOf(const Job& aJob)
 {
   return { .host_ = aJob.queueAddress_.host_,
@@ -180,8 +185,7 @@
   job.customer_ = aJob.customer();
   job.spec_ = aJob.spec();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
-  if (TakeCancelledEarly(
-        { .job_ = AddressOf(job), .customer_ = job.customer_ })) {
+  if (TakeCancelledEarly(job)) {
     job.cancelled_ = true;
     return;
   }
@@ -215,11 +219,12 @@
     job = isThere ? job : FindJobAt(address.host_, address.path_);
     if (job == nullptr) {
       RecordCancelledEarly(
-        { .job_ = std::move(address), .customer_ = aJob.customer() });
+        { .job_ = std::move(address), .customer_ = OwnerNeededFor(aJob) });
     }
   }
-  const bool mayCancel = job != nullptr && (job->customer_.empty() ||
-                                            job->customer_ == aJob.customer());
+  const bool mayCancel =
+    job != nullptr && (!aJob.checked_owner() || job->customer_.empty() ||
+                       job->customer_ == aJob.customer());
   if (mayCancel && job->IsOpen()) {
     CloseJob(*job);
     ++interruptedJobCount_;
@@ -238,13 +243,18 @@
   }
 }
 
-bool JobStore::TakeCancelledEarly(const EarlyCancellation& aCancellation)
+bool JobStore::TakeCancelledEarly(const Job& aJob)
 {
-  if (cancelledEarlySet_.erase(aCancellation) == 0) {
-    return false;
-  }
-  std::erase(cancelledEarly_, aCancellation);
-  return true;
+  const EarlyCancellation ofCustomer{ .job_ = AddressOf(aJob),
+                                      .customer_ = aJob.customer_ };
+  const EarlyCancellation ofAny{ .job_ = ofCustomer.job_ };
+  const size_t count =
+    cancelledEarlySet_.erase(ofCustomer) + cancelledEarlySet_.erase(ofAny);
+  if (count > 0) {
+    std::erase(cancelledEarly_, ofCustomer);
+    std::erase(cancelledEarly_, ofAny);
+  }
+  return count > 0;
 }
 
 Occurrence* JobStore::FindOccurrence(Job& aJob, uint32_t aNumber)
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -93,7 +93,8 @@
     v1::CancelJob& cancelled = *snapshot.add_cancelled_early();
     cancelled.set_host(cancellation.job_.host_);
     cancelled.set_path(cancellation.job_.path_);
-    cancelled.set_customer(cancellation.customer_);
+    cancelled.set_checked_owner(cancellation.customer_.has_value());
+    cancelled.set_customer(cancellation.customer_.value_or(""));
   }
   return snapshot.SerializeAsString();
 }
@@ -201,7 +202,7 @@
   fresh.RestoreFormerLeases(snapshot);
   for (const v1::CancelJob& job : snapshot.cancelled_early()) {
     fresh.RecordCancelledEarly(
-      { .job_ = fresh.AddressOfJob(job), .customer_ = job.customer() });
+      { .job_ = fresh.AddressOfJob(job), .customer_ = OwnerNeededFor(job) });
   }
   fresh.instanceChangeCount_ = instanceChangeCount_ + 1;
   fresh.changedInstances_.clear(); // the changed instances are unknown
--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -394,6 +394,7 @@
     cancel.set_path(requested.path());
     cancel.set_customer(job != nullptr ? job->customer_
                                        : place.caller_.customer_);
+    cancel.set_checked_owner(place.caller_.kind_ != CallerKind::kUnchecked);
     return decision;
   };
   Decide(reactor, aReply, decide, [=, this](const Decision& aDecision) {
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -699,6 +699,16 @@
   change.mutable_cancel_job()->set_id(aId);
   change.mutable_cancel_job()->set_queue("drafts");
   change.mutable_cancel_job()->set_customer(aCustomer);
+  change.mutable_cancel_job()->set_checked_owner(true);
+  return change;
+}
+
+// As releases wrote it that knew no customers.
+v1::JobChange CancelWithoutOwner(const std::string& aId)
+{
+  v1::JobChange change;
+  change.mutable_cancel_job()->set_id(aId);
+  change.mutable_cancel_job()->set_queue("drafts");
   return change;
 }
 
@@ -763,6 +773,27 @@
   BOOST_TEST(store.PhaseOf(*store.FindJob("of-none")) == v1::JOB_CANCELLED);
 }
 
+// Guards against replicas of two releases that apply one entry differently.
+BOOST_AUTO_TEST_CASE(CancellationOfAnEarlierReleaseHoldsForEachJob)
+{
+  JobStore store;
+  Apply(store, { CancelWithoutOwner("early"), AcceptOf("a", "early") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("early")) == v1::JOB_CANCELLED);
+  Apply(store, { AcceptOf("a", "j"), CancelWithoutOwner("j") });
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_CANCELLED);
+}
+
+BOOST_AUTO_TEST_CASE(EarlyCancellationOfAnEarlierReleaseOutlastsARestart)
+{
+  JobStore store;
+  Apply(store, { CancelWithoutOwner("j"), CancelOf("", "k") });
+  JobStore successor;
+  BOOST_REQUIRE(successor.Restore(store.Snapshot()));
+  Apply(successor, { AcceptOf("a", "j"), AcceptOf("a", "k") });
+  BOOST_TEST(successor.PhaseOf(*successor.FindJob("j")) == v1::JOB_CANCELLED);
+  BOOST_TEST(successor.PhaseOf(*successor.FindJob("k")) == v1::JOB_QUEUED);
+}
+
 BOOST_AUTO_TEST_CASE(EarlyCancellationIsOfItsCustomerAlsoAfterARestart)
 {
   JobStore store;
