--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -154,6 +154,16 @@
   }
 }
 
+// For a round that proposed no change, so that its outcome is in no doubt.
+void FillRoundFailure(const ProposalResult& aResult, v1::JobReply& aReply)
+{
+  FillFailure(aResult, aReply);
+  if (aResult.status_ == ProposalStatus::kUnknown) {
+    aReply.set_status(v1::JOB_CALL_NOT_LEADER);
+    aReply.set_retry_after_ms(kRetryAfterUnavailableMs);
+  }
+}
+
 } // namespace
 
 JobServiceImpl::JobServiceImpl(JobStoreReplica& aStore,
@@ -205,7 +215,7 @@
       aCarryOut(store_.With(aDecide));
       return;
     }
-    FillFailure(aResult, *aReply);
+    FillRoundFailure(aResult, *aReply);
     Finish(aReactor, *aReply);
   });
 }
@@ -216,16 +226,21 @@
   v1::JobReply* aReply,
   std::function<void(const JobStore&, v1::JobReply&)> aFillReply)
 {
-  auto done = [this, aReactor, aReply, fillReply = std::move(aFillReply)](
-                const ProposalResult& aResult) {
-    if (aResult.status_ == ProposalStatus::kCommitted) {
-      store_.With([&](const JobStore& aStore) { fillReply(aStore, *aReply); });
-    } else {
-      FillFailure(aResult, *aReply);
-    }
-    Finish(aReactor, *aReply);
-  };
-  if (aChanges.changes().empty()) {
+  const bool isRound = aChanges.changes().empty();
+  auto done =
+    [this, aReactor, aReply, isRound, fillReply = std::move(aFillReply)](
+      const ProposalResult& aResult) {
+      if (aResult.status_ == ProposalStatus::kCommitted) {
+        store_.With(
+          [&](const JobStore& aStore) { fillReply(aStore, *aReply); });
+      } else if (isRound) {
+        FillRoundFailure(aResult, *aReply);
+      } else {
+        FillFailure(aResult, *aReply);
+      }
+      Finish(aReactor, *aReply);
+    };
+  if (isRound) {
     readBarrier_.Confirm(std::move(done));
     return;
   }
--- a/test/customer_calls_test.cpp
+++ b/test/customer_calls_test.cpp
@@ -492,7 +492,7 @@
   for (std::future<v1::JobReply>& call : calls) {
     const v1::JobCallStatus status = call.get().status();
     BOOST_TEST(
-      (status == v1::JOB_CALL_NOT_LEADER || status == v1::JOB_CALL_UNKNOWN));
+      (status == v1::JOB_CALL_NOT_LEADER || status == v1::JOB_CALL_REFUSED));
   }
 }
 
