--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -2,8 +2,12 @@
 
 #include "vanillahatch/shell/log.h"
 
+#include <google/protobuf/util/message_differencer.h>
+
 namespace vanillahatch {
 
+using google::protobuf::util::MessageDifferencer;
+
 namespace {
 
 // Limits the memory of a replica; far above the number of jobs of one day.
@@ -56,6 +60,18 @@
     aReply, v1::JOB_CALL_UNAUTHORIZED, "the call needs the key of a customer");
 }
 
+// Whether a submission may be answered as if it had stored the job. A customer
+// must not be told so of a job of no customer that has another specification.
+bool IsSubmissionOf(const Job& aJob,
+                    const Caller& aCaller,
+                    const v1::JobSpec& aSpec)
+{
+  return aCaller.MayAccess(aJob.customer_) &&
+         (aJob.customer_ == aCaller.customer_ ||
+          aCaller.kind_ == CallerKind::kUnchecked ||
+          MessageDifferencer::Equals(aJob.spec_, aSpec));
+}
+
 void FillResolvedState(const JobStore& aStore,
                        const v1::JobPlace& aJobPlace,
                        const ResolvedPlace& aResolved,
@@ -270,7 +286,7 @@
       return decision;
     }
     if (const Job* job = aStore.FindJobAt(requested.host(), requested.path())) {
-      if (place.caller_.MayAccess(job->customer_)) {
+      if (IsSubmissionOf(*job, place.caller_, aRequest->spec())) {
         aReply->set_status(v1::JOB_CALL_OK);
       } else {
         SetStatus(*aReply, v1::JOB_CALL_INVALID, kIdTaken);
@@ -308,7 +324,7 @@
            [=, this, caller = aDecision.caller_](const JobStore& aStore,
                                                  v1::JobReply& aOut) {
              if (isNew) {
-               FillAcceptance(aStore, aRequest->place(), caller, aOut);
+               FillAcceptance(aStore, *aRequest, caller, aOut);
                return;
              }
              FillState(aStore, aRequest->place(), KeyOf(*aRequest), aOut);
@@ -323,12 +339,13 @@
 }
 
 void JobServiceImpl::FillAcceptance(const JobStore& aStore,
-                                    const v1::JobPlace& aPlace,
+                                    const v1::SubmitRequest& aRequest,
                                     const Caller& aCaller,
                                     v1::JobReply& aReply)
 {
-  const Job* job = aStore.FindJobAt(aPlace.host(), aPlace.path());
-  if (job == nullptr || !aCaller.MayAccess(job->customer_)) {
+  const v1::JobPlace& place = aRequest.place();
+  const Job* job = aStore.FindJobAt(place.host(), place.path());
+  if (job == nullptr || !IsSubmissionOf(*job, aCaller, aRequest.spec())) {
     SetStatus(aReply, v1::JOB_CALL_INVALID, kIdTaken);
     return;
   }
--- a/src/scheduler/job_service_impl.h
+++ b/src/scheduler/job_service_impl.h
@@ -71,7 +71,7 @@
               std::function<void(const JobStore&, v1::JobReply&)> aFillReply);
 
   void FillAcceptance(const JobStore& aStore,
-                      const v1::JobPlace& aPlace,
+                      const v1::SubmitRequest& aRequest,
                       const Caller& aCaller,
                       v1::JobReply& aReply);
 
--- a/test/customer_calls_test.cpp
+++ b/test/customer_calls_test.cpp
@@ -131,9 +131,12 @@
   Replica(const Replica&) = delete;
   Replica& operator=(const Replica&) = delete;
 
-  v1::JobReply Submit(const std::string& aPath, const std::string& aKey)
+  v1::JobReply Submit(const std::string& aPath,
+                      const std::string& aKey,
+                      const std::string& aText = {})
   {
     v1::SubmitRequest request;
+    request.mutable_spec()->set_text(aText);
     request.mutable_place()->set_host(kHost);
     request.mutable_place()->set_path(aPath);
     request.set_key(aKey);
@@ -436,6 +439,37 @@
   BOOST_TEST(leader_.Cancel("/keyed/a", "t1").phase() == v1::JOB_CANCELLED);
 }
 
+BOOST_FIXTURE_TEST_CASE(SpecificationThatDiffersFromAStoredJobIsNotAccepted,
+                        OneReplica)
+{
+  BOOST_TEST(leader_.Submit("/anonymous/a", "", "first").status() ==
+             v1::JOB_CALL_OK);
+  BOOST_TEST(leader_.Submit("/anonymous/a", "k1", "second").status() ==
+             v1::JOB_CALL_INVALID);
+  BOOST_TEST(leader_.Submit("/anonymous/a", "k1", "first").status() ==
+             v1::JOB_CALL_OK);
+}
+
+BOOST_FIXTURE_TEST_CASE(SpecificationThatAnAnonymousJobForestalledIsNotAccepted,
+                        OneReplica)
+{
+  std::future<v1::JobReply> anonymous;
+  std::future<v1::JobReply> customer;
+  {
+    const HeldReplica held(leader_.Log());
+    anonymous = std::async(std::launch::async, [&] {
+      return leader_.Submit("/anonymous/a", "", "first");
+    });
+    std::this_thread::sleep_for(kTimeForFirstLook);
+    customer = std::async(std::launch::async, [&] {
+      return leader_.Submit("/anonymous/a", "k1", "second");
+    });
+    std::this_thread::sleep_for(kTimeForFirstLook);
+  }
+  BOOST_TEST(anonymous.get().status() == v1::JOB_CALL_OK);
+  BOOST_TEST(customer.get().status() == v1::JOB_CALL_INVALID);
+}
+
 // Guards a deployment that goes back to a configuration without customers.
 BOOST_FIXTURE_TEST_CASE(JobIsReachedWithoutAKeyOnceKeysAreNotChecked,
                         OneReplica)
