--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -738,6 +738,19 @@
   BOOST_TEST(successor.FindCustomer("a")->weight() == 9);
 }
 
+// The job was proposed before the configuration that dropped its customer.
+BOOST_AUTO_TEST_CASE(JobOfACustomerThatHasJustBeenRemovedHasItsSpecification)
+{
+  JobStore store;
+  Apply(store,
+        { ConfigureCustomers(1, { { "a", 2 } }),
+          ConfigureCustomers(2, {}),
+          AcceptOf("a", "j"),
+          ConfigureCustomers(3, {}) });
+  BOOST_REQUIRE(store.FindCustomer("a") != nullptr);
+  BOOST_TEST(store.FindCustomer("a")->weight() == 2);
+}
+
 BOOST_AUTO_TEST_CASE(KeysOfARemovedCustomerAreForgotten)
 {
   JobStore store;
