--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -2,8 +2,12 @@
 
 #include "vanillahatch/shell/log.h"
 
+#include <google/protobuf/util/message_differencer.h>
+
 namespace vanillahatch {
 
+using google::protobuf::util::MessageDifferencer;
+
 namespace {
 
 // Limits the memory of a replica; far above the number of jobs of one day.
@@ -13,7 +17,7 @@
 
 // Also the reply to a caller that may not know who has the job.
 constexpr const char* kIdTaken = "another job has this id";
-constexpr const char* kNoSuchJob = "no such job";
+constexpr const char* kJobOfAnother = "the job is of another customer";
 
 struct ResolvedPlace
 {
@@ -56,13 +60,16 @@
     aReply, v1::JOB_CALL_UNAUTHORIZED, "the call needs the key of a customer");
 }
 
-// A job of another customer is as if it were not stored.
-const Job* FindVisibleJob(const JobStore& aStore,
-                          const v1::JobPlace& aPlace,
-                          const Caller& aCaller)
+// Whether a submission may be answered as if it had stored the job. A customer
+// must not be told so of a job of no customer that has another specification.
+bool IsSubmissionOf(const Job& aJob,
+                    const Caller& aCaller,
+                    const v1::JobSpec& aSpec)
 {
-  const Job* job = aStore.FindJobAt(aPlace.host(), aPlace.path());
-  return job != nullptr && aCaller.MayAccess(job->customer_) ? job : nullptr;
+  return aCaller.MayAccess(aJob.customer_) &&
+         (aJob.customer_ == aCaller.customer_ ||
+          aCaller.kind_ == CallerKind::kUnchecked ||
+          MessageDifferencer::Equals(aJob.spec_, aSpec));
 }
 
 void FillResolvedState(const JobStore& aStore,
@@ -84,9 +91,13 @@
     aReply.set_waiting(aStore.CountWaitingJobs(AddressOf(*aResolved.queue_)));
     return;
   }
-  const Job* job = FindVisibleJob(aStore, aJobPlace, aResolved.caller_);
+  const Job* job = aStore.FindJobAt(aJobPlace.host(), aJobPlace.path());
   if (job == nullptr) {
-    SetStatus(aReply, v1::JOB_CALL_NO_JOB, kNoSuchJob);
+    SetStatus(aReply, v1::JOB_CALL_NO_JOB, "no such job");
+    return;
+  }
+  if (!aResolved.caller_.MayAccess(job->customer_)) {
+    SetStatus(aReply, v1::JOB_CALL_FORBIDDEN, kJobOfAnother);
     return;
   }
   aReply.set_status(v1::JOB_CALL_OK);
@@ -129,8 +140,9 @@
   ResolvedPlace place = ResolvePlace(aStore, aJobPlace, {});
   place.caller_ = aCaller;
   FillResolvedState(aStore, aJobPlace, place, aReply);
-  const Job* job = FindVisibleJob(aStore, aJobPlace, aCaller);
-  if (job != nullptr && job->IsOpen()) {
+  const Job* job = aStore.FindJobAt(aJobPlace.host(), aJobPlace.path());
+  const bool isOpen = job != nullptr && job->IsOpen();
+  if (aReply.status() == v1::JOB_CALL_OK && isOpen) {
     RefuseUnproposedChange(aReply); // It has another owner than expected.
   }
 }
@@ -158,6 +170,16 @@
   }
 }
 
+// For a round that proposed no change, so that its outcome is in no doubt.
+void FillRoundFailure(const ProposalResult& aResult, v1::JobReply& aReply)
+{
+  FillFailure(aResult, aReply);
+  if (aResult.status_ == ProposalStatus::kUnknown) {
+    aReply.set_status(v1::JOB_CALL_NOT_LEADER);
+    aReply.set_retry_after_ms(kRetryAfterUnavailableMs);
+  }
+}
+
 } // namespace
 
 JobServiceImpl::JobServiceImpl(JobStoreReplica& aStore,
@@ -209,7 +231,7 @@
       aCarryOut(store_.With(aDecide));
       return;
     }
-    FillFailure(aResult, *aReply);
+    FillRoundFailure(aResult, *aReply);
     Finish(aReactor, *aReply);
   });
 }
@@ -220,16 +242,21 @@
   v1::JobReply* aReply,
   std::function<void(const JobStore&, v1::JobReply&)> aFillReply)
 {
-  auto done = [this, aReactor, aReply, fillReply = std::move(aFillReply)](
-                const ProposalResult& aResult) {
-    if (aResult.status_ == ProposalStatus::kCommitted) {
-      store_.With([&](const JobStore& aStore) { fillReply(aStore, *aReply); });
-    } else {
-      FillFailure(aResult, *aReply);
-    }
-    Finish(aReactor, *aReply);
-  };
-  if (aChanges.changes().empty()) {
+  const bool isRound = aChanges.changes().empty();
+  auto done =
+    [this, aReactor, aReply, isRound, fillReply = std::move(aFillReply)](
+      const ProposalResult& aResult) {
+      if (aResult.status_ == ProposalStatus::kCommitted) {
+        store_.With(
+          [&](const JobStore& aStore) { fillReply(aStore, *aReply); });
+      } else if (isRound) {
+        FillRoundFailure(aResult, *aReply);
+      } else {
+        FillFailure(aResult, *aReply);
+      }
+      Finish(aReactor, *aReply);
+    };
+  if (isRound) {
     readBarrier_.Confirm(std::move(done));
     return;
   }
@@ -259,7 +286,7 @@
       return decision;
     }
     if (const Job* job = aStore.FindJobAt(requested.host(), requested.path())) {
-      if (place.caller_.MayAccess(job->customer_)) {
+      if (IsSubmissionOf(*job, place.caller_, aRequest->spec())) {
         aReply->set_status(v1::JOB_CALL_OK);
       } else {
         SetStatus(*aReply, v1::JOB_CALL_INVALID, kIdTaken);
@@ -297,7 +324,7 @@
            [=, this, caller = aDecision.caller_](const JobStore& aStore,
                                                  v1::JobReply& aOut) {
              if (isNew) {
-               FillAcceptance(aStore, aRequest->place(), caller, aOut);
+               FillAcceptance(aStore, *aRequest, caller, aOut);
                return;
              }
              FillState(aStore, aRequest->place(), KeyOf(*aRequest), aOut);
@@ -312,12 +339,13 @@
 }
 
 void JobServiceImpl::FillAcceptance(const JobStore& aStore,
-                                    const v1::JobPlace& aPlace,
+                                    const v1::SubmitRequest& aRequest,
                                     const Caller& aCaller,
                                     v1::JobReply& aReply)
 {
-  const Job* job = FindVisibleJob(aStore, aPlace, aCaller);
-  if (job == nullptr) {
+  const v1::JobPlace& place = aRequest.place();
+  const Job* job = aStore.FindJobAt(place.host(), place.path());
+  if (job == nullptr || !IsSubmissionOf(*job, aCaller, aRequest.spec())) {
     SetStatus(aReply, v1::JOB_CALL_INVALID, kIdTaken);
     return;
   }
@@ -344,10 +372,11 @@
     });
     const bool showsJob =
       aReply->status() == v1::JOB_CALL_OK && !aReply->is_count();
-    const bool mayAnswer =
-      caller.kind_ == CallerKind::kUnchecked
-        ? showsJob
-        : (showsJob || caller.IsUnauthorized()) && HasLedSince(term);
+    const bool mayAnswer = caller.kind_ == CallerKind::kUnchecked
+                             ? showsJob
+                             : (showsJob || caller.IsUnauthorized() ||
+                                aReply->status() == v1::JOB_CALL_FORBIDDEN) &&
+                                 HasLedSince(term);
     if (mayAnswer) {
       Finish(reactor, *aReply);
       return reactor;
@@ -386,7 +415,7 @@
     }
     const Job* job = aStore.FindJobAt(requested.host(), requested.path());
     if (job != nullptr && !place.caller_.MayAccess(job->customer_)) {
-      SetStatus(*aReply, v1::JOB_CALL_NO_JOB, kNoSuchJob);
+      SetStatus(*aReply, v1::JOB_CALL_FORBIDDEN, kJobOfAnother);
       return decision;
     }
     v1::CancelJob& cancel =
@@ -397,6 +426,7 @@
     cancel.set_path(requested.path());
     cancel.set_customer(job != nullptr ? job->customer_
                                        : place.caller_.customer_);
+    cancel.set_checked_owner(place.caller_.kind_ != CallerKind::kUnchecked);
     return decision;
   };
   Decide(reactor, aReply, decide, [=, this](const Decision& aDecision) {
