--- a/test/fleet_sharing_test.cpp
+++ b/test/fleet_sharing_test.cpp
@@ -1,6 +1,6 @@
 // Shares and caps of customers on a simulated fleet, in virtual time.
 #define BOOST_TEST_MODULE fleet_sharing
-#include "simulated_fleet.h"
+#include "sharing_fixture.h"
 
 #include <boost/test/unit_test.hpp>
 #include <iostream>
@@ -11,46 +11,6 @@
 
 namespace {
 
-constexpr uint32_t kCore = 1000; // thousandths of a core
-
-struct SharingFixture
-{
-  SharingFixture() { fleet_.Configure({ { "layout", false } }, kQueues); }
-
-  void AddInstances(int aCount)
-  {
-    for (int i = 0; i < aCount; ++i) {
-      fleet_.AddInstance("i" + std::to_string(i), "layout");
-    }
-    fleet_.RunFor(Millis(200));
-  }
-
-  std::vector<Job*> SubmitMany(const std::string& aCustomer,
-                               int aJobs,
-                               const v1::StepSpec& aStep)
-  {
-    std::vector<Job*> jobs;
-    for (int i = 0; i < aJobs; ++i) {
-      const std::string id = aCustomer + std::to_string(submitted_++);
-      jobs.push_back(&fleet_.Submit(id, "drafts", { aStep }, aCustomer));
-    }
-    return jobs;
-  }
-
-  bool AreAllCompleted(const std::vector<Job*>& aJobs)
-  {
-    return std::all_of(aJobs.begin(), aJobs.end(), [&](const Job* aJob) {
-      return fleet_.Store().PhaseOf(*aJob) == v1::JOB_COMPLETED;
-    });
-  }
-
-  inline static const std::vector<std::pair<std::string, std::string>> kQueues{
-    { "drafts", "layout" }
-  };
-  SimulatedFleet fleet_;
-  int submitted_ = 0;
-};
-
 // Customers with a constant mean rate of jobs. One of them can be hot.
 struct LoadFixture : SharingFixture
 {
