--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -87,6 +87,9 @@
   // A committed start was not sent, because the leader lease had expired or the
   // instance leaves.
   std::function<void(const TaskRef&, uint32_t)> onStartWithheld_;
+  // A step is held by its customer's cap and cannot start below it. Called once
+  // for each job.
+  std::function<void(const TaskRef&)> onStepBeyondCap_;
   std::function<void(const MachineOrder&, std::string_view)> onMachine_;
   // These are called about once a second.
   std::function<void(const PoolLoad&)> onPool_;
@@ -185,6 +188,7 @@
     Millis objective_; // time from arrival within which the job is in time
     CriticalPath remaining_;
     uint32_t stepsDone_ = 0; // when `remaining_` was computed
+    bool isBeyondCapReported_ = false;
   };
   // The instances of one service that can take work in this round.
   struct UsableInstances
@@ -319,6 +323,7 @@
   // True if the cap keeps the next start of the step back: of a gang all tasks,
   // else one. Records that `aTasks` tasks are held.
   bool IsHeldByCap(const Candidate& aCandidate, uint32_t aTasks);
+  void ReportStepBeyondCap(const Candidate& aCandidate, uint32_t aTasks);
 
   // fleet_scheduler_placement.cpp
   void PlaceTasks(Millis aNow);
--- a/include/vanillahatch/core/sharing/customer_ledger.h
+++ b/include/vanillahatch/core/sharing/customer_ledger.h
@@ -76,12 +76,16 @@
   RunCharge Charge(const RunCharge& aCharge);
   void Release(const RunCharge& aCharge);
 
-  // True if `aTasks` tasks can be started together. A customer of which nothing
-  // may run can exceed its cap by one task: a task larger than the cap would
-  // never start otherwise.
+  // True if `aTasks` tasks can be started together. A customer of which less
+  // than half of its cap may run can exceed the cap by one task: a task that
+  // does not fit beside lasting ones would never start otherwise.
   bool MayStart(CustomerId aCustomer,
                 const Resources& aNeed,
                 uint32_t aTasks = 1) const;
+  // False if the tasks could not even start together while nothing else runs.
+  bool CanEverStart(CustomerId aCustomer,
+                    const Resources& aNeed,
+                    uint32_t aTasks) const;
   // Weighted. Customers with a smaller share are served first.
   double ShareOf(CustomerId aCustomer, ServiceId aService) const;
 
--- a/include/vanillahatch/shell/events.h
+++ b/include/vanillahatch/shell/events.h
@@ -84,6 +84,7 @@
   kCallsUnauthorized = 660,
   kConnectionsLimited = 665,
   kCustomerMeasured = 670,
+  kStepBeyondCap = 671,
 };
 
 struct EventEntry
--- a/src/core/jobs/fleet_scheduler_sharing.cpp
+++ b/src/core/jobs/fleet_scheduler_sharing.cpp
@@ -75,8 +75,25 @@
                                         startsTogether ? aTasks : 1);
   if (isHeld) {
     ledger_.RecordHeld(aCandidate.customer_, aTasks);
+    if (startsTogether) {
+      ReportStepBeyondCap(aCandidate, aTasks);
+    }
   }
   return isHeld;
 }
 
+void FleetScheduler::ReportStepBeyondCap(const Candidate& aCandidate,
+                                         uint32_t aTasks)
+{
+  const Job& job = *aCandidate.firstTask_.job_;
+  const auto arrival = arrivals_.find(job.acceptanceIndex_);
+  if (arrival == arrivals_.end() || arrival->second.isBeyondCapReported_ ||
+      ledger_.CanEverStart(
+        aCandidate.customer_, aCandidate.declaredNeed_, aTasks)) {
+    return;
+  }
+  arrival->second.isBeyondCapReported_ = true;
+  trace_.onStepBeyondCap_(aCandidate.firstTask_);
+}
+
 } // namespace vanillahatch
--- a/src/core/sharing/customer_ledger.cpp
+++ b/src/core/sharing/customer_ledger.cpp
@@ -1,5 +1,6 @@
 #include "vanillahatch/core/sharing/customer_ledger.h"
 
+#include <algorithm>
 #include <limits>
 #include <utility>
 
@@ -26,6 +27,17 @@
          fits(aUse.accelerators_, aCap.accelerators_);
 }
 
+// True if `aUse` is under half of each amount that the cap limits.
+bool IsUnderHalf(const Resources& aUse, const Resources& aCap)
+{
+  const auto isUnder = [](int64_t aAmount, int64_t aLimit) {
+    return aLimit == 0 || 2 * aAmount < aLimit;
+  };
+  return isUnder(aUse.milliCpus_, aCap.milliCpus_) &&
+         isUnder(aUse.memoryMb_, aCap.memoryMb_) &&
+         isUnder(aUse.accelerators_, aCap.accelerators_);
+}
+
 // Returns the largest ratio of any resource that `aWhole` has.
 double LargestPart(const Resources& aUse, const Resources& aWhole)
 {
@@ -157,10 +169,18 @@
                               uint32_t aTasks) const
 {
   const Customer& customer = customers_[aCustomer];
-  const uint32_t counted = customer.runs_ == 0 ? aTasks - 1 : aTasks;
+  const uint32_t counted =
+    IsUnderHalf(customer.mayRun_, customer.cap_) ? aTasks - 1 : aTasks;
   return IsWithin(customer.mayRun_ + Times(aNeed, counted), customer.cap_);
 }
 
+bool CustomerLedger::CanEverStart(CustomerId aCustomer,
+                                  const Resources& aNeed,
+                                  uint32_t aTasks) const
+{
+  return IsWithin(Times(aNeed, aTasks - 1), customers_[aCustomer].cap_);
+}
+
 double CustomerLedger::DominantShare(const Customer& aCustomer,
                                      ServiceId aService) const
 {
@@ -190,7 +210,7 @@
   Customer& customer = customers_[aCustomer];
   int64_t fitting = CountThatFit(
     customer.mayRun_ + customer.waitingNeed_, aNeed, customer.cap_);
-  if (customer.runs_ == 0 && customer.waitingTasks_ == 0) {
+  if (IsUnderHalf(customer.mayRun_ + customer.waitingNeed_, customer.cap_)) {
     fitting = std::max<int64_t>(fitting, 1);
   }
   const auto waiting =
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -511,6 +511,13 @@
           Event::kStartWithheld,
           { { "task", FormatTask(JobStore::NameOf(aTask)) }, { "run", aRun } });
       },
+    .onStepBeyondCap_ =
+      [](const TaskRef& aTask) {
+        LogWarning(Event::kStepBeyondCap,
+                   { { "customer", aTask.job_->customer_ },
+                     { "job", aTask.job_->id_ },
+                     { "step", aTask.step_ } });
+      },
     .onMachine_ =
       [](const MachineOrder& aOrder, std::string_view aReason) {
         LogInfo(Event::kMachineOrdered,
--- a/src/shell/events.cpp
+++ b/src/shell/events.cpp
@@ -82,6 +82,7 @@
   EventEntry{ Event::kCallsUnauthorized, "calls-unauthorized" },
   EventEntry{ Event::kConnectionsLimited, "connections-limited" },
   EventEntry{ Event::kCustomerMeasured, "customer-measured" },
+  EventEntry{ Event::kStepBeyondCap, "step-beyond-cap" },
 };
 
 } // namespace
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -101,6 +101,7 @@
                              std::string_view) { ++runsInDoubt_; },
         .onStartWithheld_ = [this](const TaskRef&,
                                    uint32_t) { ++startsWithheld_; },
+        .onStepBeyondCap_ = [this](const TaskRef&) { ++stepsBeyondCap_; },
         .onMachine_ =
           [this](const MachineOrder& aOrder, std::string_view) {
             machineOrders_.push_back(aOrder);
@@ -378,6 +379,7 @@
   const DispatchLoad& LastDispatch() const { return dispatch_; }
   size_t RunsInDoubt() const { return runsInDoubt_; }
   size_t StartsWithheld() const { return startsWithheld_; }
+  size_t StepsBeyondCap() const { return stepsBeyondCap_; }
   size_t OrdersWithSendBy() const { return ordersWithSendBy_; }
   size_t OrdersWithWrongSendBy() const { return ordersWithWrongSendBy_; }
   // The highest number of machines in maintenance at the same time.
@@ -858,6 +860,7 @@
   size_t starts_ = 0;
   size_t runsInDoubt_ = 0;
   size_t startsWithheld_ = 0;
+  size_t stepsBeyondCap_ = 0;
   size_t ordersWithSendBy_ = 0;
   size_t ordersWithWrongSendBy_ = 0;
   size_t maxInMaintenance_ = 0;
