--- a/src/core/jobs/fleet_scheduler.cpp
+++ b/src/core/jobs/fleet_scheduler.cpp
@@ -43,7 +43,8 @@
 // Returns how long the next listing of the instance may wait for an end.
 Millis ListingWait(const InstanceView& aView, const RunSummary& aRuns)
 {
-  if (!aView.HasRuns() || !aView.contacted_ || aView.isUnresponsive_ ||
+  const bool mayRun = aView.HasRuns() || aView.HasUnassignedRuns();
+  if (!mayRun || !aView.contacted_ || aView.isUnresponsive_ ||
       aRuns.needsListing_) {
     return {};
   }
@@ -166,10 +167,10 @@
   const bool isUnresponsive = aNow - aView.lastReplyAt_ > options_.lease_;
   const Millis unresponsiveSince =
     std::max(aView.lastReplyAt_, aView.busySince_);
+  const bool mayRun = aView.HasRuns() || aView.HasUnassignedRuns();
   const bool isUnreachable =
-    aView.HasRuns() && aNow - unresponsiveSince > options_.lease_;
-  const bool isNeverContacted =
-    !aView.HasRuns() && isUnresponsive && !aView.contacted_;
+    mayRun && aNow - unresponsiveSince > options_.lease_;
+  const bool isNeverContacted = !mayRun && isUnresponsive && !aView.contacted_;
   return (isUnreachable || isNeverContacted) && aView.Lease().HasExpired(aNow);
 }
 
--- a/test/customer_caps_test.cpp
+++ b/test/customer_caps_test.cpp
@@ -22,6 +22,28 @@
   std::vector<Job*> jobs_;
 };
 
+struct StrayRunFixture : SharingFixture
+{
+  // An idle instance, "i1", lists a run that the log doesn't assign to it.
+  void PutStrayRun()
+  {
+    fleet_.PutCustomers({ { "a", 1.0, 8 } });
+    AddInstances(2);
+    const Job& stray =
+      *SubmitMany("a", 1, SimulatedFleet::StepOf(1, 8 * kCore, 600))[0];
+    fleet_.RunFor(Millis(300));
+    FakeInstance& other = fleet_.At("i1");
+    other.ignoresStops_ = true;
+    v1::TaskName name;
+    name.set_job(stray.id_);
+    other.running_.push_back(
+      { .task_ = name, .run_ = 9, .endsAt_ = Millis::Max() });
+    other.deadline_ = Millis::Max();
+    fleet_.StartLeader(2);
+    fleet_.RunFor(Seconds(1));
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_SUITE(removed_customers, RemovedCustomerFixture)
@@ -104,3 +126,36 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(unassigned_runs, StrayRunFixture)
+
+BOOST_AUTO_TEST_CASE(AnUnassignedRunIsNotListedAllTheTime)
+{
+  PutStrayRun();
+  const InstanceView& view =
+    fleet_.Scheduler().Views().at(ToKey(fleet_.At("i1").record_));
+  const uint64_t listings = view.listings_;
+  fleet_.RunFor(Seconds(6));
+  BOOST_TEST(view.HasUnassignedRuns());
+  BOOST_TEST(view.listings_ - listings <= 6U);
+  fleet_.At("i1").ignoresStops_ = false;
+  fleet_.RunFor(Seconds(2));
+  BOOST_TEST(!view.HasUnassignedRuns());
+}
+
+BOOST_AUTO_TEST_CASE(AnInstanceThatDiesWithAnUnassignedRunReleasesItsCharge)
+{
+  PutStrayRun();
+  FakeInstance& other = fleet_.At("i1");
+  const InstanceView& view =
+    fleet_.Scheduler().Views().at(ToKey(other.record_));
+  BOOST_TEST(view.HasUnassignedRuns());
+  other.running_.clear();
+  other.isReachable_ = false;
+  const std::vector<Job*> jobs =
+    SubmitMany("a", 4, SimulatedFleet::StepOf(2, 4 * kCore, 500));
+  BOOST_TEST(
+    fleet_.RunUntil([&] { return AreAllCompleted(jobs); }, Seconds(60)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
