--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -794,3 +794,105 @@
   Apply(store, { CancelOf("", "j") });
   BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_CANCELLED);
 }
+
+namespace {
+
+// A gang of two tasks of customer "a" on instances "a" and "b", one of whose
+// runs has ended: the job is completed.
+JobStore MakeHalfEndedGang()
+{
+  JobStore store;
+  v1::JobChange job = Accept("j", 2);
+  job.mutable_accept_job()->set_customer("a");
+  job.mutable_accept_job()->mutable_spec()->mutable_steps(0)->set_gang(true);
+  Apply(store,
+        { job,
+          PutInstance("a", 1),
+          PutInstance("b", 1),
+          Start("j", 0, 1, "a"),
+          Start("j", 1, 1, "b"),
+          End("j", 0, 1, "a", v1::RUN_DONE) });
+  return store;
+}
+
+v1::JobChange Gone(const std::string& aInstance, bool aFinal)
+{
+  v1::JobChange change;
+  change.mutable_instance_gone()->mutable_key()->set_id(aInstance);
+  change.mutable_instance_gone()->mutable_key()->set_born_unix_ms(1);
+  change.mutable_instance_gone()->set_final(aFinal);
+  return change;
+}
+
+const Task& TaskOf(const JobStore& aStore, uint32_t aIndex)
+{
+  return aStore.FindJob("j")->occurrences_.at(0).steps_[0].tasks_[aIndex];
+}
+
+const Step& StepOfGang(const JobStore& aStore)
+{
+  return aStore.FindJob("j")->occurrences_.at(0).steps_[0];
+}
+
+} // namespace
+
+// Guards against a rest of a gang that no longer counts after a restart.
+BOOST_AUTO_TEST_CASE(SnapshotKeepsTheInstancesOfTheRestOfAGang)
+{
+  const JobStore store = MakeHalfEndedGang();
+  JobStore successor;
+  BOOST_REQUIRE(successor.Restore(store.Snapshot()));
+  Instance* other = successor.FindInstance({ .id_ = "b", .startedUnixMs_ = 1 });
+  BOOST_TEST(TaskOf(successor, 0).instance_ == nullptr);
+  BOOST_TEST(TaskOf(successor, 1).instance_ == other);
+  BOOST_TEST(other->assigned_.size() == 1U);
+  BOOST_TEST(StepOfGang(successor).assigned_ == 0U);
+  BOOST_TEST(StepOfGang(successor).IsDone());
+  BOOST_TEST(successor.Snapshot() == store.Snapshot());
+}
+
+// Guards against a job that is forgotten while its runs count against a cap.
+BOOST_AUTO_TEST_CASE(AJobIsFinishedOnceTheRestOfItsGangHasEnded)
+{
+  JobStore store = MakeHalfEndedGang();
+  BOOST_TEST(store.PhaseOf(*store.FindJob("j")) == v1::JOB_COMPLETED);
+  BOOST_TEST(store.FinishedJobs().empty());
+  Apply(store, { End("j", 1, 1, "b", v1::RUN_STOPPED) });
+  BOOST_TEST(TaskOf(store, 1).instance_ == nullptr);
+  BOOST_TEST((TaskOf(store, 1).phase_ == TaskPhase::kDone));
+  BOOST_TEST(StepOfGang(store).assigned_ == 0U);
+  BOOST_TEST(
+    store.FindInstance({ .id_ = "b", .startedUnixMs_ = 1 })->assigned_.empty());
+  BOOST_TEST(store.FinishedJobs().size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(TheRestOfAGangEndsWithItsInstance)
+{
+  for (const bool isFinal : { false, true }) {
+    JobStore store = MakeHalfEndedGang();
+    Apply(store, { Gone("b", isFinal) });
+    BOOST_TEST(TaskOf(store, 1).instance_ == nullptr);
+    BOOST_TEST((TaskOf(store, 1).phase_ == TaskPhase::kDone));
+    BOOST_TEST(StepOfGang(store).assigned_ == 0U);
+    BOOST_TEST(StepOfGang(store).pending_ == 0U);
+    BOOST_TEST(StepOfGang(store).done_ == 2U);
+    BOOST_TEST(store.FinishedJobs().size() == 1U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(TheNextIncarnationTakesOverTheRestOfAGang)
+{
+  JobStore store = MakeHalfEndedGang();
+  Apply(store, { PutInstance("b", 2), Gone("b", true) });
+  Instance* next = store.FindInstance({ .id_ = "b", .startedUnixMs_ = 2 });
+  BOOST_TEST(TaskOf(store, 1).instance_ == next);
+  BOOST_TEST((TaskOf(store, 1).phase_ == TaskPhase::kDone));
+  BOOST_TEST(next->assigned_.size() == 1U);
+  BOOST_TEST(StepOfGang(store).assigned_ == 0U);
+  BOOST_TEST(store.FinishedJobs().empty());
+  v1::JobChange end = End("j", 1, 1, "b", v1::RUN_STOPPED);
+  end.mutable_run_end()->mutable_instance()->set_born_unix_ms(2);
+  Apply(store, { end });
+  BOOST_TEST(next->assigned_.empty());
+  BOOST_TEST(store.FinishedJobs().size() == 1U);
+}
