--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -320,9 +320,10 @@
   void AssignFairBacklog();
   // Calls `PlaceCandidate` for each candidate.
   void PlaceFairly(Millis aNow);
+  uint32_t CountUnplaced(const TaskRef& aFirstTask) const;
   // True if the cap keeps the next start of the step back: of a gang all tasks,
-  // else one. Records that `aTasks` tasks are held.
-  bool IsHeldByCap(const Candidate& aCandidate, uint32_t aTasks);
+  // else one. Records how many tasks are held.
+  bool IsHeldByCap(const Candidate& aCandidate);
   void ReportStepBeyondCap(const Candidate& aCandidate, uint32_t aTasks);
 
   // fleet_scheduler_placement.cpp
--- a/include/vanillahatch/core/sharing/customer_ledger.h
+++ b/include/vanillahatch/core/sharing/customer_ledger.h
@@ -67,6 +67,12 @@
 
   CustomerId FindOrAdd(std::string_view aCustomer);
   ServiceId FindOrAddService(std::string_view aService);
+  // False if there are only jobs of no customer.
+  bool HasCustomers() const { return customers_.size() > 1; }
+  bool HasCap(CustomerId aCustomer) const
+  {
+    return customers_[aCustomer].cap_ != Resources{};
+  }
   // Has to follow each change of the configuration. A customer that is no
   // longer known keeps its terms.
   void RefreshTerms();
--- a/src/core/jobs/fleet_scheduler_audit.cpp
+++ b/src/core/jobs/fleet_scheduler_audit.cpp
@@ -90,6 +90,9 @@
 // A charge that is never released would hold back its customer's tasks forever.
 void FleetScheduler::AuditLedger()
 {
+  if (!ledger_.HasCustomers()) {
+    return;
+  }
   CustomerLedger recount = ledger_.WithoutCharges();
   for (const InstanceView* view : allViews_) {
     view->Recount(recount);
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -170,7 +170,7 @@
     if (!isPending || proposedStarts_.contains(task)) {
       continue;
     }
-    if (IsHeldByCap(aCandidate, spec.task_count() - i)) {
+    if (IsHeldByCap(aCandidate)) {
       return;
     }
     InstanceView* view = nullptr;
@@ -314,7 +314,7 @@
   const uint32_t pending = occurrence != nullptr
                              ? occurrence->steps_[firstTask.step_].pending_
                              : spec.task_count();
-  if (pending == 0 || IsHeldByCap(aCandidate, pending)) {
+  if (pending == 0 || IsHeldByCap(aCandidate)) {
     return;
   }
   const auto usable = usableInstances_.find(aCandidate.service_);
--- a/src/core/jobs/fleet_scheduler_sharing.cpp
+++ b/src/core/jobs/fleet_scheduler_sharing.cpp
@@ -29,6 +29,9 @@
 
 void FleetScheduler::MeasureServices()
 {
+  if (!ledger_.HasCustomers()) {
+    return;
+  }
   for (const auto& [service, views] : viewsByService_) {
     Resources capacity;
     for (const InstanceView* view : views) {
@@ -64,19 +67,45 @@
     [&](size_t aIndex) { PlaceCandidate(aNow, backlog_[aIndex]); });
 }
 
-bool FleetScheduler::IsHeldByCap(const Candidate& aCandidate, uint32_t aTasks)
+// Of the tasks that wait in the log, those that are not proposed.
+uint32_t FleetScheduler::CountUnplaced(const TaskRef& aFirstTask) const
 {
+  const Occurrence* occurrence =
+    JobStore::FindOccurrence(*aFirstTask.job_, aFirstTask.occurrence_);
+  const Step* step =
+    occurrence != nullptr ? &occurrence->steps_[aFirstTask.step_] : nullptr;
+  uint32_t unplaced = step != nullptr
+                        ? step->pending_
+                        : JobStore::SpecOf(aFirstTask).task_count();
+  for (auto it = proposedStarts_.lower_bound(aFirstTask);
+       it != proposedStarts_.end() && it->job_ == aFirstTask.job_ &&
+       it->occurrence_ == aFirstTask.occurrence_ &&
+       it->step_ == aFirstTask.step_;
+       ++it) {
+    const bool isPending =
+      step == nullptr || step->tasks_[it->index_].phase_ == TaskPhase::kPending;
+    unplaced -= isPending ? 1 : 0;
+  }
+  return unplaced;
+}
+
+bool FleetScheduler::IsHeldByCap(const Candidate& aCandidate)
+{
+  if (!ledger_.HasCap(aCandidate.customer_)) {
+    return false;
+  }
   const bool startsTogether = JobStore::SpecOf(aCandidate.firstTask_).gang();
-  if (proposedStarts_.contains(aCandidate.firstTask_) && startsTogether) {
-    return false; // It has been proposed and is charged already.
+  const uint32_t unplaced = CountUnplaced(aCandidate.firstTask_);
+  if (unplaced == 0) {
+    return false;
   }
   const bool isHeld = !ledger_.MayStart(aCandidate.customer_,
                                         aCandidate.declaredNeed_,
-                                        startsTogether ? aTasks : 1);
+                                        startsTogether ? unplaced : 1);
   if (isHeld) {
-    ledger_.RecordHeld(aCandidate.customer_, aTasks);
+    ledger_.RecordHeld(aCandidate.customer_, unplaced);
     if (startsTogether) {
-      ReportStepBeyondCap(aCandidate, aTasks);
+      ReportStepBeyondCap(aCandidate, unplaced);
     }
   }
   return isHeld;
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -10,6 +10,30 @@
 // be on its way.
 constexpr size_t kMaxCancelledEarly = 4000;
 
+// The rest of a gang whose step is done stays assigned if the job is of a
+// customer.
+bool MayRun(const Step& aStep, bool aIsOfCustomer)
+{
+  return aStep.assigned_ > 0 ||
+         (aIsOfCustomer && std::any_of(aStep.tasks_.begin(),
+                                       aStep.tasks_.end(),
+                                       [](const Task& aTask) {
+                                         return aTask.instance_ != nullptr;
+                                       }));
+}
+
+bool MayRun(const Job& aJob)
+{
+  const bool isOfCustomer = !aJob.customer_.empty();
+  return std::any_of(
+    aJob.occurrences_.begin(), aJob.occurrences_.end(), [&](const auto& aItem) {
+      const std::vector<Step>& steps = aItem.second.steps_;
+      return std::any_of(steps.begin(), steps.end(), [&](const Step& aStep) {
+        return MayRun(aStep, isOfCustomer);
+      });
+    });
+}
+
 } // namespace
 
 JobAddress AddressOf(const Job& aJob)
@@ -120,24 +144,9 @@
 
 std::vector<const Job*> JobStore::FinishedJobs() const
 {
-  const auto runsNothing = [](const Job& aJob) {
-    return std::all_of(
-      aJob.occurrences_.begin(), aJob.occurrences_.end(), [](auto& aItem) {
-        return std::all_of(aItem.second.steps_.begin(),
-                           aItem.second.steps_.end(),
-                           [](const Step& aStep) {
-                             return std::all_of(aStep.tasks_.begin(),
-                                                aStep.tasks_.end(),
-                                                [](const Task& aTask) {
-                                                  return aTask.instance_ ==
-                                                         nullptr;
-                                                });
-                           });
-      });
-  };
   std::vector<const Job*> settled;
   for (const auto& [id, job] : jobs_) {
-    if (!job->IsOpen() && runsNothing(*job)) {
+    if (!job->IsOpen() && !MayRun(*job)) {
       settled.push_back(job.get());
     }
   }
--- a/src/core/sharing/customer_ledger.cpp
+++ b/src/core/sharing/customer_ledger.cpp
@@ -208,6 +208,10 @@
                                        uint32_t aTasks)
 {
   Customer& customer = customers_[aCustomer];
+  if (!HasCap(aCustomer)) {
+    customer.waitingTasks_ += aTasks;
+    return aTasks;
+  }
   int64_t fitting = CountThatFit(
     customer.mayRun_ + customer.waitingNeed_, aNeed, customer.cap_);
   if (IsUnderHalf(customer.mayRun_ + customer.waitingNeed_, customer.cap_)) {
@@ -225,6 +229,9 @@
                                        const Resources& aNeed,
                                        uint32_t aTasks)
 {
+  if (!HasCap(aCustomer)) {
+    return aTasks;
+  }
   Customer& customer = customers_[aCustomer];
   const int64_t fitting = CountThatFit(
     customer.mayRun_ + customer.arrivedNeed_, aNeed, customer.cap_);
