--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -107,6 +107,9 @@
   // instance leaves.
   std::function<void(const TaskRef&, uint32_t)> onStartWithheld_;
   std::function<void(const NearWaitReport&)> onNearWait_;
+  // A step is held by its customer's cap and cannot start below it. Called once
+  // for each job.
+  std::function<void(const TaskRef&)> onStepBeyondCap_;
   std::function<void(const MachineOrder&, std::string_view)> onMachine_;
   // These are called about once a second.
   std::function<void(const PoolLoad&)> onPool_;
@@ -205,6 +208,7 @@
     Millis objective_; // time from arrival within which the job is in time
     CriticalPath remaining_;
     uint32_t stepsDone_ = 0; // when `remaining_` was computed
+    bool isBeyondCapReported_ = false;
   };
   // The instances of one service that can take work in this round.
   struct UsableInstances
@@ -356,9 +360,11 @@
   void AssignFairBacklog();
   // Calls `PlaceCandidate` for each candidate.
   void PlaceFairly(Millis aNow);
+  uint32_t CountUnplaced(const TaskRef& aFirstTask) const;
   // True if the cap keeps the next start of the step back: of a gang all tasks,
-  // else one. Records that `aTasks` tasks are held.
-  bool IsHeldByCap(const Candidate& aCandidate, uint32_t aTasks);
+  // else one. Records how many tasks are held.
+  bool IsHeldByCap(const Candidate& aCandidate);
+  void ReportStepBeyondCap(const Candidate& aCandidate, uint32_t aTasks);
 
   // fleet_scheduler_placement.cpp
   void PlaceTasks(Millis aNow);
--- a/src/scheduler/fleet_driver.cpp
+++ b/src/scheduler/fleet_driver.cpp
@@ -529,6 +529,13 @@
                   { "far", aReport.endedFar_ },
                   { "waited_ms", aReport.waited_.Count() } });
       },
+    .onStepBeyondCap_ =
+      [](const TaskRef& aTask) {
+        LogWarning(Event::kStepBeyondCap,
+                   { { "customer", aTask.job_->customer_ },
+                     { "job", aTask.job_->id_ },
+                     { "step", aTask.step_ } });
+      },
     .onMachine_ =
       [](const MachineOrder& aOrder, std::string_view aReason) {
         LogInfo(Event::kMachineOrdered,
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -112,6 +112,7 @@
             waitsEndedFar_ += aReport.endedFar_;
             longestNearWait_ = std::max(longestNearWait_, aReport.waited_);
           },
+        .onStepBeyondCap_ = [this](const TaskRef&) { ++stepsBeyondCap_; },
         .onMachine_ =
           [this](const MachineOrder& aOrder, std::string_view) {
             machineOrders_.push_back(aOrder);
@@ -405,6 +406,7 @@
   const DispatchLoad& LastDispatch() const { return dispatch_; }
   size_t RunsInDoubt() const { return runsInDoubt_; }
   size_t StartsWithheld() const { return startsWithheld_; }
+  size_t StepsBeyondCap() const { return stepsBeyondCap_; }
   size_t OrdersWithSendBy() const { return ordersWithSendBy_; }
   size_t OrdersWithWrongSendBy() const { return ordersWithWrongSendBy_; }
   // The highest number of machines in maintenance at the same time.
@@ -920,6 +922,7 @@
   size_t waitsEndedNear_ = 0;
   size_t waitsEndedFar_ = 0;
   Millis longestNearWait_;
+  size_t stepsBeyondCap_ = 0;
   size_t ordersWithSendBy_ = 0;
   size_t ordersWithWrongSendBy_ = 0;
   size_t maxInMaintenance_ = 0;
