--- a/test/customer_calls_test.cpp
+++ b/test/customer_calls_test.cpp
@@ -530,6 +530,23 @@
   }
 }
 
+// A gateway would answer 504 to a call that has proposed nothing.
+BOOST_AUTO_TEST_CASE(FailedRoundOfAReadIsNoUnknownOutcome)
+{
+  Scheduler scheduler(3);
+  Replica& leader = scheduler.Leader();
+  BOOST_REQUIRE(leader.Configure(MakeConfig(1, { { "kiosks", { "k1" } } })));
+  for (Replica& replica : scheduler.Replicas()) {
+    if (&replica != &leader) {
+      replica.Log().Stop();
+    }
+  }
+  BOOST_REQUIRE(leader.Log().IsLeader());
+  const v1::JobReply reply = leader.Show("/keyed/a", "k1");
+  BOOST_TEST(reply.status() == v1::JOB_CALL_NOT_LEADER);
+  BOOST_TEST(reply.leader().empty());
+}
+
 BOOST_AUTO_TEST_CASE(FollowerDecidesAboutNoKey)
 {
   Scheduler scheduler(3);
