--- a/include/vanillahatch/shell/memory_budget.h
+++ b/include/vanillahatch/shell/memory_budget.h
@@ -93,6 +93,13 @@
   uint64_t Refused() const { return refused_; }
 
 private:
+  bool IsSmall(size_t aBytes) const { return aBytes <= options_.smallBytes_; }
+  // Updates the sums when one holding changes.
+  void Add(size_t aBefore, size_t aAfter);
+  // Closes holdings that have waited longer than `aAsking` until it may hold
+  // `aBytes`. Closes none and returns false if that would not be enough. A
+  // large message closes no small ones that fit the reserve.
+  bool MakeRoom(const Holding& aAsking, size_t aBytes);
   static void MoveToEnd(Holding& aHolding, std::list<Holding*>& aList);
   void Release(Holding& aHolding);
   void Close(Holding& aHolding);
@@ -104,6 +111,7 @@
   std::list<Holding*> unfinished_;
   uint64_t waits_ = 0;
   size_t bytesHeld_ = 0;
+  size_t smallBytesHeld_ = 0; // of `bytesHeld_`, of small messages
   // Of holdings that were closed and not destroyed yet.
   size_t closingBytes_ = 0;
   size_t connections_ = 0;
--- a/src/shell/memory_budget.cpp
+++ b/src/shell/memory_budget.cpp
@@ -1,6 +1,7 @@
 #include "vanillahatch/shell/memory_budget.h"
 
 #include <algorithm>
+#include <vector>
 
 namespace vanillahatch {
 
@@ -47,7 +48,7 @@
   }
   aHolding.list_->erase(aHolding.position_);
   aHolding.list_ = nullptr;
-  bytesHeld_ -= aHolding.bytes_;
+  Add(aHolding.bytes_, 0);
   aHolding.bytes_ = 0;
   connections_ -= aHolding.kind_ == Kind::kConnection ? 1 : 0;
   aHolding.state_ = Holding::State::kClosed;
@@ -62,6 +63,45 @@
   aHolding.close_();
 }
 
+void MemoryBudget::Add(size_t aBefore, size_t aAfter)
+{
+  bytesHeld_ = bytesHeld_ - aBefore + aAfter;
+  smallBytesHeld_ -= IsSmall(aBefore) ? aBefore : 0;
+  smallBytesHeld_ += IsSmall(aAfter) ? aAfter : 0;
+}
+
+bool MemoryBudget::MakeRoom(const Holding& aAsking, size_t aBytes)
+{
+  const bool isSmall = IsSmall(aBytes);
+  const size_t ownSmall = IsSmall(aAsking.bytes_) ? aAsking.bytes_ : 0;
+  size_t small = smallBytesHeld_ - ownSmall;
+  size_t large = bytesHeld_ - smallBytesHeld_ - (aAsking.bytes_ - ownSmall);
+  const auto fits = [&] {
+    const size_t reserve = isSmall ? 0 : options_.reservedBytes_;
+    const size_t unreserved = small - std::min(small, reserve);
+    return large + unreserved + aBytes <= options_.maxBytes_ - reserve;
+  };
+  std::vector<Holding*> closed;
+  for (auto it = unfinished_.begin(); !fits(); ++it) {
+    if (it == unfinished_.end() || *it == &aAsking) {
+      return false;
+    }
+    const size_t bytes = (*it)->bytes_;
+    const bool isInReserve =
+      !isSmall && IsSmall(bytes) && small <= options_.reservedBytes_;
+    if (isInReserve) {
+      continue;
+    }
+    (IsSmall(bytes) ? small : large) -= bytes;
+    closed.push_back(*it);
+  }
+  for (Holding* holding : closed) {
+    ++closedForMemory_;
+    Close(*holding);
+  }
+  return true;
+}
+
 MemoryBudget::Holding::Holding(MemoryBudget& aBudget,
                                Kind aKind,
                                std::function<void()> aClose)
@@ -88,27 +128,17 @@
     return false;
   }
   const MemoryBudgetOptions& options = budget_.options_;
-  const size_t limit = aBytes <= options.smallBytes_
-                         ? options.maxBytes_
-                         : options.maxBytes_ - options.reservedBytes_;
   const size_t total =
     budget_.bytesHeld_ + budget_.closingBytes_ - bytes_ + aBytes;
   if (aBytes > bytes_ && total > options.maxBytes_ + options.maxBytes_ / 2) {
     ++budget_.refused_;
     return false;
   }
-  while (aBytes > bytes_ && budget_.bytesHeld_ - bytes_ + aBytes > limit) {
-    const bool isOldest =
-      budget_.unfinished_.empty() || budget_.unfinished_.front() == this;
-    if (isOldest) {
-      ++budget_.refused_;
-      return false;
-    }
-    ++budget_.closedForMemory_;
-    budget_.Close(*budget_.unfinished_.front());
+  if (aBytes > bytes_ && !budget_.MakeRoom(*this, aBytes)) {
+    ++budget_.refused_;
+    return false;
   }
-  budget_.bytesHeld_ += aBytes;
-  budget_.bytesHeld_ -= bytes_;
+  budget_.Add(bytes_, aBytes);
   bytes_ = aBytes;
   if (state_ == State::kWaiting) {
     std::list<Holding*>& list =
--- a/test/memory_budget_test.cpp
+++ b/test/memory_budget_test.cpp
@@ -75,6 +75,40 @@
   BOOST_TEST(Wait(0).Resize(100));
 }
 
+BOOST_AUTO_TEST_CASE(NothingIsClosedIfThatWouldNotMakeEnoughRoom)
+{
+  Wait(730).Serve();
+  Wait(80);
+  Holding& next = Wait(0);
+  BOOST_TEST(!next.Resize(300));
+  BOOST_TEST(closed_.empty());
+}
+
+BOOST_AUTO_TEST_CASE(LargeMessageClosesLargeOnesBeforeSmallOnesInTheReserve)
+{
+  Wait(80);
+  Wait(70);
+  Wait(500);
+  Holding& next = Wait(0);
+  BOOST_TEST(next.Resize(400));
+  BOOST_TEST(closed_ == std::vector<size_t>{ 2 },
+             boost::test_tools::per_element());
+  BOOST_TEST(budget_.BytesHeld() == 550U);
+}
+
+BOOST_AUTO_TEST_CASE(LargeMessageClosesSmallOnesBeyondTheReserve)
+{
+  for (int i = 0; i < 9; ++i) {
+    Wait(100);
+  }
+  Holding& next = Wait(0);
+  BOOST_TEST(next.Resize(300));
+  BOOST_TEST(closed_ == (std::vector<size_t>{ 0, 1 }),
+             boost::test_tools::per_element());
+  BOOST_TEST(!Wait(0).Resize(900));
+  BOOST_TEST(closed_.size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(BytesOfAClosedOrDestroyedHoldingAreReleasedOnce)
 {
   Wait(500);
