--- a/src/shell/log.cpp
+++ b/src/shell/log.cpp
@@ -19,6 +19,9 @@
 namespace {
 
 constexpr unsigned kQueueLines = 8192;
+// Bounds the memory of the queue: values may hold what a peer sent.
+constexpr size_t kMaxValueBytes = 512;
+constexpr std::string_view kTruncationMark = "...";
 // Lines that arrive within this time are written as one batch, so that the
 // writer thread of a busy program does not wake up for each line.
 constexpr Millis kBatchDelay = Millis(25);
@@ -128,6 +131,11 @@
 // Values with spaces or quotes are quoted so that lines stay parseable.
 void AppendValue(std::string& aLine, std::string_view aValue)
 {
+  std::string truncated;
+  if (aValue.size() > kMaxValueBytes) {
+    truncated.append(aValue.substr(0, kMaxValueBytes)).append(kTruncationMark);
+    aValue = truncated;
+  }
   const bool plain =
     !aValue.empty() && aValue.find_first_of(" \"\\=\n\r\t") == aValue.npos;
   if (plain) {
