--- a/src/shell/http_client.cpp
+++ b/src/shell/http_client.cpp
@@ -62,7 +62,7 @@
 
 // An answer whose end is marked only by the end of the connection cannot be
 // distinguished from a truncated one.
-bool IsDelimited(const http::response_parser<http::string_body>& aParser)
+bool IsDelimited(const http::response_parser<ArrivedBody>& aParser)
 {
   const unsigned status = aParser.get().result_int();
   const bool bodiless = status == 204 || status == 304;
@@ -195,7 +195,7 @@
                                                        Stream aStream)
 {
   beast::flat_buffer buffer(kMaxAnswerHeaderBytes + kMaxReadBytes);
-  http::response_parser<http::string_body> parser;
+  http::response_parser<ArrivedBody> parser;
   parser.header_limit(kMaxAnswerHeaderBytes);
   parser.body_limit(options_.maxAnswerBytes_);
   const std::shared_ptr<MemoryBudget> budget = options_.budget_;
@@ -211,7 +211,8 @@
                         [&stream = *aStream] { stream.close(); });
         holding->WaitForPeer();
       }
-      return holding->Resize(buffer.capacity() + parser.get().body().size());
+      return holding->Resize(buffer.capacity() +
+                             parser.get().body().capacity());
     });
   if (error) {
     co_return Failed(ExchangeStatus::kUnknown, error.message());
@@ -221,14 +222,17 @@
                      "the answer does not say how long it is");
   }
   // Bytes after the answer belong to no request, so the connection is closed.
-  if (parser.get().keep_alive() && buffer.size() == 0) {
+  const bool wasClosed = holding && holding->WasClosed();
+  if (parser.get().keep_alive() && buffer.size() == 0 && !wasClosed) {
     aStream->expires_never();
     idle_[aEndpoint].push_back({ .stream_ = std::move(aStream),
                                  .since_ = std::chrono::steady_clock::now() });
   }
   ExchangeResult result;
   result.status_ = ExchangeStatus::kAnswered;
-  result.response_ = parser.release();
+  auto arrived = parser.release();
+  result.response_.emplace(std::move(arrived.base()),
+                           std::move(arrived.body()));
   co_return result;
 }
 
--- a/src/shell/http_read.h
+++ b/src/shell/http_read.h
@@ -1,19 +1,82 @@
 // Reads one HTTP message from a stream and reports its progress.
 #pragma once
 
+#include <algorithm>
 #include <boost/asio/awaitable.hpp>
 #include <boost/asio/redirect_error.hpp>
 #include <boost/asio/use_awaitable.hpp>
+#include <boost/beast/core/buffers_range.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/read_size.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http/error.hpp>
+#include <boost/beast/http/message.hpp>
+#include <boost/optional.hpp>
 #include <boost/system/errc.hpp>
+#include <string>
 
 namespace vanillahatch {
 
 constexpr size_t kMaxReadBytes = size_t(64) << 10U;
 
+// A body that takes memory for the bytes that arrived, where `string_body`
+// takes the declared length in advance.
+struct ArrivedBody
+{
+  using value_type = std::string;
+
+  class reader
+  {
+  public:
+    template<bool isRequest, class Fields>
+    reader(boost::beast::http::header<isRequest, Fields>& /*aHeader*/,
+           value_type& aBody)
+      : body_(aBody)
+    {
+    }
+
+    void init(const boost::optional<uint64_t>& aDeclaredBytes,
+              boost::system::error_code& aError)
+    {
+      declaredBytes_ = static_cast<size_t>(aDeclaredBytes.value_or(0));
+      aError = {};
+    }
+
+    template<class Buffers>
+    size_t put(const Buffers& aBuffers, boost::system::error_code& aError)
+    {
+      aError = {};
+      const size_t count = boost::beast::buffer_bytes(aBuffers);
+      Reserve(body_.size() + count);
+      for (const auto buffer : boost::beast::buffers_range_ref(aBuffers)) {
+        body_.append(static_cast<const char*>(buffer.data()), buffer.size());
+      }
+      return count;
+    }
+
+    void finish(boost::system::error_code& aError) { aError = {}; }
+
+  private:
+    // `std::string::reserve()` on a string with content may double it.
+    void Reserve(size_t aBytes)
+    {
+      if (aBytes <= body_.capacity()) {
+        return;
+      }
+      const size_t wanted = aBytes <= declaredBytes_
+                              ? std::min(2 * aBytes, declaredBytes_)
+                              : aBytes + aBytes / 4;
+      std::string grown;
+      grown.reserve(wanted);
+      grown.append(body_);
+      body_.swap(grown);
+    }
+
+    value_type& body_;
+    size_t declaredBytes_ = 0;
+  };
+};
+
 // `aBuffer` keeps what follows the message; its maximum size bounds each part
 // of the message that is parsed as a whole: the headers, the trailers, the line
 // before a chunk. `aOnProgress` is called while the message is incomplete,
--- a/src/shell/http_server.cpp
+++ b/src/shell/http_server.cpp
@@ -3,6 +3,7 @@
 #include "shell/http_read.h"
 #include "vanillahatch/shell/dead_peer_detection.h"
 #include "vanillahatch/shell/log.h"
+#include "vanillahatch/shell/scope_guard.h"
 #include "vanillahatch/shell/system_clock.h"
 
 #include <array>
@@ -119,8 +120,7 @@
         continue;
       }
       const uint64_t closedBefore = budget_->ClosedForConnections();
-      const bool isAdmitted =
-        open_ < options_.limits_.maxConnections_ && budget_->AdmitConnection();
+      const bool isAdmitted = budget_->AdmitConnection();
       if (!isAdmitted || budget_->ClosedForConnections() != closedBefore) {
         LogLimited();
       }
@@ -140,6 +140,7 @@
   asio::awaitable<void> Serve(std::shared_ptr<beast::tcp_stream> aStream)
   {
     ++open_;
+    const ScopeGuard countClosed([this] { --open_; });
     boost::system::error_code ignored;
     aStream->socket().set_option(tcp::no_delay(true), ignored);
     EnableDeadPeerDetection(aStream->socket(), kUnacknowledged, kKeepalive);
@@ -149,15 +150,41 @@
     beast::flat_buffer buffer(options_.limits_.maxHeaderBytes_ + kMaxReadBytes);
     bool keep = true;
     while (keep && !stopping_ && !holding.WasClosed()) {
-      if (buffer.capacity() > kIdleBufferBytes) {
-        buffer.shrink_to_fit();
-      }
-      holding.Resize(0);
+      Shrink(buffer);
+      holding.Resize(buffer.size() > 0 ? buffer.capacity() : 0);
       holding.WaitForPeer();
       keep = co_await ServeOne(*aStream, buffer, holding);
     }
     aStream->socket().shutdown(tcp::socket::shutdown_send, ignored);
-    --open_;
+  }
+
+  static void Shrink(beast::flat_buffer& aBuffer)
+  {
+    if (aBuffer.capacity() > kIdleBufferBytes) {
+      aBuffer.shrink_to_fit();
+    }
+  }
+
+  asio::awaitable<boost::system::error_code> ReadRequest(
+    beast::tcp_stream& aStream,
+    beast::flat_buffer& aBuffer,
+    http::request_parser<ArrivedBody>& aParser,
+    MemoryBudget::Holding& aHolding)
+  {
+    aStream.expires_after(
+      std::chrono::milliseconds(options_.idleTimeout_.Count()));
+    idle_.insert(&aStream);
+    const ScopeGuard endIdle([&] { idle_.erase(&aStream); });
+    bool hasBegun = false;
+    co_return co_await ReadMessage(aStream, aBuffer, aParser, [&] {
+      if (!hasBegun) {
+        hasBegun = true;
+        aStream.expires_after(
+          std::chrono::milliseconds(options_.requestTimeout_.Count()));
+      }
+      return aHolding.Resize(aBuffer.capacity() +
+                             aParser.get().body().capacity());
+    });
   }
 
   // Returns whether the connection may carry another request.
@@ -165,29 +192,19 @@
                                  beast::flat_buffer& aBuffer,
                                  MemoryBudget::Holding& aHolding)
   {
-    http::request_parser<http::string_body> parser;
+    http::request_parser<ArrivedBody> parser;
     parser.header_limit(options_.limits_.maxHeaderBytes_);
     parser.body_limit(options_.limits_.maxBodyBytes_);
-    aStream.expires_after(
-      std::chrono::milliseconds(options_.idleTimeout_.Count()));
-    idle_.insert(&aStream);
-    bool hasBegun = false;
     boost::system::error_code error =
-      co_await ReadMessage(aStream, aBuffer, parser, [&] {
-        if (!hasBegun) {
-          hasBegun = true;
-          aStream.expires_after(
-            std::chrono::milliseconds(options_.requestTimeout_.Count()));
-        }
-        return aHolding.Resize(aBuffer.capacity() + parser.get().body().size());
-      });
-    idle_.erase(&aStream);
+      co_await ReadRequest(aStream, aBuffer, parser, aHolding);
     if (aHolding.WasClosed()) {
       LogLimited();
       co_return false;
     }
     aHolding.Serve();
-    if (!error && !aHolding.Resize(parser.get().body().size())) {
+    Shrink(aBuffer);
+    if (!error &&
+        !aHolding.Resize(aBuffer.capacity() + parser.get().body().capacity())) {
       error = make_error_code(boost::system::errc::not_enough_memory);
     }
     if (error) {
@@ -200,11 +217,14 @@
     aStream.expires_never();
     const bool keep = parser.get().keep_alive() && !draining_;
     const unsigned version = parser.get().version();
-    HttpResponse response = co_await Respond(parser.release());
+    auto arrived = parser.release();
+    HttpRequest request(std::move(arrived.base()), std::move(arrived.body()));
+    HttpResponse response = co_await Respond(std::move(request));
     response.version(version);
     response.keep_alive(keep && !draining_ && !stopping_);
     response.prepare_payload();
-    const bool hasRoom = aHolding.Resize(response.body().size());
+    const bool hasRoom =
+      aHolding.Resize(aBuffer.capacity() + response.body().capacity());
     if (!hasRoom && response.body().size() > kSmallAnswerBytes) {
       LogLimited();
       co_return false;
@@ -268,8 +288,8 @@
       aStream, response, asio::redirect_error(asio::use_awaitable, error));
     if (!error && discarding_ < kMaxDiscarding) {
       ++discarding_;
+      const ScopeGuard countDiscarded([this] { --discarding_; });
       co_await DiscardRest(aStream);
-      --discarding_;
     }
   }
 
