--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -220,6 +220,8 @@
   // Jobs that are neither completed, failed nor cancelled, by acceptance index.
   const std::map<uint64_t, Job*>& OpenJobs() const { return openJobs_; }
   size_t JobCount() const { return jobs_.size(); }
+  // Of all stored jobs, as they were accepted, with a fixed overhead each.
+  size_t JobBytes() const { return jobBytes_; }
   // Closed jobs without any task that may still run, as far as the log shows.
   std::vector<const Job*> FinishedJobs() const;
   // Number of open jobs of the queue of which no run is known to have begun.
@@ -332,6 +334,7 @@
   // Customers that the configuration lacks, as they were last configured.
   std::map<std::string, v1::CustomerSpec, std::less<>> removedCustomers_;
   std::unordered_map<std::string, std::unique_ptr<Job>> jobs_; // by id
+  size_t jobBytes_ = 0;
   std::map<uint64_t, Job*> openJobs_; // by acceptance index
   std::map<QueueAddress, uint64_t> waitingByQueue_;
   std::map<InstanceKey, std::unique_ptr<Instance>> instances_;
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -9,6 +9,13 @@
 // Enough for every id that is cancelled within the time that a submission may
 // be on its way.
 constexpr size_t kMaxCancelledEarly = 4000;
+// What a job takes beside the bytes that were submitted.
+constexpr size_t kJobOverheadBytes = 512;
+
+size_t BytesOf(const Job& aJob)
+{
+  return kJobOverheadBytes + aJob.id_.size() + aJob.spec_.ByteSizeLong();
+}
 
 } // namespace
 
@@ -180,6 +187,7 @@
   job.customer_ = aJob.customer();
   job.spec_ = aJob.spec();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
+  jobBytes_ += BytesOf(job);
   if (TakeCancelledEarly(
         { .job_ = AddressOf(job), .customer_ = job.customer_ })) {
     job.cancelled_ = true;
@@ -489,6 +497,7 @@
       return aTask.job_ == it->second.get();
     });
   }
+  jobBytes_ -= BytesOf(*it->second);
   jobs_.erase(it);
 }
 
--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -8,6 +8,8 @@
 
 // Limits the memory of a replica; far above the number of jobs of one day.
 constexpr size_t kMaxJobs = 60000;
+// A quarter of the bytes is open to jobs of up to this size only.
+constexpr size_t kSmallJobBytes = size_t(16) << 10U;
 constexpr uint32_t kRetryAfterFullMs = 2000;
 constexpr uint32_t kRetryAfterUnavailableMs = 1000;
 
@@ -163,11 +165,13 @@
 JobServiceImpl::JobServiceImpl(JobStoreReplica& aStore,
                                LogReplica& aReplica,
                                Metrics& aMetrics,
-                               std::function<void()> aOnJobsChanged)
+                               std::function<void()> aOnJobsChanged,
+                               size_t aMaxJobBytes)
   : store_(aStore)
   , replica_(aReplica)
   , metrics_(aMetrics)
   , onJobsChanged_(std::move(aOnJobsChanged))
+  , maxJobBytes_(aMaxJobBytes)
   , readBarrier_(
       [this](const LogReplica::Done& aDone) { replica_.Propose({}, aDone); })
 {
@@ -242,7 +246,7 @@
   v1::JobReply* aReply)
 {
   grpc::ServerUnaryReactor* reactor = aContext->DefaultReactor();
-  const auto decide = [aRequest, aReply](const JobStore& aStore) {
+  const auto decide = [this, aRequest, aReply](const JobStore& aStore) {
     const v1::JobPlace& requested = aRequest->place();
     const ResolvedPlace place =
       ResolvePlace(aStore, requested, KeyOf(*aRequest));
@@ -270,7 +274,9 @@
       SetStatus(*aReply, v1::JOB_CALL_INVALID, kIdTaken);
       return decision;
     }
-    if (aStore.JobCount() >= kMaxJobs) {
+    const bool isSmall = aRequest->spec().ByteSizeLong() <= kSmallJobBytes;
+    const size_t maxBytes = maxJobBytes_ - (isSmall ? 0 : maxJobBytes_ / 4);
+    if (aStore.JobCount() >= kMaxJobs || aStore.JobBytes() >= maxBytes) {
       SetStatus(*aReply, v1::JOB_CALL_REFUSED, "too many jobs are held");
       aReply->set_retry_after_ms(kRetryAfterFullMs);
       return decision;
--- a/src/scheduler/job_service_impl.h
+++ b/src/scheduler/job_service_impl.h
@@ -18,6 +18,7 @@
 #include "jobs.grpc.pb.h"
 
 #include <functional>
+#include <limits>
 
 namespace vanillahatch {
 
@@ -25,10 +26,13 @@
 {
 public:
   // Calls `aOnJobsChanged` after each accepted or cancelled job, on any thread.
+  // Refuses jobs beyond `aMaxJobBytes` of stored ones; a quarter of them is
+  // kept for small jobs.
   JobServiceImpl(JobStoreReplica& aStore,
                  LogReplica& aReplica,
                  Metrics& aMetrics,
-                 std::function<void()> aOnJobsChanged);
+                 std::function<void()> aOnJobsChanged,
+                 size_t aMaxJobBytes = std::numeric_limits<size_t>::max());
 
   grpc::ServerUnaryReactor* Submit(grpc::CallbackServerContext* aContext,
                                    const v1::SubmitRequest* aRequest,
@@ -79,6 +83,7 @@
   LogReplica& replica_;
   Metrics& metrics_;
   std::function<void()> onJobsChanged_;
+  const size_t maxJobBytes_;
   ReadBarrier readBarrier_;
 };
 
--- a/test/job_service_test.cpp
+++ b/test/job_service_test.cpp
@@ -21,6 +21,7 @@
 constexpr std::chrono::milliseconds kPollInterval(10);
 constexpr std::chrono::milliseconds kTimeForFirstLook(100);
 constexpr int kMaxTrials = 20;
+constexpr size_t kMaxJobBytes = 100000;
 
 struct TemporaryFolder
 {
@@ -68,7 +69,12 @@
                  .sync_ = false },
                store_,
                clock_)
-    , service_(store_, replica_, metrics_, [] {})
+    , service_(
+        store_,
+        replica_,
+        metrics_,
+        [] {},
+        kMaxJobBytes)
   {
     BOOST_REQUIRE(replica_.Start());
     grpc::ServerBuilder builder;
@@ -115,16 +121,27 @@
     Propose(changes);
   }
 
-  v1::JobReply Submit(int aQueue, const std::string& aId)
+  v1::JobReply Submit(int aQueue,
+                      const std::string& aId,
+                      const std::string& aText = {})
   {
     grpc::ClientContext context;
     v1::SubmitRequest request;
+    request.mutable_spec()->set_text(aText);
     *request.mutable_place() = PlaceOf(aQueue, aId);
     v1::JobReply reply;
     BOOST_TEST(stub_->Submit(&context, request, &reply).ok());
     return reply;
   }
 
+  void ForgetJob(const std::string& aId)
+  {
+    v1::JobChanges changes;
+    changes.add_changes()->mutable_cancel_job()->set_id(aId);
+    changes.add_changes()->mutable_forget_job()->set_id(aId);
+    Propose(changes);
+  }
+
   v1::JobReply Show(int aQueue, const std::string& aId)
   {
     grpc::ClientContext context;
@@ -244,6 +261,35 @@
   BOOST_TEST(Show(1, "b").phase() == v1::JOB_QUEUED);
 }
 
+BOOST_FIXTURE_TEST_CASE(JobBeyondTheBytesOfStoredJobsIsRefused,
+                        JobServiceFixture)
+{
+  ProposeQueues(1);
+  BOOST_TEST(Show(1, "none").status() == v1::JOB_CALL_NO_JOB);
+  const std::string text(kMaxJobBytes / 2, 't');
+  BOOST_TEST(Submit(1, "a", text).status() == v1::JOB_CALL_OK);
+  BOOST_TEST(Submit(1, "b", text).status() == v1::JOB_CALL_OK);
+  const v1::JobReply refusal = Submit(1, "c", text);
+  BOOST_TEST(refusal.status() == v1::JOB_CALL_REFUSED);
+  BOOST_TEST(refusal.retry_after_ms() > 0U);
+  BOOST_TEST(Submit(1, "a", text).status() == v1::JOB_CALL_OK);
+  ForgetJob("a");
+  while (Show(1, "a").status() != v1::JOB_CALL_NO_JOB) {
+    std::this_thread::sleep_for(kPollInterval);
+  }
+  BOOST_TEST(Submit(1, "c", text).status() == v1::JOB_CALL_OK);
+}
+
+BOOST_FIXTURE_TEST_CASE(LargeJobsLeaveRoomForSmallOnes, JobServiceFixture)
+{
+  ProposeQueues(1);
+  BOOST_TEST(Show(1, "none").status() == v1::JOB_CALL_NO_JOB);
+  const std::string text(kMaxJobBytes * 3 / 4, 't');
+  BOOST_TEST(Submit(1, "a", text).status() == v1::JOB_CALL_OK);
+  BOOST_TEST(Submit(1, "b", text).status() == v1::JOB_CALL_REFUSED);
+  BOOST_TEST(Submit(1, "c", "t").status() == v1::JOB_CALL_OK);
+}
+
 // Such a cancellation is not in the log, so it must not be acknowledged.
 BOOST_FIXTURE_TEST_CASE(CancellationInAQueueThatAppearsMeanwhileIsRefused,
                         JobServiceFixture)
--- a/test/job_store_test.cpp
+++ b/test/job_store_test.cpp
@@ -285,6 +285,8 @@
   BOOST_TEST(restored.Snapshot() == store.Snapshot());
   BOOST_TEST(restored.OpenJobs().size() == 2U);
   BOOST_TEST(CountWaiting(restored) == 1U);
+  BOOST_TEST(restored.JobBytes() > 0U);
+  BOOST_TEST(restored.JobBytes() == store.JobBytes());
   BOOST_TEST(restored.PhaseOf(*restored.FindJob("done")) == v1::JOB_COMPLETED);
   BOOST_TEST(restored.Instances().begin()->second->assigned_.size() == 1U);
 }
