--- a/src/core/jobs/fleet_scheduler_backlog.cpp
+++ b/src/core/jobs/fleet_scheduler_backlog.cpp
@@ -9,6 +9,9 @@
 
 // Arrivals of closed jobs are kept up to about this number.
 constexpr size_t kMaxClosedArrivals = 256;
+// Of one job, the oldest due ones. Bounds the candidates of a job that was due
+// many times before it was submitted.
+constexpr uint32_t kMaxOpenOccurrences = 1024;
 // Ranking costs about 1 us per candidate. The interval grows with the backlog,
 // so that ranking takes about a twentieth of a core until the interval reaches
 // its maximum.
@@ -162,7 +165,11 @@
   backlog_.clear();
   for (const auto& [order, job] : open) {
     const uint32_t due = DueOccurrences(*job, unixNow_);
-    for (uint32_t number = 0; number < due; ++number) {
+    uint32_t open = 0;
+    for (uint32_t number = 0; number < due && open < kMaxOpenOccurrences;
+         ++number) {
+      const Occurrence* occurrence = JobStore::FindOccurrence(*job, number);
+      open += occurrence == nullptr || !occurrence->IsDone() ? 1 : 0;
       CollectCandidates(aNow, *job, number, backlog_);
     }
   }
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -1367,4 +1367,21 @@
   BOOST_TEST(fleet.Scheduler().IsWaveCompleted(1));
 }
 
+BOOST_AUTO_TEST_CASE(JobThatIsDueVeryManyTimesHoldsFewCandidates)
+{
+  SimulatedFleet fleet;
+  fleet.Configure({ { "meter", false }, { "layout", false } },
+                  { { "drafts", "layout" } });
+  fleet.AddInstance("m0", "meter");
+  Job& job =
+    fleet.Submit("j", "drafts", { SimulatedFleet::StepOf(1, 500, 600) });
+  job.spec_.set_repeat_count(100000);
+  job.spec_.set_repeat_interval_ms(1);
+  fleet.RunFor(Seconds(5));
+  const DispatchLoad& load = fleet.LastDispatch();
+  const size_t waiting = load.inTime_ + load.late_ + load.overdue_;
+  BOOST_TEST(waiting > 0U);
+  BOOST_TEST(waiting <= 1024U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
