--- a/test/process/hostile_stored_test.py
+++ b/test/process/hostile_stored_test.py
@@ -2,6 +2,7 @@
 
     python3 test/process/hostile_stored_test.py BUILD_DIR"""
 
+import collections
 import os
 import sys
 import threading
@@ -12,26 +13,37 @@
 
 MEMORY_MB = (96, 128)  # gateway, scheduler
 SENDERS = 8
+ATTEMPTS = 5
 JOBS = 20000
 JOB = {"spec": "x" * 4000, "steps": [{"count": 1, "cpu": 500, "mem_mb": 10,
                                       "estimate_ms": 300}]}
 
 
-def submit(sender):
+def submit(sender, statuses):
     for number in range(sender, JOBS, SENDERS):
-        try:
-            platform.client("POST", "/q/%016x" % (number | 1 << 32), JOB)
-        except OSError:
-            pass  # The job may be refused.
+        for _ in range(ATTEMPTS):
+            try:
+                status = platform.client(
+                    "POST", "/q/%016x" % (number | 1 << 32), JOB)[0]
+            except OSError:
+                continue  # The connection may be closed.
+            if status in (200, 503):
+                statuses.append(status)
+                break
 
 
 def attack(_):
-    threads = [threading.Thread(target=submit, args=(sender,))
+    statuses = []
+    threads = [threading.Thread(target=submit, args=(sender, statuses))
                for sender in range(SENDERS)]
     for thread in threads:
         thread.start()
     for thread in threads:
         thread.join()
+    counts = collections.Counter(statuses)
+    print("  answers:", dict(counts), flush=True)
+    assert len(statuses) == JOBS, counts
+    assert counts[200] > 0, counts
     return []
 
 
