--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -328,7 +328,11 @@
 
   // fleet_scheduler_placement.cpp
   void PlaceTasks(Millis aNow);
-  void PlaceCandidate(Millis aNow, const Candidate& aCandidate);
+  // Starts at most `aMaxStarts` tasks, or a gang. Returns true if more of the
+  // step might start.
+  bool PlaceCandidate(Millis aNow,
+                      const Candidate& aCandidate,
+                      size_t aMaxStarts);
   void CollectUsableInstances(Millis aNow);
   // Returns null if no instance is suitable; an empty `aRack` means any rack.
   InstanceView* ChooseInstance(Millis aNow,
@@ -343,9 +347,10 @@
                      const UsableInstances& aUsable);
   // Place as many tasks of the step as possible, of a gang all or none; record
   // the rest as waiting.
-  void PlaceStep(Millis aNow,
+  bool PlaceStep(Millis aNow,
                  const Candidate& aCandidate,
-                 UsableInstances& aUsable);
+                 UsableInstances& aUsable,
+                 size_t aMaxStarts);
   void PlaceGang(Millis aNow,
                  const Candidate& aCandidate,
                  UsableInstances& aUsable);
--- a/include/vanillahatch/core/sharing/fair_backlog.h
+++ b/include/vanillahatch/core/sharing/fair_backlog.h
@@ -5,11 +5,14 @@
 // steps of equal rank the customer with the smallest share of the step's
 // service is next, so that a customer with a long backlog waits behind itself.
 // The order of one customer's steps stays as it is; so does that of all steps
-// while only one customer waits.
+// while only one customer waits. A wide step is served in parts, between which
+// others may be next.
 //
 //   FairBacklog backlog;
 //   backlog.Assign(entries);
-//   backlog.Visit(shareOf, [&](size_t aIndex) { Place(entries[aIndex]); });
+//   backlog.Visit(shareOf, [&](size_t aIndex, bool aIsContested) {
+//     return PlacePartOf(entries[aIndex]);
+//   });
 #pragma once
 
 #include "vanillahatch/core/sharing/customer_ledger.h"
@@ -30,12 +33,14 @@
     ServiceId service_ = 0;
   };
   using ShareOf = std::function<double(CustomerId, ServiceId)>;
-  using Visitor = std::function<void(size_t)>;
+  // Gets the index of an entry, and whether entries of other customers have the
+  // same rank. Returns true if such an entry has to be visited again.
+  using Visitor = std::function<bool(size_t, bool)>;
 
   // `aEntries`: sorted by rank; within a rank, in the order for one customer.
   void Assign(std::span<const Entry> aEntries);
-  // Visits each entry once, by its index. A visit may change the share of the
-  // entry's customer in the entry's service, and no other.
+  // A visit may change the share of the entry's customer in the entry's
+  // service, and no other.
   void Visit(const ShareOf& aShareOf, const Visitor& aVisitor) const;
 
 private:
--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -151,14 +151,16 @@
     cores * static_cast<double>(aCandidate.expectedOccupancy_.Count());
 }
 
-void FleetScheduler::PlaceStep(Millis aNow,
+bool FleetScheduler::PlaceStep(Millis aNow,
                                const Candidate& aCandidate,
-                               UsableInstances& aUsable)
+                               UsableInstances& aUsable,
+                               size_t aMaxStarts)
 {
   Job& job = *aCandidate.firstTask_.job_;
   const Occurrence* occurrence =
     JobStore::FindOccurrence(job, aCandidate.firstTask_.occurrence_);
   const v1::StepSpec& spec = JobStore::SpecOf(aCandidate.firstTask_);
+  size_t starts = 0;
   for (uint32_t i = 0; i < spec.task_count(); ++i) {
     TaskRef task = aCandidate.firstTask_;
     task.index_ = i;
@@ -170,8 +172,11 @@
     if (!isPending || proposedStarts_.contains(task)) {
       continue;
     }
+    if (starts == aMaxStarts) {
+      return true;
+    }
     if (IsHeldByCap(aCandidate)) {
-      return;
+      return false;
     }
     InstanceView* view = nullptr;
     if (startsInRound_ < kMaxStartsPerRound) {
@@ -186,10 +191,12 @@
     if (view == nullptr) {
       RequestAdvice(aNow, aCandidate, aUsable);
       RecordWaiting(aCandidate, spec.task_count() - i);
-      return;
+      return false;
     }
     ProposeStart(aNow, *view, task, (known != nullptr ? known->run_ : 0) + 1);
+    ++starts;
   }
+  return false;
 }
 
 // Starts all tasks of the gang under one run number, or none; on one rack if
@@ -302,11 +309,13 @@
   PlaceFairly(aNow);
 }
 
-void FleetScheduler::PlaceCandidate(Millis aNow, const Candidate& aCandidate)
+bool FleetScheduler::PlaceCandidate(Millis aNow,
+                                    const Candidate& aCandidate,
+                                    size_t aMaxStarts)
 {
   const TaskRef& firstTask = aCandidate.firstTask_;
   if (!firstTask.job_->IsOpen()) {
-    return; // The job was closed after the backlog was ranked.
+    return false; // The job was closed after the backlog was ranked.
   }
   const Occurrence* occurrence =
     JobStore::FindOccurrence(*firstTask.job_, firstTask.occurrence_);
@@ -315,17 +324,19 @@
                              ? occurrence->steps_[firstTask.step_].pending_
                              : spec.task_count();
   if (pending == 0 || IsHeldByCap(aCandidate)) {
-    return;
+    return false;
   }
   const auto usable = usableInstances_.find(aCandidate.service_);
   if (usable == usableInstances_.end() ||
       usable->second.IsKnownNotToFit(aCandidate.need_)) {
-    RecordWaiting(aCandidate, pending);
+    RecordWaiting(aCandidate,
+                  ledger_.HasCustomers() ? CountUnplaced(firstTask) : pending);
   } else if (spec.gang()) {
     PlaceGang(aNow, aCandidate, usable->second);
   } else {
-    PlaceStep(aNow, aCandidate, usable->second);
+    return PlaceStep(aNow, aCandidate, usable->second, aMaxStarts);
   }
+  return false;
 }
 
 } // namespace vanillahatch
--- a/src/core/jobs/fleet_scheduler_sharing.cpp
+++ b/src/core/jobs/fleet_scheduler_sharing.cpp
@@ -3,11 +3,15 @@
 
 #include <algorithm>
 #include <iterator>
+#include <limits>
 
 namespace vanillahatch {
 
 namespace {
 
+// So few that a wide step doesn't take a free fleet at once, while others wait.
+constexpr size_t kMaxStartsPerVisit = 8;
+
 // Urgencies of equal rank are ordered among customers by their shares.
 uint64_t RankOf(const JobUrgency& aUrgency)
 {
@@ -64,7 +68,11 @@
     [&](CustomerId aCustomer, ServiceId aService) {
       return ledger_.ShareOf(aCustomer, aService);
     },
-    [&](size_t aIndex) { PlaceCandidate(aNow, backlog_[aIndex]); });
+    [&](size_t aIndex, bool aIsContested) {
+      constexpr size_t kUnlimited = std::numeric_limits<size_t>::max();
+      return PlaceCandidate(
+        aNow, backlog_[aIndex], aIsContested ? kMaxStartsPerVisit : kUnlimited);
+    });
 }
 
 // Of the tasks that wait in the log, those that are not proposed.
--- a/src/core/sharing/fair_backlog.cpp
+++ b/src/core/sharing/fair_backlog.cpp
@@ -45,7 +45,7 @@
       continue;
     }
     for (size_t i = group.begin_; i < group.end_; ++i) {
-      aVisitor(i);
+      aVisitor(i, false);
     }
   }
 }
@@ -76,8 +76,9 @@
   while (!heap.empty()) {
     std::pop_heap(heap.begin(), heap.end(), comesLater);
     Head& head = heap.back();
-    aVisitor(head.Entry());
-    if (++head.next_ == head.flow_->entries_.size()) {
+    const bool isServed = !aVisitor(head.Entry(), true);
+    head.next_ += isServed ? 1 : 0;
+    if (head.next_ == head.flow_->entries_.size()) {
       heap.pop_back();
       continue;
     }
--- a/test/customer_caps_test.cpp
+++ b/test/customer_caps_test.cpp
@@ -159,3 +159,18 @@
 }
 
 BOOST_AUTO_TEST_SUITE_END()
+
+BOOST_FIXTURE_TEST_SUITE(wide_steps, SharingFixture)
+
+BOOST_AUTO_TEST_CASE(AWideStepDoesNotTakeAFreeFleetFromSmallOnes)
+{
+  fleet_.PutCustomers({ { "wide", 1.0 }, { "small", 1.0 } });
+  AddInstances(4);
+  SubmitMany("wide", 1, SimulatedFleet::StepOf(200, 2 * kCore, 2000));
+  SubmitMany("small", 25, SimulatedFleet::StepOf(4, 2 * kCore, 2000));
+  fleet_.RunFor(Seconds(1));
+  BOOST_TEST(fleet_.RunningMilliCpus("small") >= 26 * kCore);
+  BOOST_TEST(fleet_.RunningMilliCpus("wide") >= 26 * kCore);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
--- a/test/fair_backlog_test.cpp
+++ b/test/fair_backlog_test.cpp
@@ -25,10 +25,11 @@
     [&](CustomerId aCustomer, ServiceId aService) {
       return aShares[{ aCustomer, aService }];
     },
-    [&](size_t aIndex) {
+    [&](size_t aIndex, bool) {
       visited.push_back(aIndex);
       const FairBacklog::Entry& entry = aEntries[aIndex];
       aShares[{ entry.customer_, entry.service_ }] += aStep;
+      return false;
     });
   return visited;
 }
@@ -95,6 +96,28 @@
   CheckOrder(VisitAll(entries, shares), { 0, 1, 2, 3 });
 }
 
+BOOST_AUTO_TEST_CASE(AWideEntryLetsOthersInBetweenItsParts)
+{
+  FairBacklog backlog;
+  const std::vector<FairBacklog::Entry> entries{ { .customer_ = 1 },
+                                                 { .customer_ = 2 },
+                                                 { .customer_ = 2 } };
+  backlog.Assign(entries);
+  Shares shares;
+  std::vector<size_t> visited;
+  backlog.Visit(
+    [&](CustomerId aCustomer, ServiceId aService) {
+      return shares[{ aCustomer, aService }];
+    },
+    [&](size_t aIndex, bool aIsContested) {
+      BOOST_TEST(aIsContested);
+      visited.push_back(aIndex);
+      shares[{ entries[aIndex].customer_, 0 }] += 1;
+      return aIndex == 0 && visited.size() < 5;
+    });
+  CheckOrder(visited, { 0, 1, 0, 2, 0 });
+}
+
 BOOST_AUTO_TEST_CASE(EveryEntryIsVisitedOnce)
 {
   std::mt19937 random(7);
@@ -143,7 +166,7 @@
         [&](CustomerId aCustomer, ServiceId aService) {
           return ledger.ShareOf(aCustomer, aService);
         },
-        [&](size_t) { ++visits; });
+        [&](size_t, bool) { return ++visits == 0; });
     }
     const auto end = std::chrono::steady_clock::now();
     BOOST_TEST(visits == kEntries * kRounds);
