--- a/src/core/jobs/fleet_scheduler_placement.cpp
+++ b/src/core/jobs/fleet_scheduler_placement.cpp
@@ -183,9 +183,10 @@
     cores * static_cast<double>(aCandidate.expectedOccupancy_.Count());
 }
 
-void FleetScheduler::PlaceStep(Millis aNow,
+bool FleetScheduler::PlaceStep(Millis aNow,
                                const Candidate& aCandidate,
-                               UsableInstances& aUsable)
+                               UsableInstances& aUsable,
+                               size_t aMaxStarts)
 {
   Job& job = *aCandidate.firstTask_.job_;
   const Occurrence* occurrence =
@@ -196,6 +197,10 @@
   bool mayWait = MayWaitForNearPlace(aCandidate);
   InstanceView* elsewhere = nullptr; // suits the tasks that wait
   NearWaits::Round round;
+  // A visit places all tasks of a step that names a rack, because the waits of
+  // its tasks are counted once in a round.
+  const bool isLimited = dataRack.empty();
+  size_t starts = 0;
   for (uint32_t i = 0; i < spec.task_count(); ++i) {
     TaskRef task = aCandidate.firstTask_;
     task.index_ = i;
@@ -207,6 +212,9 @@
     if (!isPending || proposedStarts_.contains(task)) {
       continue;
     }
+    if (isLimited && starts == aMaxStarts) {
+      return true;
+    }
     if (IsHeldByCap(aCandidate)) {
       break;
     }
@@ -241,8 +249,10 @@
     ProposeStart(aNow, *view, task, run);
     RecordPlacement(aNow, *view, task, run, isFar);
     round.startedNear_ += isRackFull ? 0 : 1;
+    ++starts;
   }
   RecordNearRound(aNow, aCandidate, round);
+  return false;
 }
 
 // Starts all tasks of the gang under one run number, or none; on one rack if
@@ -372,11 +382,13 @@
   PlaceFairly(aNow);
 }
 
-void FleetScheduler::PlaceCandidate(Millis aNow, const Candidate& aCandidate)
+bool FleetScheduler::PlaceCandidate(Millis aNow,
+                                    const Candidate& aCandidate,
+                                    size_t aMaxStarts)
 {
   const TaskRef& firstTask = aCandidate.firstTask_;
   if (!firstTask.job_->IsOpen()) {
-    return; // The job was closed after the backlog was ranked.
+    return false; // The job was closed after the backlog was ranked.
   }
   const Occurrence* occurrence =
     JobStore::FindOccurrence(*firstTask.job_, firstTask.occurrence_);
@@ -385,17 +397,19 @@
                              ? occurrence->steps_[firstTask.step_].pending_
                              : spec.task_count();
   if (pending == 0 || IsHeldByCap(aCandidate)) {
-    return;
+    return false;
   }
   const auto usable = usableInstances_.find(aCandidate.service_);
   if (usable == usableInstances_.end() ||
       usable->second.IsKnownNotToFit(aCandidate.need_)) {
-    RecordWaiting(aCandidate, pending);
+    RecordWaiting(aCandidate,
+                  ledger_.HasCustomers() ? CountUnplaced(firstTask) : pending);
   } else if (spec.gang()) {
     PlaceGang(aNow, aCandidate, usable->second);
   } else {
-    PlaceStep(aNow, aCandidate, usable->second);
+    return PlaceStep(aNow, aCandidate, usable->second, aMaxStarts);
   }
+  return false;
 }
 
 } // namespace vanillahatch
