--- a/src/shell/http_read.h
+++ b/src/shell/http_read.h
@@ -23,6 +23,7 @@
 // takes the declared length in advance.
 struct ArrivedBody
 {
+  // NOLINTBEGIN(readability-identifier-naming): names of Beast's concept.
   using value_type = std::string;
 
   class reader
@@ -55,6 +56,7 @@
     }
 
     void finish(boost::system::error_code& aError) { aError = {}; }
+    // NOLINTEND(readability-identifier-naming)
 
   private:
     // `std::string::reserve()` on a string with content may double it.
