--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -207,31 +207,42 @@
                 (NET + "201", 0),
                 lambda *_: (200, {"machines": [], "next_token": None}))
             cloud = "%s:%d" % server.server_address
-        common = {
+        self.common = {
             "internal": self.internal, "internal_end": self.internal + 1,
             "cloud": cloud, "tolerated": tolerated, "catch_up_s": catch_up_s,
             "recovery_s": recovery_s,
             "seeds": ",".join('"%s:%d"' % (ip, self.control)
                               for ip in self.core_ips[:3])}
-        self.schedulers = []
-        for i, ip in enumerate(self.core_ips):
-            name = "core-%d" % (i + 1)
-            self.schedulers.append(Process(
-                self.folder, "vh-scheduler", name, ip, dict(
-                    common, node=name, role="scheduler", machine_class="core",
-                    serves="control", ip=ip, loss_counts="true",
-                    memory_mb=memory_mb, disk_mb=disk_mb,
-                    data_dir='data_dir = "%s"' % os.path.join(
-                        self.folder, name),
-                    listen='control = "%s:%d"' % (ip, self.control))))
+        self.memory_mb = memory_mb
+        self.disk_mb = disk_mb
+        self.schedulers = [self.make_scheduler(i, ip)
+                           for i, ip in enumerate(self.core_ips)]
         self.gateway = Process(
             self.folder, "vh-gateway", "front-1", self.front_ip, dict(
-                common, node="front-1", role="gateway", machine_class="front",
+                self.common, node="front-1", role="gateway", machine_class="front",
                 serves="front", ip=self.front_ip, loss_counts="false",
                 memory_mb=260, disk_mb=0, data_dir="",
                 listen='front = "%s:%d"\nready = "%s:%d"' % (
                     self.front_ip, self.front, self.front_ip, self.ready)))
 
+    def make_scheduler(self, index, ip):
+        name = "core-%d" % (index + 1)
+        return Process(self.folder, "vh-scheduler", name, ip, dict(
+            self.common, node=name, role="scheduler", machine_class="core",
+            serves="control", ip=ip, loss_counts="true",
+            memory_mb=self.memory_mb, disk_mb=self.disk_mb,
+            data_dir='data_dir = "%s"' % os.path.join(self.folder, name),
+            listen='control = "%s:%d"' % (ip, self.control)))
+
+    def add_scheduler(self):
+        """Adds a machine to the core, at a new address, with an empty disk."""
+        ip = NET + str(11 + len(self.core_ips))
+        added = self.make_scheduler(len(self.core_ips), ip)
+        self.core_ips.append(ip)
+        self.schedulers.append(added)
+        added.start()
+        return added
+
     def start(self, config):
         for process in [*self.schedulers, self.gateway]:
             process.start(first=True)
