--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -217,13 +217,26 @@
         self.disk_mb = disk_mb
         self.schedulers = [self.make_scheduler(i, ip)
                            for i, ip in enumerate(self.core_ips)]
-        self.gateway = Process(
-            self.folder, "vh-gateway", "front-1", self.front_ip, dict(
-                self.common, node="front-1", role="gateway", machine_class="front",
-                serves="front", ip=self.front_ip, loss_counts="false",
-                memory_mb=260, disk_mb=0, data_dir="",
-                listen='front = "%s:%d"\nready = "%s:%d"' % (
-                    self.front_ip, self.front, self.front_ip, self.ready)))
+        self.gateway = self.make_gateway(0)
+        self.gateways = [self.gateway]
+
+    def make_gateway(self, index):
+        name = "front-%d" % (index + 1)
+        ip = NET + str(101 + index)
+        return Process(self.folder, "vh-gateway", name, ip, dict(
+            self.common, node=name, role="gateway", machine_class="front",
+            serves="front", ip=ip, loss_counts="false", memory_mb=260,
+            disk_mb=0, data_dir="",
+            listen='front = "%s:%d"\nready = "%s:%d"' % (
+                ip, self.front, ip, self.ready)))
+
+    def add_gateway(self):
+        added = self.make_gateway(len(self.gateways))
+        self.gateways.append(added)
+        added.start()
+        wait_until("the added gateway is ready", lambda: fake_platform.call(
+            (added.ip, self.ready), "GET", "/api/ready")[0] == 200)
+        return added
 
     def make_scheduler(self, index, ip):
         name = "core-%d" % (index + 1)
@@ -255,7 +268,7 @@
                           len(self.schedulers), config["version"])
 
     def stop(self):
-        for process in [*self.schedulers, self.gateway]:
+        for process in [*self.schedulers, *self.gateways]:
             process.kill()
         kept = os.environ.get("VH_KEEP")
         if kept:
@@ -301,14 +314,14 @@
                              if each.ip == ip), None)
         return None
 
-    def client(self, method, path, body=None, attempts=5):
+    def client(self, method, path, body=None, attempts=5, ip=None):
         """A client's request with its retries. Returns the last status and
         body; status 0 without an answer."""
         status, reply = 0, {}
         for _ in range(attempts):
             try:
                 status, _, reply = fake_platform.call(
-                    (self.front_ip, self.front), method, path, body,
+                    (ip or self.front_ip, self.front), method, path, body,
                     {"Host": HOST, "X-Deadline-Ms": "3000"}, timeout=3)
             except (OSError, http.client.HTTPException):
                 status, reply = 0, {}
