--- a/review/standins_3.py
+++ b/review/standins_3.py
@@ -128,10 +128,13 @@
             self.file.flush()
 
 
-def free_port(ip):
-    with socket.socket() as probe:
-        probe.bind((ip, 0))
-        return probe.getsockname()[1]
+def free_ports(ip, count):
+    """Different ports, since all are held until the last one is known."""
+    with contextlib.ExitStack() as held:
+        probes = [held.enter_context(socket.socket()) for _ in range(count)]
+        for probe in probes:
+            probe.bind((ip, 0))
+        return [probe.getsockname()[1] for probe in probes]
 
 
 def wait_until(what, holds, within=20):
@@ -176,7 +179,6 @@
 
     def kill(self):
         if self.is_up():
-            self.process.send_signal(signal.SIGCONT)
             self.process.kill()
             self.process.wait()
 
@@ -200,8 +202,8 @@
         self.core_ips = [NET + str(11 + i) for i in range(cores)]
         self.front_ip = NET + "101"
         probe = self.core_ips[0]
-        self.internal, self.control, self.front, self.ready = (
-            free_port(probe) for _ in range(4))
+        self.internal, self.control, self.front, self.ready = free_ports(
+            probe, 4)
         if cloud is None:
             server = fake_platform.serve(
                 (NET + "201", 0),
@@ -267,6 +269,13 @@
                           "version %d was acknowledged",
                           len(self.schedulers), config["version"])
 
+    def kill_core(self):
+        """Kills the processes of the core at the same moment."""
+        for scheduler in self.schedulers:
+            scheduler.process.kill()
+        for scheduler in self.schedulers:
+            scheduler.process.wait()
+
     def stop(self):
         for process in [*self.schedulers, *self.gateways]:
             process.kill()
@@ -400,15 +409,22 @@
                 threading.Thread(target=runner.shut_down, daemon=True).start()
 
 
+def end_early(number, _):
+    raise CannotRun("signal %d" % number)
+
+
 def main(folder, play):
     """Runs `play(record)`, which returns whether the rule was broken."""
     # The threads of stand-ins may outlive the case.
     record = Record(folder)
     record.write("disruption: %s", "on" if TROUBLE else "off (TROUBLE=0)")
+    for number in (signal.SIGTERM, signal.SIGINT, signal.SIGHUP):
+        signal.signal(number, end_early)
     try:
         result = BROKEN if play(record) else HELD
-    except CannotRun as error:
-        record.write("the case could not run: %s", error)
+    except Exception as error:  # An error of the script shows nothing.
+        record.write("the case could not run: %s: %s", type(error).__name__,
+                     error)
         result = NOT_RUN
     record.write("result: %s", ("the rule held", "THE RULE WAS BROKEN",
                                 "not run")[result])
