--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -25,8 +25,9 @@
 // and of the new configuration, and the next one waits until it is committed.
 //
 // With open membership, replicas of other names join in the same way. They
-// replace members that do not respond or that leave. A single one that is not
-// needed waits as a learner, so that the number of members stays odd.
+// replace members that do not respond or that leave, and become further members
+// if there are none. Such further members are not needed: one of them that does
+// not respond or leaves is removed.
 //
 // A new cluster is bootstrapped by the first replica of the settings, and only
 // after every other replica has replied to this incarnation that it is blank,
@@ -36,6 +37,7 @@
 
 #include "vanillahatch/core/clock.h"
 #include "vanillahatch/core/log_history.h"
+#include "vanillahatch/core/lost_members.h"
 #include "vanillahatch/core/result.h"
 #include "vanillahatch/core/stable_store.h"
 
@@ -43,6 +45,7 @@
 #include <map>
 #include <random>
 #include <set>
+#include <span>
 #include <string>
 #include <utility>
 
@@ -65,7 +68,7 @@
   // share a message; the first one after a pause is sent immediately.
   Millis appendGap_;
   // Minimum time without contact after which a member is replaced by a learner
-  // of another name, or removed from a configuration of even size.
+  // of another name.
   Millis replaceAfter_ = Seconds(2);
 };
 
@@ -185,6 +188,8 @@
   // True while this incarnation counts towards a quorum.
   bool IsMember() const;
   const LogHistory& History() const { return history_; }
+  // Members that are known to have lost their records.
+  const LostMembers& Lost() const { return lostMembers_; }
 
 private:
   // The leader's replication state of one other replica.
@@ -230,6 +235,10 @@
   bool MayStandForElection() const;
   void SetCommit(uint64_t aIndex);
   void QueueCommitted();
+  // The latest configuration and, while that may be overwritten, the one
+  // before.
+  std::vector<const v1::LogConfig*> QuorumConfigs() const;
+  void RememberLostMembers(const v1::PeerMessage& aMessage);
 
   // control_log_join.cpp: bootstrapping, joining and leaving.
   void SendHellos();
@@ -238,6 +247,7 @@
   void OnHello(const v1::PeerMessage& aMessage);
   void OnHelloReply(const v1::PeerMessage& aMessage);
   void RememberMembers(const v1::PeerMessage& aHelloReply);
+  void RememberFormerIncarnations(const v1::PeerMessage& aHelloReply);
   void Bootstrap();
   void OnBootstrap(const v1::PeerMessage& aMessage);
   void SendLeave();
@@ -253,6 +263,17 @@
   void OnVoteReply(const v1::PeerMessage& aMessage);
   bool IsUpToDate(const v1::PeerMessage::VoteRequest& aRequest) const;
   bool HasQuorum(const Predicate& aPredicate) const;
+  // What a quorum of each of `QuorumConfigs()` has reached; see QuorumValue().
+  template<typename ValueOf>
+  auto QuorumValueOfConfigs(const ValueOf& aValueOf) const
+  {
+    const std::vector<const v1::LogConfig*> configs = QuorumConfigs();
+    auto value = QuorumValue(*configs.front(), lostMembers_, aValueOf);
+    for (const v1::LogConfig* config : std::span(configs).subspan(1)) {
+      value = std::min(value, QuorumValue(*config, lostMembers_, aValueOf));
+    }
+    return value;
+  }
   bool IsConfigPending() const
   {
     return history_.Latest().index_ > commitIndex_;
@@ -274,6 +295,7 @@
   void MaintainLeadership();
   void AppendAsLeader(v1::LogEntry aEntry);
   void RefreshProgress();
+  const Progress* FindProgress(const v1::LogMember& aMember) const;
   Progress* FindProgress(const v1::LogMember& aMember);
   void SendAppend(Progress& aProgress);
   void SendHeartbeat(Progress& aProgress);
@@ -285,9 +307,7 @@
   Millis NextAppendAt() const;
   void OnAppendReply(const v1::PeerMessage& aMessage);
   void AdvanceCommitIndex();
-  Millis LastMajorityContact(const v1::LogConfig& aConfig) const;
   void SendCommitIndex(const v1::LogMember& aMember);
-  uint64_t MajorityMatchIndex(const v1::LogConfig& aConfig);
 
   // control_log_members.cpp: the leader's membership changes.
   Learner* FindLearner(const v1::LogMember& aMember);
@@ -295,13 +315,14 @@
   void DropUnresponsiveLearners();
   bool IsCaughtUp(const Learner& aLearner);
   std::vector<v1::LogMember> CaughtUpLearners();
-  Members::iterator FindUnresponsive(Members& aMembers);
+  Members::iterator FindUnresponsive(Members& aMembers, Millis aAfter);
   bool CanMemberLeave() const;
   // True if `aMember` is not needed for a quorum, even if this leader stops.
   bool IsReplaced(const v1::LogMember& aMember) const;
   bool IsLeaving(const v1::LogMember& aMember);
-  // The member that is to be replaced or removed first; `end` if there is none.
-  Members::iterator FindReplaceable(Members& aMembers);
+  // The member that leaves or has not responded for `aAfter`; `end` if there is
+  // none.
+  Members::iterator FindReplaceable(Members& aMembers, Millis aAfter);
   void MaybeChangeMembers();
   // Steps of a membership change; false if there is nothing to do.
   bool ReplaceOldIncarnation(Members& aMembers);
@@ -338,6 +359,9 @@
   std::map<std::string, std::pair<uint64_t, Millis>> blankReplicas_;
   // Names of the members as in the last reply of each replica, by its name.
   std::map<std::string, std::vector<std::string>> membersBySender_;
+  // Of this replica, as members of a cluster know them.
+  std::set<uint64_t> formerIncarnations_;
+  LostMembers lostMembers_;
 
   std::vector<Progress> progress_;
   std::vector<Learner> learners_;
--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -194,6 +194,9 @@
   *aMessage.mutable_from() = self_;
   aMessage.set_to(aTo.name());
   aMessage.set_to_incarnation(aTo.incarnation());
+  for (const v1::LogMember& lost : lostMembers_.Members()) {
+    *aMessage.add_lost() = lost;
+  }
   if (aMessage.term() == 0) {
     aMessage.set_term(term_);
   }
@@ -289,6 +292,7 @@
   if (aMessage.to() != self_.name() || isForOldIncarnation) {
     return;
   }
+  RememberLostMembers(aMessage);
   if (clusterId_ == 0) {
     ReceiveWhileBlank(aMessage);
     return;
@@ -302,6 +306,7 @@
   }
   if (aMessage.has_hello_reply()) {
     RememberMembers(aMessage);
+    RememberFormerIncarnations(aMessage);
   } else if (aMessage.has_vote_request()) {
     OnVoteRequest(aMessage);
   } else if (aMessage.has_vote_reply()) {
@@ -351,6 +356,7 @@
     v1::LogRecord record;
     record.mutable_committed()->set_index(commitIndex_);
     Record(record);
+    lostMembers_.Retain(QuorumConfigs());
   }
   QueueCommitted();
 }
--- a/src/core/control_log_election.cpp
+++ b/src/core/control_log_election.cpp
@@ -5,28 +5,34 @@
 
 namespace vanillahatch {
 
-namespace {
-
-bool HasMajority(const v1::LogConfig& aConfig,
-                 const std::function<bool(const v1::LogMember&)>& aPredicate)
+std::vector<const v1::LogConfig*> ControlLog::QuorumConfigs() const
 {
-  const auto& members = aConfig.members();
-  const auto count = std::count_if(members.begin(), members.end(), aPredicate);
-  return count > members.size() / 2;
+  std::vector<const v1::LogConfig*> configs = { &history_.Latest().config_ };
+  const LogHistory::Configuration* before = history_.BeforeLatest();
+  if (IsConfigPending() && before != nullptr) {
+    configs.push_back(&before->config_);
+  }
+  return configs;
 }
 
-} // namespace
-
-// While a configuration entry is not known to be committed, a quorum needs a
-// majority of both the old and the new configuration.
 bool ControlLog::HasQuorum(const Predicate& aPredicate) const
 {
-  const LogHistory::Configuration* before = history_.BeforeLatest();
-  if (IsConfigPending() && before != nullptr &&
-      !HasMajority(before->config_, aPredicate)) {
-    return false;
+  return QuorumValueOfConfigs([&](const v1::LogMember& aMember) {
+           return aPredicate(aMember) ? 1 : 0;
+         }) != 0;
+}
+
+// Only what a message says of members of this replica's configurations matters.
+void ControlLog::RememberLostMembers(const v1::PeerMessage& aMessage)
+{
+  if (aMessage.lost().empty()) {
+    return;
+  }
+  for (const v1::LogMember& lost : aMessage.lost()) {
+    lostMembers_.Add(lost, aMessage.from());
+    lostMembers_.Add(lost, self_);
   }
-  return HasMajority(history_.Latest().config_, aPredicate);
+  lostMembers_.Retain(QuorumConfigs());
 }
 
 void ControlLog::BecomeFollower(uint64_t aTerm, std::string aLeader)
--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -23,6 +23,11 @@
   for (const std::string& name : ReplicasToGreet()) {
     v1::PeerMessage message;
     message.mutable_hello()->set_blank(clusterId_ == 0);
+    for (const uint64_t incarnation : formerIncarnations_) {
+      v1::LogMember& lost = *message.add_lost();
+      lost.set_name(self_.name());
+      lost.set_incarnation(incarnation);
+    }
     v1::LogMember anyIncarnation;
     anyIncarnation.set_name(name);
     Send(std::move(message), anyIncarnation);
@@ -72,6 +77,7 @@
   if (!aMessage.hello_reply().blank()) {
     blankReplicas_.erase(from);
     RememberMembers(aMessage);
+    RememberFormerIncarnations(aMessage);
     return;
   }
   blankReplicas_[from] = { aMessage.from().incarnation(), now_ };
@@ -99,6 +105,17 @@
                                                   members.end() };
 }
 
+// An incarnation that this one is told of began before it, and so has ended.
+// Only a reply to this incarnation tells that: an earlier one may have been
+// told of a later one by a message that was delayed.
+void ControlLog::RememberFormerIncarnations(const v1::PeerMessage& aHelloReply)
+{
+  if (aHelloReply.to_incarnation() == self_.incarnation()) {
+    const auto& others = aHelloReply.hello_reply().other_incarnations();
+    formerIncarnations_.insert(others.begin(), others.end());
+  }
+}
+
 void ControlLog::Bootstrap()
 {
   clusterId_ = random_() | 1U;
@@ -106,6 +123,8 @@
   v1::LogEntry entry;
   entry.set_index(1);
   entry.set_term(1);
+  entry.mutable_config()->set_initial_size(
+    static_cast<uint32_t>(options_.replicas_.size()));
   for (const std::string& name : options_.replicas_) {
     v1::LogMember& member = *entry.mutable_config()->add_members();
     member.set_name(name);
@@ -155,6 +174,13 @@
   for (const v1::LogMember& member : history_.Latest().config_.members()) {
     reply.mutable_hello_reply()->add_members(member.name());
   }
+  for (const v1::LogConfig* config : QuorumConfigs()) {
+    const v1::LogMember* member = FindByName(*config, from.name());
+    if (member != nullptr && !IsSame(*member, from)) {
+      reply.mutable_hello_reply()->add_other_incarnations(
+        member->incarnation());
+    }
+  }
   Send(std::move(reply), from);
   if (Contains(history_.Latest().config_, from)) {
     // An initial member that missed the bootstrap message. Without it there may
--- a/src/core/control_log_leader.cpp
+++ b/src/core/control_log_leader.cpp
@@ -51,7 +51,8 @@
   progress_ = std::move(updated);
 }
 
-ControlLog::Progress* ControlLog::FindProgress(const v1::LogMember& aMember)
+const ControlLog::Progress* ControlLog::FindProgress(
+  const v1::LogMember& aMember) const
 {
   const auto it = std::find_if(
     progress_.begin(), progress_.end(), [&](const auto& aProgress) {
@@ -60,6 +61,11 @@
   return it != progress_.end() ? &*it : nullptr;
 }
 
+ControlLog::Progress* ControlLog::FindProgress(const v1::LogMember& aMember)
+{
+  return const_cast<Progress*>(std::as_const(*this).FindProgress(aMember));
+}
+
 void ControlLog::MaintainLeadership()
 {
   const bool hasQuorum = HasQuorum([&](const v1::LogMember& aMember) {
@@ -236,67 +242,40 @@
 }
 
 // A follower that answered a message was in this leader's term when it received
-// the message, so no majority had elected another leader when it was sent.
+// the message, so no quorum had elected another leader when it was sent.
 Millis ControlLog::LeaderLeaseExpiresAt() const
 {
   if (!IsEstablishedLeader()) {
     return {};
   }
-  Millis since = LastMajorityContact(history_.Latest().config_);
-  if (IsConfigPending() && history_.BeforeLatest() != nullptr) {
-    since =
-      std::min(since, LastMajorityContact(history_.BeforeLatest()->config_));
-  }
-  return since + options_.timing_.leaderLease_;
-}
-
-// The latest time at which a majority of `aConfig` is known to have
-// followed this leader.
-Millis ControlLog::LastMajorityContact(const v1::LogConfig& aConfig) const
-{
-  std::vector<Millis> sentTimes;
-  for (const v1::LogMember& member : aConfig.members()) {
-    const auto progress = std::find_if(
-      progress_.begin(), progress_.end(), [&](const auto& aProgress) {
-        return IsSame(aProgress.member_, member);
-      });
-    sentTimes.push_back(IsSame(member, self_) ? now_
-                        : progress != progress_.end()
-                          ? progress->lastAnsweredSentAt_
-                          : Millis());
-  }
-  std::sort(sentTimes.begin(), sentTimes.end(), std::greater<>());
-  return sentTimes[sentTimes.size() / 2];
-}
-
-// The highest index that is durable on a majority of `aConfig`.
-uint64_t ControlLog::MajorityMatchIndex(const v1::LogConfig& aConfig)
-{
-  std::vector<uint64_t> matches;
-  for (const v1::LogMember& member : aConfig.members()) {
-    const Progress* progress = FindProgress(member);
-    const uint64_t other = progress != nullptr ? progress->matchIndex_ : 0;
-    matches.push_back(IsSame(member, self_) ? syncedIndex_ : other);
-  }
-  std::sort(matches.begin(), matches.end(), std::greater<>());
-  return matches[matches.size() / 2];
+  const Millis followedAt =
+    QuorumValueOfConfigs([&](const v1::LogMember& aMember) {
+      if (IsSame(aMember, self_)) {
+        return now_;
+      }
+      const Progress* progress = FindProgress(aMember);
+      return progress != nullptr ? progress->lastAnsweredSentAt_ : Millis();
+    });
+  return followedAt + options_.timing_.leaderLease_;
 }
 
 void ControlLog::AdvanceCommitIndex()
 {
   const bool wasPending = IsConfigPending();
-  uint64_t majorityIndex = MajorityMatchIndex(history_.Latest().config_);
-  if (wasPending && history_.BeforeLatest() != nullptr) {
-    majorityIndex = std::min(
-      majorityIndex, MajorityMatchIndex(history_.BeforeLatest()->config_));
-  }
-  // An entry of an earlier term may be overwritten even if a majority holds it;
+  const uint64_t durableIndex =
+    QuorumValueOfConfigs([&](const v1::LogMember& aMember) {
+      if (IsSame(aMember, self_)) {
+        return syncedIndex_;
+      }
+      const Progress* progress = FindProgress(aMember);
+      return progress != nullptr ? progress->matchIndex_ : 0;
+    });
+  // An entry of an earlier term may be overwritten even if a quorum holds it;
   // it is committed together with the first entry of this term.
-  if (majorityIndex <= commitIndex_ ||
-      history_.TermAt(majorityIndex) != term_) {
+  if (durableIndex <= commitIndex_ || history_.TermAt(durableIndex) != term_) {
     return;
   }
-  SetCommit(majorityIndex);
+  SetCommit(durableIndex);
   if (wasPending && !IsConfigPending()) {
     RefreshProgress();
     AppendAsLeader({});
--- a/src/core/control_log_members.cpp
+++ b/src/core/control_log_members.cpp
@@ -12,7 +12,22 @@
 // is safe because it votes only once the configuration entry, and so every
 // entry before it, is in its log.
 constexpr uint64_t kMaxLearnerLag = 100;
-constexpr int kMinMembers = 3;
+
+// Older releases wrote no initial size and kept the number of members odd.
+uint32_t InitialSize(const v1::LogConfig& aConfig)
+{
+  return aConfig.initial_size() != 0
+           ? aConfig.initial_size()
+           : static_cast<uint32_t>(aConfig.members_size());
+}
+
+// The size below which no member is removed. An odd number tolerates as many
+// failures as the even one above it.
+int MinSize(const v1::LogConfig& aConfig)
+{
+  return static_cast<int>((InitialSize(aConfig) - 1) | 1U);
+}
+
 // Limits the load of the leader; further replicas wait until one has joined.
 constexpr size_t kMaxLearners = 8;
 
@@ -76,9 +91,8 @@
 
 bool ControlLog::CanMemberLeave() const
 {
-  const int size = history_.Latest().config_.members_size();
-  return !learners_.empty() ||
-         (options_.openMembership_ && size % 2 == 0 && size > kMinMembers);
+  const v1::LogConfig& config = history_.Latest().config_;
+  return !learners_.empty() || config.members_size() > MinSize(config);
 }
 
 bool ControlLog::IsReplaced(const v1::LogMember& aMember) const
@@ -95,21 +109,24 @@
            : progress != nullptr && now_ < progress->leavesUntil_;
 }
 
-ControlLog::Members::iterator ControlLog::FindReplaceable(Members& aMembers)
+ControlLog::Members::iterator ControlLog::FindReplaceable(Members& aMembers,
+                                                          Millis aAfter)
 {
   const auto leaving = std::find_if(
     aMembers.begin(), aMembers.end(), [&](const v1::LogMember& aMember) {
       return IsLeaving(aMember);
     });
-  return leaving != aMembers.end() ? leaving : FindUnresponsive(aMembers);
+  return leaving != aMembers.end() ? leaving
+                                   : FindUnresponsive(aMembers, aAfter);
 }
 
 // The member with the longest time since its last contact, if that exceeds
-// `replaceAfter_`.
-ControlLog::Members::iterator ControlLog::FindUnresponsive(Members& aMembers)
+// `aAfter`.
+ControlLog::Members::iterator ControlLog::FindUnresponsive(Members& aMembers,
+                                                           Millis aAfter)
 {
   auto found = aMembers.end();
-  Millis since = now_ - options_.timing_.replaceAfter_;
+  Millis since = now_ - aAfter;
   for (auto it = aMembers.begin(); it != aMembers.end(); ++it) {
     const Progress* progress = FindProgress(*it);
     if (progress != nullptr && progress->lastContactAt_ < since) {
@@ -136,6 +153,8 @@
   };
   v1::LogEntry entry;
   *entry.mutable_config() = history_.Latest().config_;
+  entry.mutable_config()->set_initial_size(
+    InitialSize(history_.Latest().config_));
   Members& members = *entry.mutable_config()->mutable_members();
   const bool isChanged =
     std::any_of(kSteps.begin(), kSteps.end(), [&](const Step aStep) {
@@ -169,7 +188,8 @@
 bool ControlLog::ReplaceMember(Members& aMembers)
 {
   const std::vector<v1::LogMember> caughtUp = CaughtUpLearners();
-  const auto replaceable = FindReplaceable(aMembers);
+  const auto replaceable =
+    FindReplaceable(aMembers, options_.timing_.replaceAfter_);
   if (caughtUp.empty() || replaceable == aMembers.end()) {
     return false;
   }
@@ -177,32 +197,28 @@
   return true;
 }
 
-// Keeps the number of members odd: one more than an odd number tolerates no
-// more failures and needs a larger quorum. A single learner of an odd
-// configuration waits until it can replace a member.
+// A learner becomes a member before it is needed, so that the next member to be
+// lost need not be noticed first. Two learners keep an odd number odd.
 bool ControlLog::AddLearners(Members& aMembers)
 {
   const std::vector<v1::LogMember> caughtUp = CaughtUpLearners();
-  const size_t count = aMembers.size() % 2 == 0 ? 1 : 2;
-  if (caughtUp.size() < count) {
-    return false;
-  }
+  const size_t most = aMembers.size() % 2 == 0 ? 1 : 2;
+  const size_t count = std::min(caughtUp.size(), most);
   for (size_t i = 0; i < count; ++i) {
     *aMembers.Add() = caughtUp[i];
   }
-  return true;
+  return count > 0;
 }
 
-// The same number of failures is tolerated by the smaller quorum of an odd
-// configuration. The member may join again.
+// A member that is not needed is removed as soon as it doesn't count as
+// following: the rest tolerates more failures without it. It may join again.
 bool ControlLog::RemoveMember(Members& aMembers)
 {
-  const bool isEven = aMembers.size() % 2 == 0;
-  if (!options_.openMembership_ || !isEven || aMembers.size() <= kMinMembers ||
-      !learners_.empty()) {
+  if (aMembers.size() <= MinSize(history_.Latest().config_)) {
     return false;
   }
-  const auto replaceable = FindReplaceable(aMembers);
+  const auto replaceable =
+    FindReplaceable(aMembers, options_.timing_.minElectionTimeout_);
   if (replaceable == aMembers.end()) {
     return false;
   }
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -3,6 +3,7 @@
 #include "vanillahatch/shell/log.h"
 
 #include <algorithm>
+#include <boost/algorithm/string/join.hpp>
 #include <random>
 
 namespace vanillahatch {
@@ -19,6 +20,11 @@
   return (static_cast<uint64_t>(device()) << 32U) | device();
 }
 
+std::string MemberText(const v1::LogMember& aMember)
+{
+  return aMember.name() + "/" + std::to_string(aMember.incarnation());
+}
+
 std::string RoleName(const ControlLog& aLog)
 {
   if (!aLog.IsMember()) {
@@ -493,8 +499,10 @@
     .incarnation_ = log_->Self().incarnation(),
   };
   for (const auto& member : log_->History().Latest().config_.members()) {
-    current.members_.push_back(member.name() + "/" +
-                               std::to_string(member.incarnation()));
+    current.members_.push_back(MemberText(member));
+  }
+  for (const auto& member : log_->Lost().Members()) {
+    current.lostMembers_.push_back(MemberText(member));
   }
   const uint64_t leaderTerm = log_->IsEstablishedLeader() ? log_->Term() : 0;
   isLeader_ = leaderTerm != 0;
@@ -510,12 +518,11 @@
               { "term", current.term_ },
               { "leader", current.leader_ } });
   }
-  if (current.members_ != status_.members_) {
-    std::string members;
-    for (const std::string& member : current.members_) {
-      members += (members.empty() ? "" : ",") + member;
-    }
-    LogInfo(Event::kLogMembersChanged, { { "members", members } });
+  if (current.members_ != status_.members_ ||
+      current.lostMembers_ != status_.lostMembers_) {
+    LogInfo(Event::kLogMembersChanged,
+            { { "members", boost::algorithm::join(current.members_, ",") },
+              { "lost", boost::algorithm::join(current.lostMembers_, ",") } });
   }
   status_ = std::move(current);
 }
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -93,7 +93,8 @@
   uint64_t commitIndex_ = 0;
   uint64_t snapshotIndex_ = 0;
   uint64_t incarnation_ = 0;
-  std::vector<std::string> members_; // as "name/incarnation"
+  std::vector<std::string> members_;     // as "name/incarnation"
+  std::vector<std::string> lostMembers_; // those whose records are known lost
 
   // Names of the members except `aSelf`.
   std::vector<std::string> OtherMembers(const std::string& aSelf) const;
