--- a/test/process/replacement_test.py
+++ b/test/process/replacement_test.py
@@ -154,11 +154,11 @@
     platform.start(folder, nodes, platform.CONFIG)
     cluster = Cluster(folder, nodes)
     platform.submit("q", JOB)
-    killed_for_good(cluster, 14)
-    told_to_stop(cluster, 15, is_leader=False)
-    told_to_stop(cluster, 16, is_leader=True)
-    killed_with_successor(cluster, 17, is_leader=False)
-    killed_with_successor(cluster, 18, is_leader=True)
+    killed_with_successor(cluster, 14, is_leader=False)
+    killed_with_successor(cluster, 15, is_leader=True)
+    killed_for_good(cluster, 16)
+    told_to_stop(cluster, 17, is_leader=False)
+    told_to_stop(cluster, 18, is_leader=True)
     two_disks_lost_of_six(cluster, 19)
 
 
