--- a/include/vanillahatch/core/jobs/fleet_scheduler.h
+++ b/include/vanillahatch/core/jobs/fleet_scheduler.h
@@ -201,6 +201,8 @@
     bool needsAdvice_ = false;
   };
 
+  // Time since the job was submitted, also under an earlier leader.
+  Millis AgeOf(const Job& aJob) const;
   // Inputs to the urgency of an open job.
   struct Arrival
   {
--- a/include/vanillahatch/core/jobs/job_store.h
+++ b/include/vanillahatch/core/jobs/job_store.h
@@ -147,8 +147,9 @@
   // The queue as it was last configured, also if it has been removed. Owned by
   // the store; null if the queue is not known.
   const v1::QueueSpec* queueSpec_ = nullptr;
-  std::string service_;  // used if the queue is not known
-  std::string customer_; // name; empty: of no customer
+  std::string service_;         // used if the queue is not known
+  int64_t submittedUnixMs_ = 0; // 0: unknown
+  std::string customer_;        // name; empty: of no customer
   v1::JobSpec spec_;
   uint64_t acceptanceIndex_ = 0; // position in the sequence of acceptance
   bool cancelled_ = false;
--- a/src/core/jobs/fleet_scheduler_backlog.cpp
+++ b/src/core/jobs/fleet_scheduler_backlog.cpp
@@ -78,6 +78,16 @@
   return runTimes_.RemainingPath(aJob.queueAddress_, aJob.spec_, done);
 }
 
+// A time of day that is ahead or behind only changes the order of jobs that
+// were accepted by another leader.
+Millis FleetScheduler::AgeOf(const Job& aJob) const
+{
+  const bool isDueLater = aJob.spec_.repeat_count() != 0;
+  return isDueLater || aJob.submittedUnixMs_ == 0
+           ? Millis()
+           : std::max(unixNow_ - Millis(aJob.submittedUnixMs_), Millis());
+}
+
 JobUrgency FleetScheduler::UrgencyOf(Millis aNow,
                                      const Job& aJob,
                                      const Occurrence* aOccurrence)
@@ -90,7 +100,7 @@
     const double stretch = queue != nullptr ? queue->stretch() : 1.0;
     const Millis target(queue != nullptr ? queue->target_latency_ms() : 0);
     const CriticalPath path = RemainingPath(aJob, nullptr);
-    arrival.arrivedAt_ = aNow;
+    arrival.arrivedAt_ = aNow - AgeOf(aJob);
     arrival.objective_ =
       target + Millis(static_cast<int64_t>(
                  stretch * static_cast<double>(path.runTime_.Count())));
--- a/src/core/jobs/job_store.cpp
+++ b/src/core/jobs/job_store.cpp
@@ -200,6 +200,7 @@
   job.service_ = aJob.service();
   job.customer_ = aJob.customer();
   job.spec_ = aJob.spec();
+  job.submittedUnixMs_ = aJob.submitted_unix_ms();
   job.acceptanceIndex_ = nextAcceptanceIndex_++;
   jobBytes_ += BytesOf(job);
   if (TakeCancelledEarly(job)) {
--- a/src/core/jobs/job_store_snapshot.cpp
+++ b/src/core/jobs/job_store_snapshot.cpp
@@ -23,6 +23,7 @@
   aState.mutable_accepted()->set_service(aJob.service_);
   aState.mutable_accepted()->set_customer(aJob.customer_);
   *aState.mutable_accepted()->mutable_spec() = aJob.spec_;
+  aState.mutable_accepted()->set_submitted_unix_ms(aJob.submittedUnixMs_);
   aState.set_cancelled(aJob.cancelled_);
   aState.set_failed(aJob.failed_);
   aState.set_not_started(!aJob.started_);
--- a/src/gateway/job_gateway.cpp
+++ b/src/gateway/job_gateway.cpp
@@ -322,6 +322,7 @@
               { "status", static_cast<int>(result->status()) },
               { "tries", attempts },
               { "may_be_stored", mayBeStored ? "yes" : "no" },
+              { "timeout_ms", aCall.timeout_.Count() },
               { "ms", elapsed.Count() } });
   } else {
     const Millis age = clock_.Now() - finder_.ConfirmedAt();
@@ -334,6 +335,7 @@
                  { "may_be_stored", mayBeStored ? "yes" : "no" },
                  { "last_reply", static_cast<int>(lastReply) },
                  { "leader_confirmed_ms_ago", age.Count() },
+                 { "timeout_ms", aCall.timeout_.Count() },
                  { "ms", elapsed.Count() } });
   }
   co_return std::move(*result);
--- a/src/scheduler/job_service_impl.cpp
+++ b/src/scheduler/job_service_impl.cpp
@@ -187,11 +187,13 @@
 JobServiceImpl::JobServiceImpl(JobStoreReplica& aStore,
                                LogReplica& aReplica,
                                Metrics& aMetrics,
+                               const Clock& aClock,
                                std::function<void()> aOnJobsChanged,
                                size_t aMaxJobBytes)
   : store_(aStore)
   , replica_(aReplica)
   , metrics_(aMetrics)
+  , clock_(aClock)
   , onJobsChanged_(std::move(aOnJobsChanged))
   , maxJobBytes_(aMaxJobBytes)
   , readBarrier_(
@@ -315,6 +317,7 @@
     job.set_path_prefix(place.queue_->path_prefix());
     job.set_service(place.queue_->service());
     job.set_customer(place.caller_.customer_);
+    job.set_submitted_unix_ms(clock_.UnixNow().Count());
     *job.mutable_spec() = aRequest->spec();
     return decision;
   };
--- a/src/scheduler/job_service_impl.h
+++ b/src/scheduler/job_service_impl.h
@@ -31,6 +31,7 @@
   JobServiceImpl(JobStoreReplica& aStore,
                  LogReplica& aReplica,
                  Metrics& aMetrics,
+                 const Clock& aClock,
                  std::function<void()> aOnJobsChanged,
                  size_t aMaxJobBytes = std::numeric_limits<size_t>::max());
 
@@ -82,6 +83,7 @@
   JobStoreReplica& store_;
   LogReplica& replica_;
   Metrics& metrics_;
+  const Clock& clock_;
   std::function<void()> onJobsChanged_;
   const size_t maxJobBytes_;
   ReadBarrier readBarrier_;
--- a/test/customer_calls_test.cpp
+++ b/test/customer_calls_test.cpp
@@ -111,7 +111,7 @@
              .sync_ = false },
            store_,
            clock_)
-    , service_(store_, log_, metrics_, [] {})
+    , service_(store_, log_, metrics_, clock_, [] {})
   {
     grpc::ServerBuilder builder;
     builder.AddListeningPort(
--- a/test/fleet_scheduler_test.cpp
+++ b/test/fleet_scheduler_test.cpp
@@ -677,6 +677,26 @@
   BOOST_TEST(a.fencingToken_ == 2U);
 }
 
+// Guards against a new leader that takes each open job for a new one, so that
+// jobs which are late for good go before those that can still be in time.
+BOOST_AUTO_TEST_CASE(NewLeaderStartsJobsThatCanBeInTimeBeforeLateOnes)
+{
+  SimulatedFleet fleet;
+  fleet.Configure({ { "layout", false } }, { { "drafts", "layout" } });
+  fleet.RunFor(Millis(100));
+  for (int i = 0; i < 8; ++i) {
+    fleet.Submit("late" + std::to_string(i),
+                 "drafts",
+                 { SimulatedFleet::StepOf(16, 1000, 1000) });
+  }
+  fleet.RunFor(Seconds(5));
+  fleet.StartLeader(2);
+  const Job& fresh =
+    fleet.Submit("fresh", "drafts", { SimulatedFleet::StepOf(16, 1000, 1000) });
+  fleet.AddInstance("a", "layout"); // has room for one job at a time
+  BOOST_TEST(fleet.RunUntil([&] { return IsCompleted(fresh); }, Millis(2200)));
+}
+
 BOOST_AUTO_TEST_CASE(TaskThatAFormerLeaderKeepsAliveIsNotStartedElsewhere)
 {
   FakeInstance& a = fleet_.AddInstance("a", "layout");
--- a/test/job_service_test.cpp
+++ b/test/job_service_test.cpp
@@ -73,6 +73,7 @@
         store_,
         replica_,
         metrics_,
+        clock_,
         [] {},
         kMaxJobBytes)
   {
--- a/test/simulated_fleet.h
+++ b/test/simulated_fleet.h
@@ -279,6 +279,7 @@
     job.set_queue(aQueue);
     job.set_service(store_.FindQueue(aQueue)->service());
     job.set_customer(aCustomer);
+    job.set_submitted_unix_ms(now_.Count());
     for (v1::StepSpec& step : aSteps) {
       *job.mutable_spec()->add_steps() = std::move(step);
     }
