--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -81,6 +81,10 @@
   bool mayBootstrap_ = true;
   // True if replicas with names not in `replicas_` may join.
   bool openMembership_ = false;
+  // Number of replicas that may lose their disks at the same time. Each entry
+  // is stored on more, which takes twice the number and one as members; further
+  // ones are removed when they do not respond.
+  size_t toleratedLosses_ = 1;
   uint64_t seed_ = 0; // must differ between process starts
   LogTiming timing_;
   // True if followers serve reads from their applied state, so the leader sends
@@ -316,6 +320,8 @@
   bool IsCaughtUp(const Learner& aLearner);
   std::vector<v1::LogMember> CaughtUpLearners();
   Members::iterator FindUnresponsive(Members& aMembers, Millis aAfter);
+  // The number of members below which none is removed.
+  size_t MinMembers() const;
   bool CanMemberLeave() const;
   // True if `aMember` is not needed for a quorum, even if this leader stops.
   bool IsReplaced(const v1::LogMember& aMember) const;
--- a/src/control/control_replica.cpp
+++ b/src/control/control_replica.cpp
@@ -55,6 +55,8 @@
   for (const ControlSettings& replica : aOptions.replicas_) {
     options.replicas_.push_back(replica.name_.Str());
   }
+  // As many as a majority of the replicas leaves.
+  options.toleratedLosses_ = (options.replicas_.size() - 1) / 2;
   options.resolver_ = [replicas = aOptions.replicas_](
                         const std::string& aName) -> std::optional<Endpoint> {
     const auto it =
--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -123,8 +123,6 @@
   v1::LogEntry entry;
   entry.set_index(1);
   entry.set_term(1);
-  entry.mutable_config()->set_initial_size(
-    static_cast<uint32_t>(options_.replicas_.size()));
   for (const std::string& name : options_.replicas_) {
     v1::LogMember& member = *entry.mutable_config()->add_members();
     member.set_name(name);
--- a/src/core/control_log_members.cpp
+++ b/src/core/control_log_members.cpp
@@ -12,22 +12,6 @@
 // is safe because it votes only once the configuration entry, and so every
 // entry before it, is in its log.
 constexpr uint64_t kMaxLearnerLag = 100;
-
-// Older releases wrote no initial size and kept the number of members odd.
-uint32_t InitialSize(const v1::LogConfig& aConfig)
-{
-  return aConfig.initial_size() != 0
-           ? aConfig.initial_size()
-           : static_cast<uint32_t>(aConfig.members_size());
-}
-
-// The size below which no member is removed. An odd number tolerates as many
-// failures as the even one above it.
-int MinSize(const v1::LogConfig& aConfig)
-{
-  return static_cast<int>((InitialSize(aConfig) - 1) | 1U);
-}
-
 // Limits the load of the leader; further replicas wait until one has joined.
 constexpr size_t kMaxLearners = 8;
 
@@ -89,10 +73,16 @@
   return caughtUp;
 }
 
+size_t ControlLog::MinMembers() const
+{
+  return 2 * options_.toleratedLosses_ + 1;
+}
+
 bool ControlLog::CanMemberLeave() const
 {
-  const v1::LogConfig& config = history_.Latest().config_;
-  return !learners_.empty() || config.members_size() > MinSize(config);
+  const auto size =
+    static_cast<size_t>(history_.Latest().config_.members_size());
+  return !learners_.empty() || size > MinMembers();
 }
 
 bool ControlLog::IsReplaced(const v1::LogMember& aMember) const
@@ -153,8 +143,6 @@
   };
   v1::LogEntry entry;
   *entry.mutable_config() = history_.Latest().config_;
-  entry.mutable_config()->set_initial_size(
-    InitialSize(history_.Latest().config_));
   Members& members = *entry.mutable_config()->mutable_members();
   const bool isChanged =
     std::any_of(kSteps.begin(), kSteps.end(), [&](const Step aStep) {
@@ -214,7 +202,7 @@
 // following: the rest tolerates more failures without it. It may join again.
 bool ControlLog::RemoveMember(Members& aMembers)
 {
-  if (aMembers.size() <= MinSize(history_.Latest().config_)) {
+  if (static_cast<size_t>(aMembers.size()) <= MinMembers()) {
     return false;
   }
   const auto replaceable =
--- a/src/replica/log_replica.cpp
+++ b/src/replica/log_replica.cpp
@@ -129,6 +129,7 @@
                                 .replicas_ = options_.replicas_,
                                 .mayBootstrap_ = options_.mayBootstrap_,
                                 .openMembership_ = options_.openMembership_,
+                                .toleratedLosses_ = options_.toleratedLosses_,
                                 .seed_ = RandomSeed(),
                                 .timing_ = options_.timing_,
                                 .sendCommitImmediately_ =
--- a/src/replica/log_replica.h
+++ b/src/replica/log_replica.h
@@ -70,6 +70,7 @@
   bool mayBootstrap_ = true;
   // True if replicas with names not in `replicas_` may join.
   bool openMembership_ = false;
+  size_t toleratedLosses_ = 1; // see ControlLogOptions
   // Called with the reason if a disk operation fails; the process must then
   // exit.
   std::function<void(const std::string&)> onDiskFailure_;
--- a/test/control_log_membership_test.cpp
+++ b/test/control_log_membership_test.cpp
@@ -32,8 +32,10 @@
 // Replicas of which `follower_` will be replaced and `other_` not.
 struct OpenCluster
 {
-  explicit OpenCluster(uint64_t aSeed = 1, size_t aCount = 3)
-    : cluster_(aCount, aSeed, kOpen)
+  explicit OpenCluster(uint64_t aSeed = 1,
+                       size_t aCount = 3,
+                       ControlLogOptions aOptions = kOpen)
+    : cluster_(aCount, aSeed, std::move(aOptions))
   {
     cluster_.StartAll();
     BOOST_REQUIRE(Commit(cluster_, "first"));
@@ -162,7 +164,9 @@
                                   << " ms, leader removed " << isLeaderRemoved
                                   << ", wiped " << isLeaderWiped)
           {
-            OpenCluster open(size, size);
+            ControlLogOptions options = kOpen;
+            options.toleratedLosses_ = (size - 1) / 2;
+            OpenCluster open(size, size, options);
             open.cluster_.Add("x", { open.leader_, open.other_ });
             open.cluster_.Run(kCatchUp);
             BOOST_REQUIRE(Commit(open.cluster_, "with the successor"));
@@ -225,7 +229,7 @@
 
 // Guards against members that are gone and are still counted because their
 // number is odd.
-BOOST_AUTO_TEST_CASE(MembersBeyondTheInitialNumberAreRemovedWhenTheyAreGone)
+BOOST_AUTO_TEST_CASE(MembersThatAreNotNeededAreRemovedWhenTheyAreGone)
 {
   OpenCluster open;
   open.cluster_.Add("x", { open.leader_ });
@@ -240,6 +244,32 @@
   open.CheckRecovers("with three of five");
 }
 
+// Guards against a removal of members that are away for a while, after which an
+// entry is stored on no more replicas than may lose their disks.
+BOOST_AUTO_TEST_CASE(EntriesSurviveAsManyLostDisksAsTolerated)
+{
+  ControlLogOptions options = kOpen;
+  options.toleratedLosses_ = 2;
+  OpenCluster open(1, 3, options);
+  open.cluster_.Add("x", { open.leader_ });
+  open.cluster_.Add("y", { open.leader_ });
+  BOOST_REQUIRE(open.cluster_.RunUntil(
+    [&] { return open.cluster_.AllMembersEqual(); }, kCatchUp));
+  open.cluster_.Crash("x");
+  open.cluster_.Crash("y");
+  open.cluster_.Run(kCatchUp);
+  BOOST_TEST(open.MemberCount() == 5U);
+  BOOST_REQUIRE(Commit(open.cluster_, "with two of five down"));
+  open.cluster_.LoseDisk(open.leader_);
+  open.cluster_.LoseDisk(open.follower_);
+  for (const std::string name : { open.leader_, open.follower_ }) {
+    open.cluster_.Start(name);
+  }
+  open.cluster_.Start("x");
+  open.cluster_.Start("y");
+  open.CheckRecovers("after two disks lost while two were down");
+}
+
 // Guards against a late message of an earlier incarnation, by which the present
 // one would count as lost.
 BOOST_AUTO_TEST_CASE(OnlyFormerIncarnationsCountAsLost)
--- a/test/control_log_random_test.cpp
+++ b/test/control_log_random_test.cpp
@@ -1,6 +1,6 @@
 // Random schedules of the control log. To run one schedule with a given seed
 // and number of steps:
-//   build/control_log_random_test -- SEED STEPS
+//   build/control_log_random_test -- SEED STEPS [REPLICAS]
 #define BOOST_TEST_MODULE control_log_random
 #include "log_cluster.h"
 
@@ -249,13 +249,16 @@
   RunSchedule(3, 1194, 50000);
 }
 
-// Replicas join, replace others and leave.
+// Replicas join, replace others and leave. With an even number of them, half
+// become a quorum once a lost disk is known.
 BOOST_AUTO_TEST_CASE(InvariantsHoldUnderRandomSchedulesOfAnOpenCluster)
 {
   const auto& suite = boost::unit_test::framework::master_test_suite();
   if (suite.argc > 2) {
+    const size_t replicas =
+      suite.argc > 3 ? std::strtoull(suite.argv[3], nullptr, 10) : 3;
     for (const size_t joining : { 1U, 2U }) {
-      RunSchedule(3,
+      RunSchedule(replicas,
                   std::strtoull(suite.argv[1], nullptr, 10),
                   std::strtoull(suite.argv[2], nullptr, 10),
                   kOpen,
@@ -265,6 +268,7 @@
   }
   for (uint64_t seed = 1; seed <= 12; ++seed) {
     RunSchedule(3, seed, 20000, kOpen, 1 + seed % 2);
+    RunSchedule(4 + seed % 3, seed, 20000, kOpen, 1 + seed % 2);
   }
   // A new member that lacks the entry which adds it is needed for an election.
   RunSchedule(3, 156, 20000, kOpen, 2);
--- a/test/platform_messages_test.cpp
+++ b/test/platform_messages_test.cpp
@@ -268,6 +268,8 @@
 move_s = 1.5
 max_hold_ms = 10000
 far_x = 1.5
+[fault_tolerance]
+machines = 2
 [limits]
 memory_mb = 384
 max_fds = 5000
@@ -281,6 +283,7 @@
   BOOST_TEST(settings.value().machineMoveTime_.Count() == 1500);
   BOOST_TEST(settings.value().maxLease_.Count() == 10000);
   BOOST_TEST(settings.value().remoteRackFactor_ == 1.5);
+  BOOST_TEST(settings.value().toleratedLosses_ == 2U);
   BOOST_TEST(settings.value().memoryMb_ == 384U);
   BOOST_TEST(settings.value().maxDescriptors_ == 5000U);
   BOOST_TEST(!settings.value().clientEndpoint_.has_value());
