--- a/test/control_log_membership_test.cpp
+++ b/test/control_log_membership_test.cpp
@@ -262,7 +262,7 @@
   BOOST_REQUIRE(Commit(open.cluster_, "with two of five down"));
   open.cluster_.LoseDisk(open.leader_);
   open.cluster_.LoseDisk(open.follower_);
-  for (const std::string name : { open.leader_, open.follower_ }) {
+  for (const std::string& name : { open.leader_, open.follower_ }) {
     open.cluster_.Start(name);
   }
   open.cluster_.Start("x");
