--- a/src/core/control_log_members.cpp
+++ b/src/core/control_log_members.cpp
@@ -186,12 +186,18 @@
 }
 
 // A learner becomes a member before it is needed, so that the next member to be
-// lost need not be noticed first. Two learners keep an odd number odd.
+// lost need not be noticed first. An odd number that tolerates a further loss
+// stays odd, as one half of an even number is no quorum when they are cut from
+// each other.
 bool ControlLog::AddLearners(Members& aMembers)
 {
   const std::vector<v1::LogMember> caughtUp = CaughtUpLearners();
-  const size_t most = aMembers.size() % 2 == 0 ? 1 : 2;
+  const auto size = static_cast<size_t>(aMembers.size());
+  const size_t most = size % 2 == 0 ? 1 : 2;
   const size_t count = std::min(caughtUp.size(), most);
+  if (size % 2 != 0 && size > MinMembers() && count == 1) {
+    return false;
+  }
   for (size_t i = 0; i < count; ++i) {
     *aMembers.Add() = caughtUp[i];
   }
--- a/test/control_log_membership_test.cpp
+++ b/test/control_log_membership_test.cpp
@@ -244,6 +244,21 @@
   open.CheckRecovers("with three of five");
 }
 
+// Guards against an even number of members that is not needed: cut into halves,
+// none of them has a quorum.
+BOOST_AUTO_TEST_CASE(HalfOfTheReplicasServesWhileTheOthersAreCutOff)
+{
+  OpenCluster open(1, 5);
+  open.cluster_.Add("x", { open.leader_ });
+  open.cluster_.Run(kCatchUp);
+  BOOST_TEST(open.MemberCount() == 5U);
+  for (const std::string& other :
+       { std::string("x"), open.follower_, open.other_ }) {
+    open.cluster_.Isolate(other);
+  }
+  BOOST_TEST(Commit(open.cluster_, "while one half is cut off"));
+}
+
 // Guards against a removal of members that are away for a while, after which an
 // entry is stored on no more replicas than may lose their disks.
 BOOST_AUTO_TEST_CASE(EntriesSurviveAsManyLostDisksAsTolerated)
