--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -365,6 +365,8 @@
   std::map<std::string, std::pair<uint64_t, Millis>> blankReplicas_;
   // Names of the members as in the last reply of each replica, by its name.
   std::map<std::string, std::vector<std::string>> membersBySender_;
+  // Names of the replicas that sent messages to this one while it was blank.
+  std::set<std::string> sendersWhileBlank_;
   // Of this replica, as members of a cluster know them.
   std::set<uint64_t> formerIncarnations_;
   LostMembers lostMembers_;
--- a/src/core/control_log.cpp
+++ b/src/core/control_log.cpp
@@ -286,6 +286,11 @@
 void ControlLog::Receive(Millis aNow, const v1::PeerMessage& aMessage)
 {
   AdvanceTime(aNow);
+  if (clusterId_ == 0 && aMessage.to() == self_.name()) {
+    // A message for a former incarnation is from a member that this replica
+    // may not know from its settings.
+    sendersWhileBlank_.insert(aMessage.from().name());
+  }
   const bool isForOldIncarnation =
     aMessage.to_incarnation() != 0 &&
     aMessage.to_incarnation() != self_.incarnation();
--- a/src/core/control_log_join.cpp
+++ b/src/core/control_log_join.cpp
@@ -43,6 +43,7 @@
   for (const v1::LogMember& member : history_.Latest().config_.members()) {
     names.insert(member.name());
   }
+  names.insert(sendersWhileBlank_.begin(), sendersWhileBlank_.end());
   for (const auto& [sender, members] : membersBySender_) {
     names.insert(members.begin(), members.end());
   }
--- a/test/control_log_membership_test.cpp
+++ b/test/control_log_membership_test.cpp
@@ -244,6 +244,32 @@
   open.CheckRecovers("with three of five");
 }
 
+// Guards against a replica that stays blank after the loss of its disk because
+// its seeds are gone, though the members know it.
+BOOST_AUTO_TEST_CASE(ReplicaThatLostItsDiskJoinsWithoutItsSeeds)
+{
+  OpenCluster open;
+  open.cluster_.Add("x", { open.follower_ });
+  open.cluster_.Run(kCatchUp);
+  open.cluster_.Crash(open.follower_);
+  open.cluster_.Run(Seconds(2));
+  open.LoseDiskAndRestart("x");
+  BOOST_TEST(open.cluster_.RunUntil(
+               [&] { return open.cluster_.Log("x").IsMember(); }, kCatchUp),
+             open.cluster_.Describe());
+}
+
+// The same without a leader, which only the loss of that disk lets be elected.
+BOOST_AUTO_TEST_CASE(QuorumSurvivesDiskLostByReplicaWhoseSeedsAreGone)
+{
+  OpenCluster open;
+  open.cluster_.Add("x", { open.leader_ });
+  open.cluster_.Run(kCatchUp);
+  open.cluster_.Crash(open.leader_);
+  open.LoseDiskAndRestart("x");
+  open.CheckRecovers("with x blank");
+}
+
 // Guards against an even number of members that is not needed: cut into halves,
 // none of them has a quorum.
 BOOST_AUTO_TEST_CASE(HalfOfTheReplicasServesWhileTheOthersAreCutOff)
