--- a/include/vanillahatch/core/control_log.h
+++ b/include/vanillahatch/core/control_log.h
@@ -25,9 +25,10 @@
 // and of the new configuration, and the next one waits until it is committed.
 //
 // With open membership, replicas of other names join in the same way. They
-// replace members that do not respond or that leave, and become further members
-// if there are none. Such further members are not needed: one of them that does
-// not respond or leaves is removed.
+// replace members that do not respond or that leave, or become further members.
+// A single one waits if the number of members is odd and tolerates more losses
+// than it has to. Beyond the number that the tolerated losses need, a member
+// that does not respond or leaves is removed.
 //
 // A new cluster is bootstrapped by the first replica of the settings, and only
 // after every other replica has replied to this incarnation that it is blank,
